--- /dev/null
+++ b/src/coordination/error.c
@@ -0,0 +1,27 @@
+#include "rosemarystile.h"
+
+const char *
+rst_strerror (int error)
+{
+  switch (error)
+    {
+    case RST_OK:
+      return "success";
+    case RST_ERROR_NO_MEMORY:
+      return "out of memory";
+    case RST_ERROR_INVALID:
+      return "invalid argument or record";
+    case RST_ERROR_NOT_FOUND:
+      return "not found";
+    case RST_ERROR_FULL:
+      return "a bound was reached";
+    case RST_ERROR_STALE:
+      return "version is older than the one held";
+    case RST_ERROR_NOT_HELD:
+      return "right is not held";
+    case RST_ERROR_LIMIT:
+      return "upper limit reached";
+    default:
+      return "unknown error";
+    }
+}
--- /dev/null
+++ b/src/coordination/ownership.c
@@ -0,0 +1,480 @@
+#include "rosemarystile.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <xxhash.h>
+
+#include "state/json.h"
+
+struct rst_zone *
+rst_zone_create (const char *zone)
+{
+  struct rst_zone *record = calloc (1, sizeof *record);
+
+  if (record != NULL)
+    g_strlcpy (record->zone, zone, RST_NAME_SIZE);
+  return record;
+}
+
+void
+rst_zone_destroy (struct rst_zone *zone)
+{
+  if (zone == NULL)
+    return;
+  free (zone->owned);
+  free (zone);
+}
+
+struct rst_zone *
+rst_zone_copy (const struct rst_zone *zone)
+{
+  struct rst_zone *copy = malloc (sizeof *copy);
+  size_t size = (size_t)zone->owned_capacity * sizeof *zone->owned;
+
+  if (copy == NULL)
+    return NULL;
+  *copy = *zone;
+  if (size == 0)
+    return copy;
+  copy->owned = malloc (size);
+  if (copy->owned == NULL)
+    {
+      free (copy);
+      return NULL;
+    }
+  memcpy (copy->owned, zone->owned, size);
+  return copy;
+}
+
+/* Index of the first instance whose name is not less than @instance. */
+static int
+lower_bound (const struct rst_zone *zone, const char *instance)
+{
+  int low = 0;
+  int high = zone->owned_count;
+
+  while (low < high)
+    {
+      int middle = low + (high - low) / 2;
+
+      if (strcmp (zone->owned[middle].instance, instance) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+static struct rst_owned *
+find_owned (const struct rst_zone *zone, const char *instance)
+{
+  int at = lower_bound (zone, instance);
+
+  if (at < zone->owned_count
+      && strcmp (zone->owned[at].instance, instance) == 0)
+    return &zone->owned[at];
+  return NULL;
+}
+
+static struct rst_owned *
+add_owned (struct rst_zone *zone, const char *instance)
+{
+  int at = lower_bound (zone, instance);
+  struct rst_owned *owned;
+
+  if (zone->owned_count == zone->owned_capacity)
+    {
+      int capacity = zone->owned_capacity > 0 ? 2 * zone->owned_capacity : 16;
+      struct rst_owned *grown
+          = realloc (zone->owned, (size_t)capacity * sizeof *grown);
+
+      if (grown == NULL)
+        return NULL;
+      zone->owned = grown;
+      zone->owned_capacity = capacity;
+    }
+  owned = &zone->owned[at];
+  memmove (owned + 1, owned,
+           (size_t)(zone->owned_count - at) * sizeof *owned);
+  zone->owned_count++;
+  memset (owned, 0, sizeof *owned);
+  g_strlcpy (owned->instance, instance, RST_NAME_SIZE);
+  owned->settled = true;
+  return owned;
+}
+
+const struct rst_member *
+rst_zone_find_member (const struct rst_zone *zone, const char *incarnation)
+{
+  for (int i = 0; i < zone->member_count; i++)
+    if (strcmp (zone->members[i].incarnation, incarnation) == 0)
+      return &zone->members[i];
+  return NULL;
+}
+
+const struct rst_owned *
+rst_zone_find_owned (const struct rst_zone *zone, const char *instance)
+{
+  return find_owned (zone, instance);
+}
+
+static void
+set_owner (struct rst_owned *owned, const char *owner)
+{
+  g_strlcpy (owned->owner, owner, RST_NAME_SIZE);
+  if (owner[0] != '\0')
+    owned->epoch++;
+  owned->settled = false;
+}
+
+int
+rst_zone_remove_member (struct rst_zone *zone, const char *incarnation)
+{
+  const struct rst_member *member = rst_zone_find_member (zone, incarnation);
+  int at;
+
+  if (member == NULL)
+    return RST_ERROR_NOT_FOUND;
+  for (int i = 0; i < zone->owned_count; i++)
+    if (strcmp (zone->owned[i].owner, incarnation) == 0)
+      set_owner (&zone->owned[i], "");
+  at = (int)(member - zone->members);
+  memmove (&zone->members[at], &zone->members[at + 1],
+           (size_t)(zone->member_count - at - 1) * sizeof *member);
+  zone->member_count--;
+  return RST_OK;
+}
+
+int
+rst_zone_add_member (struct rst_zone *zone, const struct rst_member *member)
+{
+  int at = 0;
+
+  if (rst_zone_find_member (zone, member->incarnation) != NULL)
+    return RST_OK;
+  if (zone->member_count == RST_MEMBERS_MAX)
+    return RST_ERROR_FULL;
+  while (at < zone->member_count
+         && strcmp (zone->members[at].incarnation, member->incarnation) < 0)
+    at++;
+  memmove (&zone->members[at + 1], &zone->members[at],
+           (size_t)(zone->member_count - at) * sizeof *member);
+  zone->members[at] = *member;
+  zone->member_count++;
+  return RST_OK;
+}
+
+int
+rst_rendezvous (const char *key, const char *const *names, int count)
+{
+  int best = -1;
+  uint64_t best_score = 0;
+  uint64_t seed = XXH3_64bits (key, strlen (key));
+
+  for (int i = 0; i < count; i++)
+    {
+      uint64_t score
+          = XXH3_64bits_withSeed (names[i], strlen (names[i]), seed);
+
+      if (best < 0 || score > best_score
+          || (score == best_score && strcmp (names[i], names[best]) < 0))
+        {
+          best = i;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+const struct rst_member *
+rst_zone_proposed (const struct rst_zone *zone, const char *instance)
+{
+  const char *names[RST_MEMBERS_MAX];
+  int pick;
+
+  for (int i = 0; i < zone->member_count; i++)
+    names[i] = zone->members[i].incarnation;
+  pick = rst_rendezvous (instance, names, zone->member_count);
+  return pick >= 0 ? &zone->members[pick] : NULL;
+}
+
+static int
+count_owned (const struct rst_zone *zone, const char *incarnation)
+{
+  int count = 0;
+
+  for (int i = 0; i < zone->owned_count; i++)
+    if (strcmp (zone->owned[i].owner, incarnation) == 0)
+      count++;
+  return count;
+}
+
+/* Most instances that one member should own: hashing alone would leave some
+   members with much more than others. */
+static int
+fair_bound (const struct rst_zone *zone)
+{
+  if (zone->member_count == 0)
+    return 0;
+  return (zone->owned_count + zone->member_count - 1) / zone->member_count;
+}
+
+int
+rst_zone_claim (struct rst_zone *zone, const char *incarnation,
+                const char *const *instances, int count)
+{
+  int claimed = 0;
+  int held;
+
+  for (int i = 0; i < count; i++)
+    if (find_owned (zone, instances[i]) == NULL
+        && add_owned (zone, instances[i]) == NULL)
+      return -1;
+  held = count_owned (zone, incarnation);
+  for (int i = 0; i < count; i++)
+    {
+      struct rst_owned *owned = find_owned (zone, instances[i]);
+      const struct rst_member *member;
+
+      if (owned->owner[0] != '\0')
+        continue;
+      member = rst_zone_proposed (zone, instances[i]);
+      if (member == NULL)
+        continue;
+      if (strcmp (member->incarnation, incarnation) != 0
+          && (held >= fair_bound (zone)
+              || count_owned (zone, member->incarnation)
+                     < fair_bound (zone)))
+        continue;
+      set_owner (owned, incarnation);
+      held++;
+      claimed++;
+    }
+  return claimed;
+}
+
+int
+rst_zone_yield (struct rst_zone *zone, const char *incarnation, int max_moves)
+{
+  int released = 0;
+  int held = count_owned (zone, incarnation);
+  int bound = fair_bound (zone);
+
+  for (int i = 0; i < zone->owned_count && released < max_moves; i++)
+    {
+      struct rst_owned *owned = &zone->owned[i];
+      const struct rst_member *member;
+
+      if (held <= bound || strcmp (owned->owner, incarnation) != 0)
+        continue;
+      member = rst_zone_proposed (zone, owned->instance);
+      if (strcmp (member->incarnation, incarnation) == 0
+          && held <= bound + 1)
+        continue;
+      set_owner (owned, "");
+      held--;
+      released++;
+    }
+  return released;
+}
+
+int
+rst_zone_give (struct rst_zone *zone, const char *instance, const char *owner)
+{
+  struct rst_owned *owned = find_owned (zone, instance);
+
+  if (owned == NULL)
+    return RST_ERROR_NOT_FOUND;
+  set_owner (owned, owner);
+  return RST_OK;
+}
+
+int
+rst_zone_settle (struct rst_zone *zone, const char *instance,
+                 const char *owner)
+{
+  struct rst_owned *owned = find_owned (zone, instance);
+
+  if (owned == NULL)
+    return RST_ERROR_NOT_FOUND;
+  if (strcmp (owned->owner, owner) != 0)
+    return RST_ERROR_NOT_HELD;
+  owned->settled = true;
+  return RST_OK;
+}
+
+int
+rst_zone_forget (struct rst_zone *zone, const char *instance)
+{
+  struct rst_owned *owned = find_owned (zone, instance);
+  int at;
+
+  if (owned == NULL)
+    return RST_ERROR_NOT_FOUND;
+  at = (int)(owned - zone->owned);
+  memmove (owned, owned + 1,
+           (size_t)(zone->owned_count - at - 1) * sizeof *owned);
+  zone->owned_count--;
+  return RST_OK;
+}
+
+/* ---- JSON ------------------------------------------------------------- */
+
+static bool
+parse_members (struct json_object *root, struct rst_zone *zone)
+{
+  struct json_object *list = rst_json_array (root, "members");
+  size_t count = list != NULL ? json_object_array_length (list) : 0;
+
+  if (list == NULL || count > RST_MEMBERS_MAX)
+    return false;
+  for (size_t i = 0; i < count; i++)
+    {
+      struct json_object *item = json_object_array_get_idx (list, i);
+      struct rst_member member;
+
+      if (!rst_json_copy_text (item, "name", member.name, RST_NAME_SIZE)
+          || !rst_json_copy_text (item, "incarnation", member.incarnation,
+                                  RST_NAME_SIZE)
+          || !rst_json_copy_text (item, "address", member.address,
+                                  RST_ADDRESS_SIZE))
+        return false;
+      rst_zone_add_member (zone, &member);
+    }
+  return true;
+}
+
+static bool
+parse_instances (struct json_object *root, struct rst_zone *zone)
+{
+  struct json_object *list = rst_json_array (root, "instances");
+  size_t count = list != NULL ? json_object_array_length (list) : 0;
+
+  if (list == NULL)
+    return false;
+  for (size_t i = 0; i < count; i++)
+    {
+      struct json_object *item = json_object_array_get_idx (list, i);
+      const char *name = rst_json_text (item, "name");
+      struct rst_owned *owned;
+
+      if (name == NULL || strlen (name) >= RST_NAME_SIZE
+          || find_owned (zone, name) != NULL)
+        return false;
+      owned = add_owned (zone, name);
+      if (owned == NULL
+          || !rst_json_copy_text (item, "owner", owned->owner, RST_NAME_SIZE))
+        return false;
+      owned->epoch = (uint64_t)rst_json_number (item, "epoch", 0);
+      owned->settled = rst_json_bool (item, "settled", false);
+    }
+  return true;
+}
+
+int
+rst_zone_parse (const char *text, uint64_t revision, struct rst_zone **out)
+{
+  struct json_object *root = rst_json_parse (text);
+  struct rst_zone *zone = rst_zone_create ("");
+  int error = RST_ERROR_INVALID;
+
+  if (zone == NULL)
+    {
+      error = RST_ERROR_NO_MEMORY;
+      goto fail;
+    }
+  if (!rst_json_copy_text (root, "zone", zone->zone, RST_NAME_SIZE)
+      || !rst_json_copy_text (root, "writer", zone->writer, RST_NAME_SIZE)
+      || !parse_members (root, zone) || !parse_instances (root, zone))
+    goto fail;
+  zone->write = (uint64_t)rst_json_number (root, "write", 0);
+  zone->revision = revision;
+  json_object_put (root);
+  *out = zone;
+  return RST_OK;
+
+fail:
+  json_object_put (root);
+  rst_zone_destroy (zone);
+  return error;
+}
+
+static struct json_object *
+format_members (const struct rst_zone *zone)
+{
+  struct json_object *list = json_object_new_array ();
+
+  for (int i = 0; i < zone->member_count; i++)
+    {
+      struct json_object *item = json_object_new_object ();
+
+      rst_json_set_text (item, "name", zone->members[i].name);
+      rst_json_set_text (item, "incarnation", zone->members[i].incarnation);
+      rst_json_set_text (item, "address", zone->members[i].address);
+      json_object_array_add (list, item);
+    }
+  return list;
+}
+
+static struct json_object *
+format_instances (const struct rst_zone *zone)
+{
+  struct json_object *list = json_object_new_array ();
+
+  for (int i = 0; i < zone->owned_count; i++)
+    {
+      struct json_object *item = json_object_new_object ();
+
+      rst_json_set_text (item, "name", zone->owned[i].instance);
+      rst_json_set_text (item, "owner", zone->owned[i].owner);
+      rst_json_set_number (item, "epoch", (int64_t)zone->owned[i].epoch);
+      rst_json_set_bool (item, "settled", zone->owned[i].settled);
+      json_object_array_add (list, item);
+    }
+  return list;
+}
+
+char *
+rst_zone_format (const struct rst_zone *zone)
+{
+  struct json_object *root = json_object_new_object ();
+
+  rst_json_set_text (root, "zone", zone->zone);
+  rst_json_set_text (root, "writer", zone->writer);
+  rst_json_set_number (root, "write", (int64_t)zone->write);
+  json_object_object_add (root, "members", format_members (zone));
+  json_object_object_add (root, "instances", format_instances (zone));
+  return rst_json_release (root);
+}
+
+int
+rst_member_record_parse (const char *text, struct rst_member_record *out)
+{
+  struct json_object *root = rst_json_parse (text);
+  int error = RST_ERROR_INVALID;
+
+  memset (out, 0, sizeof *out);
+  if (rst_json_copy_text (root, "incarnation", out->incarnation,
+                          RST_NAME_SIZE)
+      && rst_json_copy_text (root, "fenced_by", out->fenced_by,
+                             RST_NAME_SIZE))
+    error = RST_OK;
+  out->view = (uint64_t)rst_json_number (root, "view", 0);
+  out->touch = (uint64_t)rst_json_number (root, "touch", 0);
+  json_object_put (root);
+  return error;
+}
+
+char *
+rst_member_record_format (const struct rst_member_record *record)
+{
+  struct json_object *root = json_object_new_object ();
+
+  rst_json_set_text (root, "incarnation", record->incarnation);
+  rst_json_set_number (root, "view", (int64_t)record->view);
+  rst_json_set_number (root, "touch", (int64_t)record->touch);
+  rst_json_set_text (root, "fenced_by", record->fenced_by);
+  return rst_json_release (root);
+}
--- /dev/null
+++ b/src/coordination/sched_instance.c
@@ -0,0 +1,705 @@
+/**
+ * DOC: sched_instance - the list of instances, adoption and renewal
+ *
+ * An instance is used only once it was told the owner's epoch and has listed
+ * what it runs; from then on it refuses commands of older epochs.
+ */
+#include "coordination/scheduler_private.h"
+
+#include <string.h>
+
+#define LOG_PREFIX "instance"
+
+/** Time between inspections of a runner with work of an earlier owner. */
+#define INSPECT_EVERY_MS 1000
+
+/** Time added to a task lease before its end is taken as certain. */
+#define LEASE_MARGIN_MS 1000
+
+/** Failures in a row after which an instance gets no work for a while. */
+#define BREAKER_FAILURES 3
+
+/** First time for which a failing instance gets no work. */
+#define BREAKER_OPEN_MS 2000
+
+/** Renewals in one task lease. */
+#define RENEWALS_PER_LEASE 3
+
+/** Failed renewals after which no further one is sent. */
+#define RENEWALS_MAX 3
+
+bool
+sched_instance_usable (const struct rst_scheduler *sched,
+                       const struct instance *instance)
+{
+  return instance->phase == INSTANCE_READY && !instance->yielding
+         && instance->listed && !instance->info.leaving
+         && rst_breaker_allows (&instance->breaker, sched_now (sched));
+}
+
+/* ---- Work --------------------------------------------------------------- */
+
+static void
+count_work (struct work *work, int sign)
+{
+  struct instance *instance = work->instance;
+
+  if (instance->info.kind == RST_RUNNER)
+    instance->slots_used += sign;
+  instance->cpu_used += sign * work->info.cpu;
+  instance->memory_used += sign * work->info.memory_mb;
+  instance->accelerators_used += sign * work->info.accelerators;
+  work->team->used = (uint32_t)((int)work->team->used + sign);
+  instance->sched->load_changed = true;
+}
+
+struct work *
+sched_work_add (struct instance *instance, const struct rst_work *info)
+{
+  struct work *work = g_new0 (struct work, 1);
+
+  work->info = *info;
+  work->instance = instance;
+  work->team = sched_team (instance->sched, info->team);
+  work->started_at = sched_now (instance->sched);
+  CK_LIST_INSERT_HEAD (&instance->work, work, entry);
+  work->counted = true;
+  count_work (work, 1);
+  if (info->job[0] != '\0')
+    sched_task_added (work);
+  return work;
+}
+
+void
+sched_work_uncount (struct work *work)
+{
+  if (!work->counted)
+    return;
+  work->counted = false;
+  count_work (work, -1);
+}
+
+void
+sched_work_remove (struct work *work)
+{
+  sched_task_removed (work);
+  sched_work_uncount (work);
+  if (work->instance != NULL)
+    CK_LIST_REMOVE (work, entry);
+  g_free (work);
+}
+
+void
+sched_work_end (struct work *work, uint64_t result)
+{
+  work->info.result = (int64_t)result;
+  work->ended = true;
+  work->end_sent_at = 0;
+  sched_work_uncount (work);
+}
+
+struct work *
+sched_work_find (const struct instance *instance, const char *id)
+{
+  struct work *work;
+
+  CK_LIST_FOREACH (work, &instance->work, entry)
+  if (strcmp (work->info.id, id) == 0)
+    return work;
+  return NULL;
+}
+
+/* ---- Ownership ----------------------------------------------------------- */
+
+void
+sched_instance_free (gpointer data)
+{
+  struct instance *instance = data;
+  struct work *work;
+
+  while ((work = CK_LIST_FIRST (&instance->work)) != NULL)
+    sched_work_remove (work);
+  g_free (instance);
+}
+
+static struct instance *
+find_or_add (struct rst_scheduler *sched, const char *name)
+{
+  struct instance *instance = g_hash_table_lookup (sched->instances, name);
+
+  if (instance != NULL)
+    return instance;
+  instance = g_new0 (struct instance, 1);
+  instance->sched = sched;
+  g_strlcpy (instance->info.name, name, RST_NAME_SIZE);
+  CK_LIST_INIT (&instance->work);
+  rst_breaker_init (&instance->breaker, BREAKER_FAILURES, BREAKER_OPEN_MS);
+  g_hash_table_insert (sched->instances, instance->info.name, instance);
+  return instance;
+}
+
+/* Detaches work that a call under way still refers to; frees the rest. */
+static void
+release_work (struct instance *instance, bool keep_away)
+{
+  struct work *work = CK_LIST_FIRST (&instance->work);
+
+  while (work != NULL)
+    {
+      struct work *next = CK_LIST_NEXT (work, entry);
+
+      if (work->counted && keep_away)
+        sched_limit_away (work->team, instance->info.name);
+      sched_task_removed (work);
+      sched_work_uncount (work);
+      CK_LIST_REMOVE (work, entry);
+      if (work->calls > 0)
+        work->instance = NULL;
+      else
+        g_free (work);
+      work = next;
+    }
+}
+
+static void
+drop_instance (struct instance *instance, bool keep_away)
+{
+  if (instance->phase == INSTANCE_FOREIGN)
+    return;
+  rst_info (LOG_PREFIX, "Instance is no longer owned.", "instance",
+            instance->info.name);
+  instance->phase = INSTANCE_FOREIGN;
+  instance->yielding = false;
+  release_work (instance, keep_away);
+  g_ptr_array_remove_fast (instance->sched->owned, instance);
+  instance->sched->load_changed = true;
+}
+
+void
+sched_instance_drop_all (struct rst_scheduler *sched)
+{
+  while (sched->owned->len > 0)
+    drop_instance (g_ptr_array_index (sched->owned, 0), false);
+}
+
+static void
+begin_adoption (struct instance *instance, uint64_t epoch)
+{
+  struct rst_scheduler *sched = instance->sched;
+
+  if (instance->phase != INSTANCE_FOREIGN)
+    drop_instance (instance, false);
+  instance->phase = INSTANCE_ADOPTING;
+  instance->epoch = epoch;
+  instance->yielding = false;
+  instance->life = sched->life;
+  instance->next_inspect = 0;
+  instance->heard_at = sched_now (sched);
+  instance->renewals_failed = 0;
+  g_ptr_array_add (sched->owned, instance);
+}
+
+static void
+apply_owned (struct rst_scheduler *sched, const struct rst_zone *zone,
+             const struct rst_owned *owned)
+{
+  bool mine = strcmp (owned->owner, sched->incarnation) == 0;
+  struct instance *instance;
+
+  if (!mine)
+    {
+      instance = g_hash_table_lookup (sched->instances, owned->instance);
+      if (instance != NULL)
+        drop_instance (instance, instance->yielding);
+      return;
+    }
+  instance = find_or_add (sched, owned->instance);
+  if (instance->phase == INSTANCE_FOREIGN || instance->epoch != owned->epoch)
+    begin_adoption (instance, owned->epoch);
+  else if (instance->yielding && zone->revision > instance->yielding_revision)
+    instance->yielding = false;
+  instance->settled = owned->settled;
+}
+
+void
+sched_instance_zone_changed (struct rst_scheduler *sched)
+{
+  const struct rst_zone *zone = sched_zone (sched);
+
+  for (int i = 0; i < zone->owned_count; i++)
+    apply_owned (sched, zone, &zone->owned[i]);
+  for (guint i = sched->owned->len; i > 0; i--)
+    {
+      struct instance *instance = g_ptr_array_index (sched->owned, i - 1);
+
+      if (rst_zone_find_owned (zone, instance->info.name) == NULL)
+        drop_instance (instance, false);
+    }
+}
+
+/* ---- The list ------------------------------------------------------------ */
+
+static void
+apply_info (struct rst_scheduler *sched, const struct rst_instance_info *info)
+{
+  struct instance *instance = find_or_add (sched, info->name);
+
+  if (instance->listed && instance->info.leaving != info->leaving)
+    {
+      rst_info (LOG_PREFIX, info->leaving ? "Instance is leaving."
+                                          : "Instance is back.",
+                "instance", info->name);
+      sched->load_changed = true;
+    }
+  instance->info = *info;
+  instance->listed = true;
+}
+
+static void
+on_instances (const struct rst_platform_reply *reply, void *data)
+{
+  struct rst_scheduler *sched = data;
+  GHashTableIter iterator;
+  gpointer value;
+
+  sched->list_busy = false;
+  sched->list_next_at = sched_now (sched) + sched->config.list_ms;
+  if (reply->result != RST_PLATFORM_OK
+      || reply->revision == sched->list_revision)
+    return;
+  sched->list_known = true;
+  sched->list_revision = reply->revision;
+  g_hash_table_iter_init (&iterator, sched->instances);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    ((struct instance *)value)->listed = false;
+  for (int i = 0; i < reply->instance_count; i++)
+    apply_info (sched, &reply->instances[i]);
+}
+
+static void
+list_tick (struct rst_scheduler *sched)
+{
+  if (sched->list_busy || sched_now (sched) < sched->list_next_at)
+    return;
+  sched->list_busy = true;
+  sched->platform->list_fetch (sched->platform_data, sched->list_revision,
+                               on_instances, sched);
+}
+
+/* ---- Adoption ------------------------------------------------------------ */
+
+/* A call about an instance; the instance may change hands meanwhile. */
+struct instance_call
+{
+  struct rst_scheduler *sched;
+  char name[RST_NAME_SIZE];
+  uint64_t epoch;
+  uint64_t life;
+};
+
+static struct instance_call *
+call_create (struct instance *instance)
+{
+  struct instance_call *call = g_new0 (struct instance_call, 1);
+
+  call->sched = instance->sched;
+  call->epoch = instance->epoch;
+  call->life = instance->sched->life;
+  g_strlcpy (call->name, instance->info.name, RST_NAME_SIZE);
+  return call;
+}
+
+/* The instance of a call, if it is still owned as it was; frees the call. */
+static struct instance *
+call_finish (struct instance_call *call)
+{
+  struct instance *instance
+      = g_hash_table_lookup (call->sched->instances, call->name);
+
+  if (instance != NULL
+      && (instance->phase == INSTANCE_FOREIGN || instance->epoch != call->epoch
+          || call->sched->life != call->life))
+    instance = NULL;
+  g_free (call);
+  return instance;
+}
+
+static const struct rst_work *
+find_reported (const struct rst_platform_reply *reply, const char *id)
+{
+  for (int i = 0; i < reply->work_count; i++)
+    if (strcmp (reply->work[i].id, id) == 0)
+      return &reply->work[i];
+  return NULL;
+}
+
+static void
+take_reported (struct instance *instance, const struct rst_work *reported)
+{
+  struct work *work = sched_work_find (instance, reported->id);
+
+  if (work == NULL)
+    {
+      work = sched_work_add (instance, reported);
+      work->adopted = true;
+    }
+  if (work->starting || work->ended)
+    return;
+  if (reported->result != RST_TASK_RUNNING)
+    sched_work_end (work, (uint64_t)reported->result);
+}
+
+/* Work that the instance no longer knows has ended without a result.  Work
+   sent after the question was asked may be missing from its answer. */
+static void
+drop_unreported (struct instance *instance,
+                 const struct rst_platform_reply *reply)
+{
+  struct work *work = CK_LIST_FIRST (&instance->work);
+
+  while (work != NULL)
+    {
+      struct work *next = CK_LIST_NEXT (work, entry);
+
+      if (work->ended || work->starting || work->held || work->calls > 0
+          || work->started_at >= reply->sent_at
+          || find_reported (reply, work->info.id) != NULL)
+        ;
+      else if (work->info.job[0] == '\0')
+        {
+          if (work->adopted)
+            sched_work_remove (work);
+        }
+      else
+        sched_work_end (work, RST_TASK_LOST);
+      work = next;
+    }
+}
+
+static void
+take_report (struct instance *instance,
+             const struct rst_platform_reply *reply)
+{
+  instance->heard_at = sched_now (instance->sched);
+  instance->renewals_failed = 0;
+  for (int i = 0; i < reply->work_count; i++)
+    take_reported (instance, &reply->work[i]);
+  drop_unreported (instance, reply);
+}
+
+static void
+adopted (struct instance *instance)
+{
+  char epoch[24];
+  char count[24];
+  int running = 0;
+  struct work *work;
+
+  CK_LIST_FOREACH (work, &instance->work, entry)
+  running += work->counted ? 1 : 0;
+  instance->phase = INSTANCE_READY;
+  instance->sched->load_changed = true;
+  g_snprintf (epoch, sizeof epoch, "%" G_GUINT64_FORMAT, instance->epoch);
+  g_snprintf (count, sizeof count, "%d", running);
+  rst_info (LOG_PREFIX, "Instance was adopted.", "instance",
+            instance->info.name, "epoch", epoch, "running", count);
+  sched_limit_say_adopted (instance);
+}
+
+static void
+on_inspected (const struct rst_platform_reply *reply, void *data)
+{
+  struct rst_scheduler *sched = ((struct instance_call *)data)->sched;
+  struct instance *instance = call_finish (data);
+
+  if (instance == NULL)
+    return;
+  instance->inspecting = false;
+  instance->next_inspect = sched_now (sched) + INSPECT_EVERY_MS;
+  if (reply->result != RST_PLATFORM_OK)
+    return;
+  take_report (instance, reply);
+  if (instance->phase == INSTANCE_ADOPTING)
+    adopted (instance);
+}
+
+static bool
+has_adopted_queries (const struct instance *instance)
+{
+  const struct work *work;
+
+  CK_LIST_FOREACH (work, &instance->work, entry)
+  if (work->adopted && work->info.job[0] == '\0')
+    return true;
+  return false;
+}
+
+static void
+inspect_tick (struct instance *instance)
+{
+  struct rst_scheduler *sched = instance->sched;
+  bool needed = instance->phase == INSTANCE_ADOPTING
+                || has_adopted_queries (instance);
+
+  if (!needed || instance->inspecting || instance->info.address[0] == '\0'
+      || sched_now (sched) < instance->next_inspect)
+    return;
+  instance->inspecting = true;
+  sched->platform->inspect (sched->platform_data, instance->info.address,
+                            instance->epoch, on_inspected,
+                            call_create (instance));
+}
+
+/* ---- Renewal of task leases ---------------------------------------------- */
+
+static void
+forget_seen_ends (struct instance *instance)
+{
+  struct work *work = CK_LIST_FIRST (&instance->work);
+
+  while (work != NULL)
+    {
+      struct work *next = CK_LIST_NEXT (work, entry);
+
+      if (work->ended && work->end_confirmed && work->calls == 0)
+        sched_work_remove (work);
+      work = next;
+    }
+}
+
+static void
+on_renewed (const struct rst_platform_reply *reply, void *data)
+{
+  struct instance *instance = call_finish (data);
+
+  if (instance == NULL)
+    return;
+  instance->renewing = false;
+  if (reply->result != RST_PLATFORM_OK)
+    {
+      instance->renewals_failed++;
+      instance->last_renewal_at = sched_now (instance->sched);
+      return;
+    }
+  forget_seen_ends (instance);
+  take_report (instance, reply);
+}
+
+/* Marks the ends that this renewal tells the worker to forget. */
+static char **
+seen_ends (struct instance *instance)
+{
+  GPtrArray *ids = g_ptr_array_new ();
+  struct work *work;
+
+  CK_LIST_FOREACH (work, &instance->work, entry)
+  if (work->ended && work->end_seen)
+    {
+      work->end_confirmed = true;
+      g_ptr_array_add (ids, g_strdup (work->info.id));
+    }
+  g_ptr_array_add (ids, NULL);
+  return (char **)g_ptr_array_free (ids, FALSE);
+}
+
+/* No renewal can have extended a lease beyond this time. */
+static bool
+leases_have_lapsed (const struct instance *instance)
+{
+  const struct rst_scheduler *sched = instance->sched;
+  rst_ms last = MAX (instance->last_renewal_at, instance->heard_at);
+
+  return instance->renewals_failed >= RENEWALS_MAX
+         && sched_now (sched) - last
+                > sched->config.task_lease_ms + LEASE_MARGIN_MS;
+}
+
+static void
+end_lost_tasks (struct instance *instance)
+{
+  struct work *work;
+
+  CK_LIST_FOREACH (work, &instance->work, entry)
+  if (!work->ended && !work->held && work->info.job[0] != '\0')
+    {
+      rst_warning (LOG_PREFIX, "Instance is silent; its tasks have ended.",
+                   "instance", instance->info.name, "task", work->info.id);
+      sched_work_end (work, RST_TASK_LOST);
+    }
+  instance->renewals_failed = 0;
+  instance->phase = INSTANCE_ADOPTING;
+}
+
+static void
+renew_tick (struct instance *instance)
+{
+  struct rst_scheduler *sched = instance->sched;
+  rst_ms now = sched_now (sched);
+  char **seen;
+
+  if (instance->phase != INSTANCE_READY || instance->info.kind != RST_WORKER
+      || CK_LIST_EMPTY (&instance->work))
+    return;
+  if (leases_have_lapsed (instance))
+    {
+      end_lost_tasks (instance);
+      return;
+    }
+  if (instance->renewing || now < instance->next_renew
+      || instance->renewals_failed >= RENEWALS_MAX)
+    return;
+  instance->renewing = true;
+  instance->next_renew
+      = now + sched->config.task_lease_ms / RENEWALS_PER_LEASE;
+  seen = seen_ends (instance);
+  sched->platform->task_renew (sched->platform_data, instance->info.address,
+                               instance->epoch, sched->config.task_lease_ms,
+                               (const char *const *)seen, on_renewed,
+                               call_create (instance));
+  g_strfreev (seen);
+}
+
+/* ---- The ownership record ------------------------------------------------ */
+
+static bool
+is_claimable (const struct rst_scheduler *sched,
+              const struct instance *instance)
+{
+  return instance->listed
+         && strcmp (instance->info.zone, sched->config.zone) == 0;
+}
+
+static bool
+claim_instances (struct rst_scheduler *sched, struct rst_zone *zone,
+                 void *data)
+{
+  const struct rst_zone *present = sched_zone (sched);
+  GPtrArray *names = g_ptr_array_new ();
+  GHashTableIter iterator;
+  gpointer value;
+  int count;
+
+  (void)data;
+  g_hash_table_iter_init (&iterator, sched->instances);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    if (is_claimable (sched, value))
+      g_ptr_array_add (names, ((struct instance *)value)->info.name);
+  /* Instances that are listed no more need an owner to be forgotten. */
+  for (int i = 0; present != NULL && i < present->owned_count; i++)
+    if (present->owned[i].owner[0] == '\0')
+      g_ptr_array_add (names, (gpointer)present->owned[i].instance);
+  count = rst_zone_claim (zone, sched->incarnation,
+                          (const char *const *)names->pdata, (int)names->len);
+  g_ptr_array_free (names, TRUE);
+  return count > 0;
+}
+
+static bool
+is_settled_now (const struct instance *instance)
+{
+  const struct work *work;
+
+  CK_LIST_FOREACH (work, &instance->work, entry)
+  if (work->counted && !sched_limit_covered (work->team))
+    return false;
+  return instance->phase == INSTANCE_READY;
+}
+
+static bool
+is_gone (const struct instance *instance)
+{
+  const struct rst_scheduler *sched = instance->sched;
+
+  return sched->list_known && !instance->listed
+         && CK_LIST_EMPTY (&instance->work)
+         && sched_now (sched) - instance->heard_at
+                > sched->config.task_lease_ms + LEASE_MARGIN_MS;
+}
+
+static bool
+settle_instances (struct rst_scheduler *sched, struct rst_zone *zone)
+{
+  bool changed = false;
+
+  for (guint i = 0; i < sched->owned->len; i++)
+    {
+      const struct instance *instance = g_ptr_array_index (sched->owned, i);
+
+      if (is_gone (instance))
+        changed = rst_zone_forget (zone, instance->info.name) == RST_OK
+                  || changed;
+      else if (!instance->settled && is_settled_now (instance))
+        changed = rst_zone_settle (zone, instance->info.name,
+                                   sched->incarnation)
+                      == RST_OK
+                  || changed;
+    }
+  return changed;
+}
+
+/* Instances that are idle move first; no start happens on one that moves. */
+static bool
+yield_instances (struct rst_scheduler *sched, struct rst_zone *zone)
+{
+  uint64_t revision = zone->revision;
+  int moved = rst_zone_yield (zone, sched->incarnation, SCHED_YIELD_MOVES);
+
+  for (guint i = 0; i < sched->owned->len && moved > 0; i++)
+    {
+      struct instance *instance = g_ptr_array_index (sched->owned, i);
+      const struct rst_owned *owned
+          = rst_zone_find_owned (zone, instance->info.name);
+
+      if (owned != NULL && owned->owner[0] == '\0')
+        {
+          instance->yielding = true;
+          instance->yielding_revision = revision;
+        }
+    }
+  return moved > 0;
+}
+
+static bool
+update_zone (struct rst_scheduler *sched, struct rst_zone *zone, void *data)
+{
+  bool changed = claim_instances (sched, zone, data);
+
+  changed = settle_instances (sched, zone) || changed;
+  if (!changed)
+    changed = yield_instances (sched, zone);
+  return changed;
+}
+
+static void
+on_zone_written (struct rst_scheduler *sched, bool ok)
+{
+  (void)ok;
+  sched->zone_next_at = sched_now (sched) + sched_jitter (sched, 100);
+}
+
+static void
+zone_tick (struct rst_scheduler *sched)
+{
+  rst_ms now = sched_now (sched);
+
+  if (sched->stopping || now < sched->zone_next_at || !sched->list_known
+      || sched->joined_revision == 0
+      || sched->session != SESSION_CONFIRMED)
+    return;
+  sched->zone_next_at = now + SCHED_ZONE_EVERY_MS;
+  sched_zone_write (sched, update_zone, NULL, on_zone_written);
+}
+
+void
+sched_instance_tick (struct rst_scheduler *sched)
+{
+  list_tick (sched);
+  for (guint i = 0; i < sched->owned->len; i++)
+    {
+      struct instance *instance = g_ptr_array_index (sched->owned, i);
+
+      inspect_tick (instance);
+      renew_tick (instance);
+    }
+  zone_tick (sched);
+}
--- /dev/null
+++ b/src/coordination/sched_limit.c
@@ -0,0 +1,638 @@
+/**
+ * DOC: sched_limit - parts of the teams' upper limits
+ *
+ * Work is started only within the part that this scheduler holds.  Parts grow
+ * ahead of need and return when others ask, each by compare-and-swap on one
+ * record a team.  Only its holder lowers a part, unless its tenure has ended.
+ */
+#include "coordination/scheduler_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_PREFIX "limit"
+
+/** Time for which a demand counts after it was last seen. */
+#define WANT_FRESH_MS 1000
+
+/* Work left on an instance that was handed to another member. */
+struct away
+{
+  char instance[RST_NAME_SIZE];
+  uint32_t count;
+  CK_LIST_ENTRY (away) entry;
+};
+
+struct transfer
+{
+  char to[RST_NAME_SIZE];
+  uint32_t count;
+  bool written;
+  CK_LIST_ENTRY (transfer) entry;
+};
+
+uint32_t
+sched_limit_upper (const struct rst_scheduler *sched, const char *team)
+{
+  const struct rst_team *settings = rst_settings_team (sched->settings, team);
+
+  return settings != NULL ? settings->upper_limit : 0;
+}
+
+struct team *
+sched_team (struct rst_scheduler *sched, const char *name)
+{
+  struct team *team = g_hash_table_lookup (sched->teams, name);
+
+  if (team != NULL)
+    return team;
+  team = g_new0 (struct team, 1);
+  team->sched = sched;
+  g_strlcpy (team->name, name, RST_NAME_SIZE);
+  CK_STAILQ_INIT (&team->urgent);
+  CK_STAILQ_INIT (&team->normal);
+  CK_LIST_INIT (&team->away_list);
+  CK_LIST_INIT (&team->transfers);
+  g_hash_table_insert (sched->teams, team->name, team);
+  return team;
+}
+
+static void
+drop_away (struct team *team, struct away *away)
+{
+  team->away -= away->count;
+  CK_LIST_REMOVE (away, entry);
+  g_free (away);
+}
+
+static void
+clear_away (struct team *team)
+{
+  struct away *away;
+  struct transfer *transfer;
+
+  while ((away = CK_LIST_FIRST (&team->away_list)) != NULL)
+    drop_away (team, away);
+  while ((transfer = CK_LIST_FIRST (&team->transfers)) != NULL)
+    {
+      CK_LIST_REMOVE (transfer, entry);
+      g_free (transfer);
+    }
+}
+
+void
+sched_team_free (gpointer data)
+{
+  struct team *team = data;
+
+  clear_away (team);
+  g_free (team->text);
+  g_free (team);
+}
+
+bool
+sched_limit_allows (const struct team *team)
+{
+  uint32_t upper = sched_limit_upper (team->sched, team->name);
+
+  if (upper == RST_NO_LIMIT)
+    return true;
+  return team->used + team->away < MIN (team->granted, upper);
+}
+
+bool
+sched_limit_covered (const struct team *team)
+{
+  uint32_t upper = sched_limit_upper (team->sched, team->name);
+
+  return upper == RST_NO_LIMIT
+         || team->used + team->away <= team->granted;
+}
+
+void
+sched_limit_reset (struct rst_scheduler *sched)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, sched->teams);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct team *team = value;
+
+      team->granted = 0;
+      clear_away (team);
+    }
+}
+
+/* ---- Hand-over of work that runs ----------------------------------------- */
+
+void
+sched_limit_away (struct team *team, const char *instance)
+{
+  struct away *away;
+
+  CK_LIST_FOREACH (away, &team->away_list, entry)
+  if (strcmp (away->instance, instance) == 0)
+    break;
+  if (away == NULL)
+    {
+      away = g_new0 (struct away, 1);
+      g_strlcpy (away->instance, instance, RST_NAME_SIZE);
+      CK_LIST_INSERT_HEAD (&team->away_list, away, entry);
+    }
+  away->count++;
+  team->away++;
+}
+
+static uint32_t
+count_on (const struct instance *instance, const struct team *team)
+{
+  uint32_t count = 0;
+  const struct work *work;
+
+  CK_LIST_FOREACH (work, &instance->work, entry)
+  if (work->counted && work->team == team)
+    count++;
+  return count;
+}
+
+static void
+say_adopted (struct rst_scheduler *sched, const struct instance *instance,
+             const char *team, uint32_t count)
+{
+  struct rst_message message = { 0 };
+  GHashTableIter iterator;
+  gpointer value;
+
+  message.type = RST_ADOPTED;
+  message.adopted.instance = (char *)instance->info.name;
+  message.adopted.team = (char *)team;
+  message.adopted.count = count;
+  g_hash_table_iter_init (&iterator, sched->peers);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct peer *peer = value;
+
+      if (peer->known && peer->role == RST_ROLE_SCHEDULER
+          && strcmp (peer->zone, sched->config.zone) == 0)
+        sched_send (sched, peer->link, &message);
+    }
+}
+
+void
+sched_limit_say_adopted (const struct instance *instance)
+{
+  struct rst_scheduler *sched = instance->sched;
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, sched->teams);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct team *team = value;
+      uint32_t count = count_on (instance, team);
+
+      if (count > 0)
+        say_adopted (sched, instance, team->name, count);
+    }
+  say_adopted (sched, instance, "", 0);
+}
+
+static void
+add_transfer (struct team *team, const char *to, uint32_t count)
+{
+  struct transfer *transfer = g_new0 (struct transfer, 1);
+
+  g_strlcpy (transfer->to, to, RST_NAME_SIZE);
+  transfer->count = count;
+  CK_LIST_INSERT_HEAD (&team->transfers, transfer, entry);
+}
+
+/* The new owner counts this work from now on; its part moves there. */
+static void
+take_adopted (struct team *team, const char *instance, const char *to,
+              uint32_t count)
+{
+  struct away *away = CK_LIST_FIRST (&team->away_list);
+
+  while (away != NULL)
+    {
+      struct away *next = CK_LIST_NEXT (away, entry);
+
+      if (strcmp (away->instance, instance) == 0)
+        {
+          uint32_t moved = MIN (away->count, count);
+
+          if (moved > 0 && team->granted >= moved)
+            {
+              /* No longer usable here, from before the write is sent. */
+              team->granted -= moved;
+              add_transfer (team, to, moved);
+            }
+          drop_away (team, away);
+        }
+      away = next;
+    }
+}
+
+void
+sched_limit_adopted (struct rst_scheduler *sched, struct peer *peer,
+                     const struct rst_message *message)
+{
+  const struct rst_adopted *said = &message->adopted;
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, sched->teams);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct team *team = value;
+
+      if (said->team[0] == '\0')
+        take_adopted (team, said->instance, peer->incarnation, 0);
+      else if (strcmp (team->name, said->team) == 0)
+        take_adopted (team, said->instance, peer->incarnation,
+                      (uint32_t)said->count);
+    }
+}
+
+/* ---- The record ---------------------------------------------------------- */
+
+void
+sched_limit_record (struct rst_scheduler *sched, const char *name,
+                    uint64_t revision, const char *value)
+{
+  struct team *team = sched_team (sched, name);
+  struct rst_limit limit;
+  const struct rst_part *part;
+  uint32_t reserved = 0;
+  const struct transfer *transfer;
+
+  if (team->limit_known && revision <= team->limit.revision)
+    return;
+  if (rst_limit_parse (value[0] != '\0' ? value : NULL, revision, &limit)
+      != RST_OK)
+    {
+      rst_warning (LOG_PREFIX, "Limit record is unsound.", "team", name);
+      return;
+    }
+  team->limit = limit;
+  team->limit_known = true;
+  part = rst_limit_find (&team->limit, sched->incarnation);
+  CK_LIST_FOREACH (transfer, &team->transfers, entry)
+  reserved += transfer->count;
+  reserved += team->busy ? team->shrink_pending : 0;
+  team->granted = part != NULL && part->granted > reserved
+                      ? part->granted - reserved
+                      : 0;
+}
+
+static void on_limit_written (const struct rst_platform_reply *reply,
+                              void *data);
+
+static char *
+limit_key (const struct team *team)
+{
+  return g_strconcat ("shared/limits/", team->name, NULL);
+}
+
+static void
+write_ended (struct team *team)
+{
+  team->busy = false;
+  team->shrink_pending = 0;
+  g_free (team->text);
+  team->text = NULL;
+  team->next_at = sched_now (team->sched)
+                  + sched_jitter (team->sched, SCHED_LIMIT_EVERY_MS);
+}
+
+static void
+drop_written_transfers (struct team *team)
+{
+  struct transfer *transfer = CK_LIST_FIRST (&team->transfers);
+
+  while (transfer != NULL)
+    {
+      struct transfer *next = CK_LIST_NEXT (transfer, entry);
+
+      if (transfer->written)
+        {
+          CK_LIST_REMOVE (transfer, entry);
+          g_free (transfer);
+        }
+      transfer = next;
+    }
+}
+
+/* What this scheduler itself wrote has taken effect. */
+static void
+write_applied (struct team *team, uint64_t revision)
+{
+  char *text = team->text;
+
+  team->text = NULL;
+  drop_written_transfers (team);
+  write_ended (team);
+  team->limit_known = false;
+  sched_limit_record (team->sched, team->name, revision, text);
+  g_free (text);
+}
+
+/* Tells from a record whether the write under way has taken effect. */
+static bool
+is_own_write (const struct team *team, struct rst_limit *limit)
+{
+  const struct rst_part *part = rst_limit_find (limit, team->writer);
+
+  return part != NULL && part->write == team->write;
+}
+
+/* The same write again: while the revision stands, an earlier sending of it
+   may still arrive. */
+static void
+put_limit (struct team *team)
+{
+  struct rst_scheduler *sched = team->sched;
+  char *key = limit_key (team);
+
+  sched->counters.store_writes++;
+  sched->platform->store_put (sched->platform_data, key, team->text,
+                              (int64_t)team->base, 0, on_limit_written, team);
+  g_free (key);
+}
+
+static void
+on_limit_read (const struct rst_platform_reply *reply, void *data)
+{
+  struct team *team = data;
+  bool found = reply->result == RST_PLATFORM_OK && reply->kv_count == 1;
+  uint64_t revision = found ? reply->kvs[0].revision : 0;
+  struct rst_limit limit;
+
+  if (!found && reply->result != RST_PLATFORM_NOT_FOUND)
+    {
+      team->read_at = sched_now (team->sched)
+                      + sched_jitter (team->sched, SCHED_RETRY_MS);
+      return;
+    }
+  if (revision == team->base)
+    {
+      put_limit (team);
+      return;
+    }
+  if (found
+      && rst_limit_parse (reply->kvs[0].value, revision, &limit) == RST_OK
+      && is_own_write (team, &limit))
+    drop_written_transfers (team);
+  write_ended (team);
+  team->limit_known = false;
+  sched_limit_record (team->sched, team->name, revision,
+                      found ? reply->kvs[0].value : "");
+}
+
+static void
+read_limit (struct team *team)
+{
+  struct rst_scheduler *sched = team->sched;
+  char *key = limit_key (team);
+
+  team->read_at = 0;
+  sched->counters.store_reads++;
+  sched->platform->store_get (sched->platform_data, key, on_limit_read, team);
+  g_free (key);
+}
+
+static void
+on_limit_written (const struct rst_platform_reply *reply, void *data)
+{
+  struct team *team = data;
+
+  if (reply->result == RST_PLATFORM_OK)
+    write_applied (team, reply->revision);
+  else
+    read_limit (team);
+}
+
+static void
+write_limit (struct team *team, struct rst_limit *limit)
+{
+  struct rst_scheduler *sched = team->sched;
+  struct rst_part *own;
+
+  /* The part carries the number of the write, so there must be one. */
+  if (rst_limit_find (limit, sched->incarnation) == NULL)
+    rst_limit_request (limit, sched->incarnation, 0, 0);
+  own = rst_limit_find (limit, sched->incarnation);
+  if (own == NULL)
+    return;
+  own->write = ++team->write;
+  team->busy = true;
+  team->base = limit->revision;
+  g_strlcpy (team->writer, sched->incarnation, RST_NAME_SIZE);
+  team->text = rst_limit_format (limit);
+  put_limit (team);
+}
+
+/* ---- Decisions ------------------------------------------------------------ */
+
+/* Whether an incarnation of this zone has surely left it, with all its
+   instances settled under others. */
+static bool
+is_gone (const struct rst_scheduler *sched, const char *holder)
+{
+  const struct rst_zone *zone = sched_zone (sched);
+  size_t length = strlen (sched->config.zone);
+
+  return zone != NULL && strncmp (holder, sched->config.zone, length) == 0
+         && holder[length] == ':'
+         && rst_zone_find_member (zone, holder) == NULL;
+}
+
+static bool
+zone_is_settled (const struct rst_scheduler *sched)
+{
+  const struct rst_zone *zone = sched_zone (sched);
+
+  for (int i = 0; i < zone->owned_count; i++)
+    if (!zone->owned[i].settled)
+      return false;
+  return true;
+}
+
+static bool
+move_transfers (struct team *team, struct rst_limit *limit)
+{
+  struct transfer *transfer;
+  bool changed = false;
+
+  CK_LIST_FOREACH (transfer, &team->transfers, entry)
+  {
+    struct rst_part *own = rst_limit_find (limit, team->sched->incarnation);
+    struct rst_part *to;
+
+    transfer->written = true;
+    changed = true;
+    if (own == NULL || own->granted < transfer->count
+        || rst_limit_request (limit, transfer->to, 0, 0) == RST_ERROR_FULL)
+      continue;
+    own = rst_limit_find (limit, team->sched->incarnation);
+    to = rst_limit_find (limit, transfer->to);
+    own->granted -= transfer->count;
+    to->granted += transfer->count;
+  }
+  return changed;
+}
+
+/* Takes what uncovered work needs from parts of members that are gone. */
+static bool
+take_from_gone (struct team *team, struct rst_limit *limit, uint32_t need)
+{
+  struct rst_scheduler *sched = team->sched;
+  struct rst_part *own;
+  bool changed = false;
+
+  for (int i = 0; i < limit->part_count && need > 0; i++)
+    {
+      struct rst_part *part = &limit->parts[i];
+      uint32_t taken = MIN (part->granted, need);
+
+      if (taken == 0 || !is_gone (sched, part->holder)
+          || rst_limit_request (limit, sched->incarnation, 0, 0)
+                 == RST_ERROR_FULL)
+        continue;
+      own = rst_limit_find (limit, sched->incarnation);
+      limit->parts[i].granted -= taken;
+      own->granted += taken;
+      need -= taken;
+      changed = true;
+    }
+  return changed;
+}
+
+static bool
+drop_gone (struct team *team, struct rst_limit *limit)
+{
+  bool changed = false;
+  int i = 0;
+
+  if (!zone_is_settled (team->sched))
+    return false;
+  while (i < limit->part_count)
+    {
+      if (is_gone (team->sched, limit->parts[i].holder))
+        {
+          limit->parts[i] = limit->parts[limit->part_count - 1];
+          limit->part_count--;
+          changed = true;
+        }
+      else
+        i++;
+    }
+  return changed;
+}
+
+static uint32_t
+demand (const struct team *team)
+{
+  rst_ms now = sched_now (team->sched);
+  uint32_t tasks
+      = now - team->task_want_at < WANT_FRESH_MS ? team->task_want : 0;
+
+  return team->queued + tasks;
+}
+
+static bool
+grow (struct team *team, struct rst_limit *limit, uint32_t upper)
+{
+  struct rst_part *part = rst_limit_find (limit, team->sched->incarnation);
+  uint32_t in_use = team->used + team->away;
+  uint32_t want = in_use + demand (team);
+  uint32_t wanted_before = part != NULL ? part->wanted : 0;
+  uint32_t granted_before = part != NULL ? part->granted : 0;
+  uint32_t more = want > granted_before ? want - granted_before : 0;
+
+  if (more == 0 && wanted_before == 0)
+    return false;
+  if (more > 0)
+    more = MAX (more, SCHED_LIMIT_BATCH);
+  rst_limit_request (limit, team->sched->incarnation, upper, more);
+  part = rst_limit_find (limit, team->sched->incarnation);
+  return part != NULL
+         && (part->granted != granted_before || part->wanted != wanted_before);
+}
+
+static bool
+shrink (struct team *team, struct rst_limit *limit, uint32_t upper)
+{
+  uint32_t in_use = team->used + team->away;
+  const struct rst_part *part
+      = rst_limit_find (limit, team->sched->incarnation);
+  uint32_t target;
+
+  team->excess = 0;
+  if (part == NULL)
+    return false;
+  target = rst_limit_target (limit, team->sched->incarnation, upper, in_use,
+                             demand (team));
+  team->excess = in_use > target ? in_use - target : 0;
+  target = MAX (target, in_use);
+  if (target >= part->granted)
+    return false;
+  /* Given up here before the write is sent. */
+  team->shrink_pending = part->granted - target;
+  team->granted = MIN (team->granted, target);
+  rst_limit_shrink (limit, team->sched->incarnation, target);
+  return true;
+}
+
+static bool
+update_limit (struct team *team, struct rst_limit *limit, uint32_t upper)
+{
+  uint32_t in_use = team->used + team->away;
+  uint32_t need = in_use > team->granted ? in_use - team->granted : 0;
+  bool changed = move_transfers (team, limit);
+
+  changed = take_from_gone (team, limit, need) || changed;
+  changed = drop_gone (team, limit) || changed;
+  if (changed)
+    return true;
+  return shrink (team, limit, upper) || grow (team, limit, upper);
+}
+
+static void
+team_tick (struct team *team)
+{
+  struct rst_scheduler *sched = team->sched;
+  uint32_t upper = sched_limit_upper (sched, team->name);
+  struct rst_limit limit;
+
+  if (team->busy)
+    {
+      if (team->read_at != 0 && sched_now (sched) >= team->read_at)
+        read_limit (team);
+      return;
+    }
+  if (upper == RST_NO_LIMIT || sched_now (sched) < team->next_at)
+    return;
+  if (team->limit.part_count == 0 && demand (team) == 0 && team->used == 0)
+    return;
+  limit = team->limit;
+  if (update_limit (team, &limit, upper))
+    write_limit (team, &limit);
+}
+
+void
+sched_limit_tick (struct rst_scheduler *sched)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  if (sched->joined_revision == 0 || sched->stopped
+      || !sched->shared_watch.listed || sched->session != SESSION_CONFIRMED)
+    return;
+  g_hash_table_iter_init (&iterator, sched->teams);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    team_tick (value);
+}
--- /dev/null
+++ b/src/coordination/sched_member.c
@@ -0,0 +1,907 @@
+/**
+ * DOC: sched_member - registration, tenure and take-over
+ *
+ * A process registers in three steps: a key under its store lease, a register
+ * of its own that arbitrates its tenure, and its entry in the ownership
+ * record.  docs/OWNERSHIP.md gives the argument why no two owners arise.
+ */
+#include "coordination/scheduler_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_PREFIX "member"
+
+/** Renewals in one time to live of the lease. */
+#define RENEWALS_PER_LEASE 3
+
+/** Head start of each rank when several may end a tenure. */
+#define TAKEOVER_RANK_MS 400
+
+static void resolve_register (struct rst_scheduler *sched);
+
+static char *
+alive_key (const struct rst_scheduler *sched, const char *incarnation)
+{
+  return g_strdup_printf ("shared/alive/%s/%s", sched->config.zone,
+                          incarnation);
+}
+
+static char *
+register_key (const struct rst_scheduler *sched, const char *incarnation)
+{
+  return g_strdup_printf ("members/%s/%s", sched->config.zone, incarnation);
+}
+
+static void
+new_incarnation (struct rst_scheduler *sched)
+{
+  rst_ms now = sched_now (sched);
+
+  sched->life++;
+  g_snprintf (sched->incarnation, sizeof sched->incarnation,
+              "%s:%s:%08x%02x", sched->config.zone, sched->config.name,
+              g_rand_int (sched->random), (unsigned)(sched->life & 0xff));
+  sched->tenure = rst_tenure_create (&sched->config.tenure,
+                                     sched->incarnation);
+  sched->promises = rst_promises_create (&sched->config.tenure, now);
+  sched->session = SESSION_NONE;
+  sched->session_next_at = 0;
+  sched->register_revision = 0;
+  sched->touch = 0;
+  sched->declared_view = 0;
+  sched->joined_revision = 0;
+}
+
+static void
+clear_incarnation (struct rst_scheduler *sched)
+{
+  rst_tenure_destroy (sched->tenure);
+  rst_promises_destroy (sched->promises);
+  g_free (sched->declared_members);
+  g_free (sched->declaring_members);
+  sched->declared_members = NULL;
+  sched->declaring_members = NULL;
+}
+
+void
+sched_member_init (struct rst_scheduler *sched)
+{
+  sched->certain
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sched->seen
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  new_incarnation (sched);
+}
+
+void
+sched_member_clear (struct rst_scheduler *sched)
+{
+  struct takeover *takeover;
+
+  clear_incarnation (sched);
+  g_free (sched->last_members);
+  g_hash_table_destroy (sched->certain);
+  g_hash_table_destroy (sched->seen);
+  while ((takeover = CK_LIST_FIRST (&sched->takeovers)) != NULL)
+    {
+      CK_LIST_REMOVE (takeover, entry);
+      g_free (takeover);
+    }
+}
+
+/* Another member has ended this tenure: all rights are gone. */
+static void
+tenure_lost (struct rst_scheduler *sched)
+{
+  rst_warning (LOG_PREFIX, "Tenure was ended by another member.",
+               "incarnation", sched->incarnation);
+  sched->counters.fenced++;
+  rst_tenure_end (sched->tenure);
+  sched_instance_drop_all (sched);
+  sched_limit_reset (sched);
+  sched_job_tenure_lost (sched);
+  clear_incarnation (sched);
+  new_incarnation (sched);
+  sched_peer_say_hello_to_all (sched);
+  sched->load_changed = true;
+}
+
+/* ---- Own register ------------------------------------------------------ */
+
+static char *
+members_text (const struct rst_zone *zone)
+{
+  GString *text = g_string_new ("");
+
+  for (int i = 0; i < zone->member_count; i++)
+    g_string_append_printf (text, "%s ", zone->members[i].incarnation);
+  return g_string_free (text, FALSE);
+}
+
+static void
+register_done (struct rst_scheduler *sched, uint64_t revision, rst_ms sent_at)
+{
+  sched->register_busy = false;
+  sched->register_revision = revision;
+  if (sched->declaring_view > sched->declared_view)
+    {
+      sched->declared_view = sched->declaring_view;
+      rst_tenure_declared (sched->tenure, sched->declared_view);
+      g_free (sched->declared_members);
+      sched->declared_members = sched->declaring_members;
+      sched->declaring_members = NULL;
+    }
+  if (sched->session == SESSION_REGISTER)
+    {
+      sched->session = SESSION_CONFIRMED;
+      sched->keep_next_at = 0;
+      rst_info (LOG_PREFIX, "Registered.", "incarnation", sched->incarnation);
+      /* The lease counts from its grant, not from this write. */
+      rst_tenure_renewed (sched->tenure, MIN (sched->granted_at, sent_at));
+    }
+}
+
+static void
+on_register_read (const struct rst_platform_reply *reply, void *data)
+{
+  struct rst_scheduler *sched = data;
+  struct rst_member_record record;
+
+  if (sched->register_life != sched->life)
+    {
+      sched->register_busy = false;
+      return;
+    }
+  if (reply->result == RST_PLATFORM_NOT_FOUND
+      && sched->register_revision != 0)
+    {
+      sched->register_busy = false;
+      tenure_lost (sched);
+      return;
+    }
+  if (reply->result == RST_PLATFORM_OK && reply->kv_count == 1
+      && rst_member_record_parse (reply->kvs[0].value, &record) == RST_OK)
+    {
+      if (record.fenced_by[0] != '\0')
+        {
+          sched->register_busy = false;
+          tenure_lost (sched);
+          return;
+        }
+      sched->register_revision = reply->kvs[0].revision;
+      if (record.touch == sched->touch)
+        {
+          register_done (sched, reply->kvs[0].revision, reply->sent_at);
+          return;
+        }
+    }
+  sched->register_busy = false;
+  sched->register_next_at
+      = sched_now (sched) + sched_jitter (sched, SCHED_RETRY_MS);
+}
+
+static void
+resolve_register (struct rst_scheduler *sched)
+{
+  char *key = register_key (sched, sched->incarnation);
+
+  sched->counters.store_reads++;
+  sched->platform->store_get (sched->platform_data, key, on_register_read,
+                              sched);
+  g_free (key);
+}
+
+static void
+on_register_written (const struct rst_platform_reply *reply, void *data)
+{
+  struct rst_scheduler *sched = data;
+
+  if (sched->register_life != sched->life)
+    sched->register_busy = false;
+  else if (reply->result == RST_PLATFORM_OK)
+    register_done (sched, reply->revision, reply->sent_at);
+  else
+    resolve_register (sched);
+}
+
+/* Writes the own register; with it the newest view is declared. */
+static void
+write_register (struct rst_scheduler *sched)
+{
+  const struct rst_zone *zone = sched_zone (sched);
+  struct rst_member_record record = { 0 };
+  char *key;
+  char *text;
+
+  if (sched->register_busy || sched_now (sched) < sched->register_next_at)
+    return;
+  sched->register_busy = true;
+  sched->register_life = sched->life;
+  if (zone != NULL)
+    {
+      rst_tenure_declare (sched->tenure, zone);
+      sched->declaring_view = zone->revision;
+      g_free (sched->declaring_members);
+      sched->declaring_members = members_text (zone);
+    }
+  g_strlcpy (record.incarnation, sched->incarnation, RST_NAME_SIZE);
+  record.view = sched->declaring_view;
+  record.touch = ++sched->touch;
+  key = register_key (sched, sched->incarnation);
+  text = rst_member_record_format (&record);
+  sched->counters.store_writes++;
+  sched->platform->store_put (sched->platform_data, key, text,
+                              (int64_t)sched->register_revision, 0,
+                              on_register_written, sched);
+  free (text);
+  g_free (key);
+}
+
+/* ---- Lease ------------------------------------------------------------- */
+
+static void
+session_retry (struct rst_scheduler *sched)
+{
+  sched->session_next_at
+      = sched_now (sched) + sched_jitter (sched, SCHED_RETRY_MS);
+}
+
+static void
+on_granted (const struct rst_platform_reply *reply, void *data)
+{
+  struct rst_scheduler *sched = data;
+
+  sched->session_busy = false;
+  if (sched->session_life != sched->life)
+    return;
+  if (reply->result != RST_PLATFORM_OK)
+    {
+      session_retry (sched);
+      return;
+    }
+  sched->lease = reply->revision;
+  sched->granted_at = reply->sent_at;
+  sched->session = SESSION_ALIVE;
+}
+
+static void
+on_alive (const struct rst_platform_reply *reply, void *data)
+{
+  struct rst_scheduler *sched = data;
+
+  sched->session_busy = false;
+  if (sched->session_life != sched->life)
+    return;
+  if (reply->result == RST_PLATFORM_OK)
+    sched->session = SESSION_REGISTER;
+  else if (reply->result == RST_PLATFORM_NOT_FOUND)
+    sched->session = SESSION_NONE;
+  else
+    session_retry (sched);
+}
+
+static void
+put_alive (struct rst_scheduler *sched)
+{
+  char *key = alive_key (sched, sched->incarnation);
+
+  sched->counters.store_writes++;
+  sched->platform->store_put (sched->platform_data, key, "{}",
+                              RST_ANY_REVISION, sched->lease, on_alive,
+                              sched);
+  g_free (key);
+}
+
+static void
+on_kept (const struct rst_platform_reply *reply, void *data)
+{
+  struct rst_scheduler *sched = data;
+
+  sched->keep_busy = false;
+  if (sched->session != SESSION_CONFIRMED || sched->keep_life != sched->life)
+    return;
+  if (reply->result == RST_PLATFORM_OK && reply->revision == sched->lease)
+    rst_tenure_renewed (sched->tenure, reply->sent_at);
+  else if (reply->result == RST_PLATFORM_NOT_FOUND)
+    {
+      rst_warning (LOG_PREFIX, "Store lease has lapsed.", "incarnation",
+                   sched->incarnation);
+      rst_tenure_lease_lost (sched->tenure);
+      sched->session = SESSION_NONE;
+    }
+}
+
+static void
+keep_lease (struct rst_scheduler *sched)
+{
+  rst_ms now = sched_now (sched);
+
+  if (sched->keep_busy || now < sched->keep_next_at)
+    return;
+  sched->keep_busy = true;
+  sched->keep_life = sched->life;
+  sched->keep_next_at
+      = now + sched->config.tenure.lease_ms / RENEWALS_PER_LEASE;
+  sched->counters.store_writes++;
+  sched->platform->lease_keep (sched->platform_data, sched->lease, on_kept,
+                               sched);
+}
+
+static void
+session_tick (struct rst_scheduler *sched)
+{
+  if (sched->session_busy || sched_now (sched) < sched->session_next_at)
+    return;
+  sched->session_life = sched->life;
+  switch (sched->session)
+    {
+    case SESSION_NONE:
+      sched->session_busy = true;
+      sched->counters.store_writes++;
+      sched->platform->lease_grant (sched->platform_data,
+                                    sched->config.tenure.lease_ms, on_granted,
+                                    sched);
+      break;
+    case SESSION_ALIVE:
+      sched->session_busy = true;
+      put_alive (sched);
+      break;
+    case SESSION_REGISTER:
+      write_register (sched);
+      break;
+    case SESSION_CONFIRMED:
+      keep_lease (sched);
+      break;
+    }
+}
+
+/* ---- Ownership record -------------------------------------------------- */
+
+static bool
+add_self (struct rst_scheduler *sched, struct rst_zone *zone, void *data)
+{
+  struct rst_member member = { 0 };
+
+  (void)data;
+  g_strlcpy (member.name, sched->config.name, RST_NAME_SIZE);
+  g_strlcpy (member.incarnation, sched->incarnation, RST_NAME_SIZE);
+  g_strlcpy (member.address, sched->config.address, RST_ADDRESS_SIZE);
+  return rst_zone_add_member (zone, &member) == RST_OK;
+}
+
+static void
+on_joined (struct rst_scheduler *sched, bool ok)
+{
+  if (ok)
+    rst_info (LOG_PREFIX, "Joined the ownership record.", "incarnation",
+              sched->incarnation);
+}
+
+static bool
+lease_held (const struct rst_scheduler *sched)
+{
+  return sched->session == SESSION_CONFIRMED;
+}
+
+static void
+join_tick (struct rst_scheduler *sched)
+{
+  const struct rst_zone *zone = sched_zone (sched);
+
+  if (sched->stopping || !lease_held (sched))
+    return;
+  if (zone == NULL || sched->joined_revision == 0)
+    sched_zone_write (sched, add_self, NULL, on_joined);
+}
+
+/* Declares a view anew when the members differ from those declared. */
+static void
+declare_tick (struct rst_scheduler *sched)
+{
+  const struct rst_zone *zone = sched_zone (sched);
+  char *members;
+
+  if (zone == NULL || sched->joined_revision == 0 || !lease_held (sched)
+      || zone->revision <= sched->declared_view)
+    return;
+  members = members_text (zone);
+  if (sched->declared_members == NULL
+      || strcmp (members, sched->declared_members) != 0
+      || sched->declared_view < sched->joined_revision)
+    write_register (sched);
+  g_free (members);
+}
+
+static void
+add_missing_takeover (struct rst_scheduler *sched, const char *incarnation)
+{
+  struct takeover *takeover;
+
+  CK_LIST_FOREACH (takeover, &sched->takeovers, entry)
+  if (strcmp (takeover->member, incarnation) == 0)
+    return;
+  takeover = g_new0 (struct takeover, 1);
+  takeover->sched = sched;
+  takeover->noticed_at = sched_now (sched);
+  g_strlcpy (takeover->member, incarnation, RST_NAME_SIZE);
+  CK_LIST_INSERT_HEAD (&sched->takeovers, takeover, entry);
+}
+
+/* A process that listens on the same address proves that this member has
+   stopped. */
+static void
+find_predecessors (struct rst_scheduler *sched, const struct rst_zone *zone)
+{
+  for (int i = 0; i < zone->member_count; i++)
+    if (strcmp (zone->members[i].address, sched->config.address) == 0
+        && strcmp (zone->members[i].incarnation, sched->incarnation) != 0)
+      sched_member_stopped (sched, zone->members[i].incarnation);
+}
+
+/* Notes the order in which members were first recorded. */
+static void
+note_members (struct rst_scheduler *sched, const struct rst_zone *zone)
+{
+  for (int i = 0; i < zone->member_count; i++)
+    {
+      const char *incarnation = zone->members[i].incarnation;
+      uint64_t *order;
+
+      if (g_hash_table_contains (sched->seen, incarnation))
+        continue;
+      order = g_new (uint64_t, 1);
+      *order = sched_next_id (sched);
+      g_hash_table_insert (sched->seen, g_strdup (incarnation), order);
+    }
+}
+
+/* Jobs of a member that has left need a new owner. */
+static void
+note_changed_members (struct rst_scheduler *sched, const struct rst_zone *zone)
+{
+  char *members = members_text (zone);
+
+  if (sched->last_members == NULL || strcmp (members, sched->last_members) != 0)
+    sched->jobs_next_at = 0;
+  g_free (sched->last_members);
+  sched->last_members = members;
+}
+
+uint64_t
+sched_member_seen (const struct rst_scheduler *sched, const char *incarnation)
+{
+  const uint64_t *order = g_hash_table_lookup (sched->seen, incarnation);
+
+  return order != NULL ? *order : UINT64_MAX;
+}
+
+void
+sched_member_zone_changed (struct rst_scheduler *sched)
+{
+  const struct rst_zone *zone = sched_zone (sched);
+  bool member = rst_zone_find_member (zone, sched->incarnation) != NULL;
+
+  if (member && sched->joined_revision == 0)
+    sched->joined_revision = zone->revision;
+  else if (!member && sched->joined_revision != 0 && !sched->stopping)
+    tenure_lost (sched);
+  note_members (sched, zone);
+  find_predecessors (sched, zone);
+  note_changed_members (sched, zone);
+}
+
+/* ---- Take-over --------------------------------------------------------- */
+
+static void
+takeover_pause (struct takeover *takeover)
+{
+  struct rst_scheduler *sched = takeover->sched;
+
+  takeover->busy = false;
+  takeover->next_at
+      = sched_now (sched) + sched_jitter (sched, SCHED_RETRY_MS);
+  if (!takeover->fenced)
+    rst_promises_refuse (sched->promises, takeover->member, false);
+}
+
+static void
+on_fenced (const struct rst_platform_reply *reply, void *data)
+{
+  struct takeover *takeover = data;
+
+  if (reply->result == RST_PLATFORM_OK)
+    {
+      takeover->fenced = true;
+      takeover->busy = false;
+      rst_info (LOG_PREFIX, "Ended the tenure of a member.", "member",
+                takeover->member);
+      takeover->sched->counters.takeovers++;
+    }
+  else
+    takeover_pause (takeover);
+}
+
+static void
+write_fence (struct takeover *takeover)
+{
+  struct rst_scheduler *sched = takeover->sched;
+  struct rst_member_record record = { 0 };
+  char *key = register_key (sched, takeover->member);
+  char *text;
+
+  g_strlcpy (record.incarnation, takeover->member, RST_NAME_SIZE);
+  g_strlcpy (record.fenced_by, sched->incarnation, RST_NAME_SIZE);
+  text = rst_member_record_format (&record);
+  sched->counters.store_writes++;
+  sched->platform->store_put (sched->platform_data, key, text,
+                              (int64_t)takeover->revision, 0, on_fenced,
+                              takeover);
+  free (text);
+  g_free (key);
+}
+
+static bool
+is_certain (const struct takeover *takeover)
+{
+  return g_hash_table_contains (takeover->sched->certain, takeover->member);
+}
+
+static void
+on_alive_read (const struct rst_platform_reply *reply, void *data)
+{
+  struct takeover *takeover = data;
+
+  if (reply->result == RST_PLATFORM_NOT_FOUND)
+    write_fence (takeover);
+  else
+    takeover_pause (takeover);
+}
+
+static void
+read_alive (struct takeover *takeover)
+{
+  struct rst_scheduler *sched = takeover->sched;
+  char *key = alive_key (sched, takeover->member);
+
+  sched->counters.store_reads++;
+  sched->platform->store_get (sched->platform_data, key, on_alive_read,
+                              takeover);
+  g_free (key);
+}
+
+/* The member's register is read before its lease: had it come back between
+   the two, the write of the fence would find another revision. */
+static void
+on_member_read (const struct rst_platform_reply *reply, void *data)
+{
+  struct takeover *takeover = data;
+  struct rst_scheduler *sched = takeover->sched;
+  struct rst_member_record record;
+
+  if (reply->result == RST_PLATFORM_NOT_FOUND)
+    {
+      takeover->fenced = true;
+      takeover->busy = false;
+      return;
+    }
+  if (reply->result != RST_PLATFORM_OK || reply->kv_count != 1
+      || rst_member_record_parse (reply->kvs[0].value, &record) != RST_OK)
+    {
+      takeover_pause (takeover);
+      return;
+    }
+  takeover->revision = reply->kvs[0].revision;
+  if (record.fenced_by[0] != '\0')
+    {
+      takeover->fenced = true;
+      takeover->busy = false;
+    }
+  else if (is_certain (takeover))
+    write_fence (takeover);
+  else if (sched->joined_revision == 0
+           || sched->joined_revision > record.view)
+    takeover_pause (takeover);
+  else
+    read_alive (takeover);
+}
+
+static void
+begin_fence (struct takeover *takeover)
+{
+  struct rst_scheduler *sched = takeover->sched;
+  char *key = register_key (sched, takeover->member);
+
+  takeover->busy = true;
+  rst_promises_refuse (sched->promises, takeover->member, true);
+  sched->counters.store_reads++;
+  sched->platform->store_get (sched->platform_data, key, on_member_read,
+                              takeover);
+  g_free (key);
+}
+
+static bool
+remove_fenced (struct rst_scheduler *sched, struct rst_zone *zone, void *data)
+{
+  struct takeover *takeover;
+  bool changed = false;
+
+  (void)data;
+  CK_LIST_FOREACH (takeover, &sched->takeovers, entry)
+  if (takeover->fenced
+      && rst_zone_remove_member (zone, takeover->member) == RST_OK)
+    changed = true;
+  return changed;
+}
+
+static void
+on_removed (struct rst_scheduler *sched, bool ok)
+{
+  (void)sched;
+  (void)ok;
+}
+
+static void
+forget_register (struct rst_scheduler *sched, const char *incarnation)
+{
+  char *key = register_key (sched, incarnation);
+
+  sched->counters.store_writes++;
+  sched->platform->store_delete (sched->platform_data, key, RST_ANY_REVISION,
+                                 sched_ignore_reply, sched);
+  g_free (key);
+}
+
+/* Own place among the members that may end a tenure. */
+static int
+own_rank (const struct rst_scheduler *sched, const struct rst_zone *zone,
+          const char *without)
+{
+  int rank = 0;
+
+  for (int i = 0; i < zone->member_count; i++)
+    {
+      const char *incarnation = zone->members[i].incarnation;
+
+      if (strcmp (incarnation, sched->incarnation) == 0)
+        break;
+      if (strcmp (incarnation, without) != 0
+          && g_hash_table_contains (sched->alive, incarnation))
+        rank++;
+    }
+  return rank;
+}
+
+static void
+takeover_tick (struct takeover *takeover, const struct rst_zone *zone)
+{
+  struct rst_scheduler *sched = takeover->sched;
+  rst_ms now = sched_now (sched);
+  rst_ms wait = own_rank (sched, zone, takeover->member) * TAKEOVER_RANK_MS;
+
+  if (takeover->busy || takeover->fenced || now < takeover->next_at)
+    return;
+  if (is_certain (takeover))
+    begin_fence (takeover);
+  else if (now - takeover->noticed_at >= wait
+           && rst_promises_may_end (sched->promises, takeover->member, now))
+    begin_fence (takeover);
+}
+
+static void
+find_missing (struct rst_scheduler *sched, const struct rst_zone *zone)
+{
+  for (int i = 0; i < zone->member_count; i++)
+    {
+      const char *incarnation = zone->members[i].incarnation;
+
+      if (strcmp (incarnation, sched->incarnation) == 0)
+        continue;
+      if (!g_hash_table_contains (sched->alive, incarnation)
+          || g_hash_table_contains (sched->certain, incarnation))
+        add_missing_takeover (sched, incarnation);
+    }
+}
+
+static void
+drop_finished_takeovers (struct rst_scheduler *sched,
+                         const struct rst_zone *zone)
+{
+  struct takeover *takeover = CK_LIST_FIRST (&sched->takeovers);
+
+  while (takeover != NULL)
+    {
+      struct takeover *next = CK_LIST_NEXT (takeover, entry);
+      bool gone = rst_zone_find_member (zone, takeover->member) == NULL;
+      bool back = !takeover->fenced && !is_certain (takeover)
+                  && g_hash_table_contains (sched->alive, takeover->member);
+
+      if (!takeover->busy && (gone || back))
+        {
+          if (gone && takeover->fenced)
+            forget_register (sched, takeover->member);
+          CK_LIST_REMOVE (takeover, entry);
+          g_free (takeover);
+        }
+      takeover = next;
+    }
+}
+
+static void
+takeovers_tick (struct rst_scheduler *sched)
+{
+  const struct rst_zone *zone = sched_zone (sched);
+  struct takeover *takeover;
+  bool any_fenced = false;
+
+  if (zone == NULL || !sched->shared_watch.listed)
+    return;
+  drop_finished_takeovers (sched, zone);
+  /* A member acts as one only while its own lease stands. */
+  if (!lease_held (sched))
+    return;
+  find_missing (sched, zone);
+  CK_LIST_FOREACH (takeover, &sched->takeovers, entry)
+  {
+    takeover_tick (takeover, zone);
+    any_fenced = any_fenced || takeover->fenced;
+  }
+  if (any_fenced)
+    sched_zone_write (sched, remove_fenced, NULL, on_removed);
+}
+
+void
+sched_member_stopped (struct rst_scheduler *sched, const char *incarnation)
+{
+  if (strcmp (incarnation, sched->incarnation) == 0)
+    return;
+  rst_tenure_stopped (sched->tenure, incarnation, sched_now (sched));
+  if (!g_hash_table_contains (sched->certain, incarnation))
+    {
+      rst_info (LOG_PREFIX, "A member has certainly stopped.", "member",
+                incarnation);
+      g_hash_table_add (sched->certain, g_strdup (incarnation));
+    }
+}
+
+/* ---- Promises ---------------------------------------------------------- */
+
+static bool
+is_zone_peer (const struct rst_scheduler *sched, const struct peer *peer)
+{
+  return peer->known && peer->role == RST_ROLE_SCHEDULER
+         && strcmp (peer->zone, sched->config.zone) == 0;
+}
+
+static void
+ask_promise (struct rst_scheduler *sched, struct peer *peer)
+{
+  struct rst_message message = { 0 };
+
+  peer->promise_number = sched_next_id (sched);
+  peer->promise_asked_at = sched_now (sched);
+  message.type = RST_PROMISE_ASK;
+  message.promise.incarnation = sched->incarnation;
+  message.promise.number = peer->promise_number;
+  sched_send (sched, peer->link, &message);
+}
+
+static void
+promises_tick (struct rst_scheduler *sched)
+{
+  rst_ms now = sched_now (sched);
+  GHashTableIter iterator;
+  gpointer value;
+
+  if (now < sched->promise_next_at || sched->joined_revision == 0)
+    return;
+  sched->promise_next_at = now + SCHED_PROMISE_EVERY_MS;
+  g_hash_table_iter_init (&iterator, sched->peers);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    if (is_zone_peer (sched, value))
+      ask_promise (sched, value);
+}
+
+void
+sched_member_promise_asked (struct rst_scheduler *sched, struct peer *peer,
+                            const struct rst_message *message)
+{
+  struct rst_message reply = { 0 };
+  rst_ms duration;
+
+  if (!is_zone_peer (sched, peer))
+    return;
+  duration = rst_promises_give (sched->promises, message->promise.incarnation,
+                                sched_now (sched));
+  reply.type = RST_PROMISE;
+  reply.promise.incarnation = sched->incarnation;
+  reply.promise.number = message->promise.number;
+  reply.promise.duration_ms = (uint64_t)duration;
+  sched_send (sched, peer->link, &reply);
+}
+
+void
+sched_member_promise (struct rst_scheduler *sched, struct peer *peer,
+                      const struct rst_message *message)
+{
+  if (message->promise.number != peer->promise_number)
+    return;
+  rst_tenure_promised (sched->tenure, message->promise.incarnation,
+                       peer->promise_asked_at,
+                       (rst_ms)message->promise.duration_ms);
+}
+
+/* ---- Planned stop ------------------------------------------------------ */
+
+static bool
+remove_self (struct rst_scheduler *sched, struct rst_zone *zone, void *data)
+{
+  const char *others[RST_MEMBERS_MAX];
+  int count = 0;
+
+  (void)data;
+  for (int i = 0; i < zone->member_count; i++)
+    if (strcmp (zone->members[i].incarnation, sched->incarnation) != 0
+        && g_hash_table_contains (sched->alive,
+                                  zone->members[i].incarnation))
+      others[count++] = zone->members[i].incarnation;
+  for (int i = 0; i < zone->owned_count; i++)
+    {
+      int pick = rst_rendezvous (zone->owned[i].instance, others, count);
+
+      if (pick >= 0
+          && strcmp (zone->owned[i].owner, sched->incarnation) == 0)
+        rst_zone_give (zone, zone->owned[i].instance, others[pick]);
+    }
+  return rst_zone_remove_member (zone, sched->incarnation) == RST_OK;
+}
+
+static void
+on_given (struct rst_scheduler *sched, bool ok)
+{
+  if (!ok)
+    return;
+  rst_info (LOG_PREFIX, "Handed all instances over.");
+  sched->stop_given = true;
+  forget_register (sched, sched->incarnation);
+  sched->counters.store_writes++;
+  sched->platform->lease_drop (sched->platform_data, sched->lease,
+                               sched_ignore_reply, sched);
+}
+
+static void
+stop_tick (struct rst_scheduler *sched)
+{
+  const struct rst_zone *zone = sched_zone (sched);
+
+  if (sched->stop_given)
+    return;
+  if (zone == NULL || sched->joined_revision == 0
+      || rst_zone_find_member (zone, sched->incarnation) == NULL
+      || sched_now (sched) - sched->stop_at > SCHED_DRAIN_MS / 2)
+    sched->stop_given = true;
+  else if (lease_held (sched))
+    sched_zone_write (sched, remove_self, NULL, on_given);
+}
+
+void
+sched_member_tick (struct rst_scheduler *sched)
+{
+  bool held = rst_tenure_held (sched->tenure, sched_now (sched));
+
+  if (held != sched->tenure_was_held)
+    {
+      sched->tenure_was_held = held;
+      sched->load_changed = true;
+      rst_info (LOG_PREFIX, held ? "Tenure is held." : "Tenure is not held.",
+                "incarnation", sched->incarnation);
+    }
+  if (sched->stopping)
+    stop_tick (sched);
+  if (!sched->stop_given)
+    session_tick (sched);
+  join_tick (sched);
+  declare_tick (sched);
+  takeovers_tick (sched);
+  promises_tick (sched);
+}
--- /dev/null
+++ b/src/coordination/sched_store.c
@@ -0,0 +1,266 @@
+/**
+ * DOC: sched_store - watches of the store and the ownership record
+ */
+#include "coordination/scheduler_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_PREFIX "store"
+
+#define KEY_ALIVE "shared/alive/"
+#define KEY_LIMITS "shared/limits/"
+
+/* ---- Branches ---------------------------------------------------------- */
+
+static void
+branch_in_force (struct rst_scheduler *sched, const char *key,
+                 uint64_t revision, const char *value)
+{
+  char text[32];
+
+  g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT, revision);
+  if (g_str_has_prefix (key, RST_KEY_SETTINGS))
+    rst_info ("settings", "Branch is in force.", "key", key, "revision", text);
+  sched_peer_push (sched, key, revision, value);
+  if (!g_str_has_prefix (key, RST_KEY_ZONE_RECORDS))
+    ;
+  else if (strcmp (key + strlen (RST_KEY_ZONE_RECORDS), sched->config.zone)
+           == 0)
+    {
+      sched_member_zone_changed (sched);
+      sched_instance_zone_changed (sched);
+      sched_job_members_changed (sched);
+    }
+  else
+    sched_job_members_changed (sched);
+  sched->load_changed = true;
+}
+
+void
+sched_branch (struct rst_scheduler *sched, const char *key, uint64_t revision,
+              const char *value)
+{
+  GString *problems = g_string_new ("");
+  int error
+      = rst_settings_apply (sched->settings, key, revision, value, problems);
+
+  if (error == RST_STATE_OK)
+    branch_in_force (sched, key, revision, value);
+  else if (error == RST_STATE_INVALID)
+    rst_warning ("settings", "Branch was refused.", "key", key, "problem",
+                 g_strchomp (problems->str));
+  g_string_free (problems, TRUE);
+}
+
+/* ---- Watches ----------------------------------------------------------- */
+
+static void
+apply_alive (struct rst_scheduler *sched, const struct rst_kv *kv)
+{
+  const char *incarnation = strrchr (kv->key, '/') + 1;
+
+  if (kv->deleted)
+    g_hash_table_remove (sched->alive, incarnation);
+  else
+    g_hash_table_add (sched->alive, g_strdup (incarnation));
+}
+
+static void
+apply_kv (struct rst_scheduler *sched, const struct rst_kv *kv)
+{
+  const char *value = kv->deleted ? "" : kv->value;
+
+  if (g_str_has_prefix (kv->key, RST_KEY_SETTINGS)
+      || g_str_has_prefix (kv->key, RST_KEY_ZONE_RECORDS))
+    sched_branch (sched, kv->key, kv->revision, value);
+  else if (g_str_has_prefix (kv->key, KEY_ALIVE))
+    apply_alive (sched, kv);
+  else if (g_str_has_prefix (kv->key, KEY_LIMITS))
+    sched_limit_record (sched, kv->key + strlen (KEY_LIMITS), kv->revision,
+                        value);
+}
+
+static void
+on_watch (const struct rst_platform_reply *reply, void *data)
+{
+  struct watch *watch = data;
+  struct rst_scheduler *sched = watch->sched;
+
+  watch->busy = false;
+  watch->next_at = sched_now (sched);
+  if (reply->result == RST_PLATFORM_NOT_FOUND)
+    watch->listed = false;
+  else if (reply->result != RST_PLATFORM_OK)
+    watch->next_at += sched_jitter (sched, SCHED_RETRY_MS);
+  else
+    {
+      for (int i = 0; i < reply->kv_count; i++)
+        apply_kv (sched, &reply->kvs[i]);
+      watch->after = MAX (watch->after, reply->revision);
+    }
+}
+
+static void
+on_list (const struct rst_platform_reply *reply, void *data)
+{
+  struct watch *watch = data;
+  struct rst_scheduler *sched = watch->sched;
+
+  watch->busy = false;
+  watch->next_at = sched_now (sched);
+  if (reply->result != RST_PLATFORM_OK)
+    {
+      watch->next_at += sched_jitter (sched, SCHED_RETRY_MS);
+      return;
+    }
+  if (watch == &sched->shared_watch)
+    g_hash_table_remove_all (sched->alive);
+  for (int i = 0; i < reply->kv_count; i++)
+    apply_kv (sched, &reply->kvs[i]);
+  watch->after = reply->revision;
+  watch->listed = true;
+}
+
+static void
+watch_tick (struct watch *watch)
+{
+  struct rst_scheduler *sched = watch->sched;
+
+  if (watch->busy || sched_now (sched) < watch->next_at)
+    return;
+  watch->busy = true;
+  sched->counters.store_reads++;
+  if (!watch->listed)
+    sched->platform->store_list (sched->platform_data, watch->prefix, on_list,
+                                 watch);
+  else
+    sched->platform->store_watch (sched->platform_data, watch->prefix,
+                                  watch->after, SCHED_WATCH_MS, on_watch,
+                                  watch);
+}
+
+void
+sched_store_tick (struct rst_scheduler *sched)
+{
+  watch_tick (&sched->settings_watch);
+  watch_tick (&sched->shared_watch);
+  sched_zone_writer_tick (sched);
+}
+
+/* ---- Ownership record -------------------------------------------------- */
+
+static char *
+zone_key (const struct rst_scheduler *sched)
+{
+  return g_strconcat (RST_KEY_ZONE_RECORDS, sched->config.zone, NULL);
+}
+
+static void
+finish_write (struct rst_scheduler *sched, bool ok)
+{
+  struct zone_writer *writer = &sched->zone_writer;
+
+  g_free (writer->text);
+  writer->text = NULL;
+  writer->busy = false;
+  writer->next_at = sched_now (sched) + (ok ? 0 : sched_jitter (sched, 100));
+  writer->done (sched, ok);
+}
+
+static void read_record (struct rst_scheduler *sched);
+
+/* Finds out by the writer's number whether a write took effect. */
+static void
+on_record (const struct rst_platform_reply *reply, void *data)
+{
+  struct rst_scheduler *sched = data;
+  const struct rst_zone *zone;
+  bool ours = false;
+
+  if (reply->result == RST_PLATFORM_OK && reply->kv_count == 1)
+    {
+      sched_branch (sched, reply->kvs[0].key, reply->kvs[0].revision,
+                    reply->kvs[0].value);
+      zone = sched_zone (sched);
+      ours = zone != NULL && zone->write == sched->zone_writer.write
+             && strcmp (zone->writer, sched->incarnation) == 0;
+      finish_write (sched, ours);
+    }
+  else if (reply->result == RST_PLATFORM_NOT_FOUND)
+    finish_write (sched, false);
+  else
+    sched->zone_writer.read_at
+        = sched_now (sched) + sched_jitter (sched, SCHED_RETRY_MS);
+}
+
+static void
+read_record (struct rst_scheduler *sched)
+{
+  char *key = zone_key (sched);
+
+  sched->zone_writer.read_at = 0;
+  sched->counters.store_reads++;
+  sched->platform->store_get (sched->platform_data, key, on_record, sched);
+  g_free (key);
+}
+
+static void
+on_written (const struct rst_platform_reply *reply, void *data)
+{
+  struct rst_scheduler *sched = data;
+  char *key;
+
+  if (reply->result != RST_PLATFORM_OK)
+    {
+      read_record (sched);
+      return;
+    }
+  key = zone_key (sched);
+  sched_branch (sched, key, reply->revision, sched->zone_writer.text);
+  g_free (key);
+  finish_write (sched, true);
+}
+
+bool
+sched_zone_write (struct rst_scheduler *sched, sched_zone_mutate mutate,
+                  void *data, void (*done) (struct rst_scheduler *, bool))
+{
+  struct zone_writer *writer = &sched->zone_writer;
+  const struct rst_zone *present = sched_zone (sched);
+  struct rst_zone *zone;
+  char *key;
+
+  if (writer->busy || sched_now (sched) < writer->next_at
+      || !sched->shared_watch.listed)
+    return false;
+  zone = present != NULL ? rst_zone_copy (present)
+                         : rst_zone_create (sched->config.zone);
+  if (!mutate (sched, zone, data))
+    {
+      rst_zone_destroy (zone);
+      return false;
+    }
+  writer->busy = true;
+  writer->done = done;
+  zone->write = ++writer->write;
+  g_strlcpy (zone->writer, sched->incarnation, RST_NAME_SIZE);
+  writer->text = rst_zone_format (zone);
+  key = zone_key (sched);
+  sched->counters.store_writes++;
+  sched->platform->store_put (sched->platform_data, key, writer->text,
+                              (int64_t)zone->revision, 0, on_written, sched);
+  g_free (key);
+  rst_zone_destroy (zone);
+  return true;
+}
+
+void
+sched_zone_writer_tick (struct rst_scheduler *sched)
+{
+  struct zone_writer *writer = &sched->zone_writer;
+
+  if (writer->busy && writer->read_at != 0
+      && sched_now (sched) >= writer->read_at)
+    read_record (sched);
+}
--- /dev/null
+++ b/src/daemon/schedd.c
@@ -0,0 +1,480 @@
+/**
+ * DOC: schedd - the scheduler daemon
+ *
+ * Joins the scheduler's decisions to the network: a thread for frames, one
+ * for each HTTP client, one for the status pages, and this file's thread of
+ * decisions.
+ */
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <pthread.h>
+#include <sodium.h>
+
+#include "coordination/scheduler.h"
+#include "daemon/link.h"
+#include "daemon/metrics.h"
+#include "protocol/platform_http.h"
+#include "transport/http_server.h"
+#include "transport/net.h"
+#include "transport/transport.h"
+#include "util/mailbox.h"
+#include "util/os.h"
+#include "util/program.h"
+
+#define LOG_PREFIX "schedd"
+
+/** Bound on events waiting for the thread of decisions. */
+#define MAILBOX_SIZE 65536
+
+/** Time between two ticks. */
+#define TICK_MS 10
+
+/** Most events handled between two ticks. */
+#define EVENTS_PER_TICK 512
+
+/** Bounds of the status pages. */
+#define STATUS_BODY_MAX 4096
+#define STATUS_CONNECTIONS 64
+#define STATUS_IDLE_S 30
+
+struct settings
+{
+  char name[RST_NAME_SIZE];
+  char zone[RST_NAME_SIZE];
+  char listen[RST_ADDRESS_SIZE];
+  char status_listen[RST_ADDRESS_SIZE];
+  char store_address[RST_ADDRESS_SIZE];
+  int64_t store_timeout_ms;
+  char list_address[RST_ADDRESS_SIZE];
+  int64_t list_interval_ms;
+  int64_t instance_timeout_ms;
+  int64_t lease_ms;
+  int64_t margin_ms;
+  int64_t promise_ms;
+  int64_t quiet_ms;
+  int64_t task_lease_ms;
+  struct json_object *peers;
+  char log_format[8];
+  char log_level[16];
+};
+
+static const char *const log_formats[] = { "plain", "json", NULL };
+static const char *const log_levels[]
+    = { "error", "warning", "info", "debug", NULL };
+
+#define TEXT(path, type, required, member)                                    \
+  RST_CONF_TEXT (path, type, required, struct settings, member)
+#define INT(path, member, min, max)                                           \
+  RST_CONF_INT (path, false, struct settings, member, min, max)
+
+static const struct rst_conf_field fields[] = {
+  TEXT ("name", RST_CONF_NAME, true, name),
+  TEXT ("availability_zone", RST_CONF_NAME, true, zone),
+  TEXT ("listen", RST_CONF_ADDRESS, true, listen),
+  TEXT ("status_listen", RST_CONF_ADDRESS, true, status_listen),
+  TEXT ("store.address", RST_CONF_ADDRESS, true, store_address),
+  INT ("store.timeout_ms", store_timeout_ms, 10, 60000),
+  TEXT ("list.address", RST_CONF_ADDRESS, true, list_address),
+  INT ("list.interval_ms", list_interval_ms, 50, 60000),
+  INT ("instance.timeout_ms", instance_timeout_ms, 50, 60000),
+  INT ("tenure.lease_ms", lease_ms, 500, 60000),
+  INT ("tenure.margin_ms", margin_ms, 10, 10000),
+  INT ("tenure.promise_ms", promise_ms, 500, 60000),
+  INT ("tenure.quiet_ms", quiet_ms, 500, 120000),
+  INT ("task_lease_ms", task_lease_ms, 500, 600000),
+  { "peers", RST_CONF_LIST, false, offsetof (struct settings, peers), 0, 0, 0,
+    NULL },
+  { "log.format", RST_CONF_CHOICE, false,
+    offsetof (struct settings, log_format), 8, 0, 0, log_formats },
+  { "log.level", RST_CONF_CHOICE, false, offsetof (struct settings, log_level),
+    16, 0, 0, log_levels },
+};
+
+struct daemon
+{
+  struct settings settings;
+  struct rst_mailbox *mailbox;
+  struct rst_link_net link;
+  struct rst_http_server *server;
+  struct rst_platform_http *platform;
+  struct rst_scheduler *sched;
+  pthread_t thread;
+  atomic_bool stop;
+  atomic_bool done;
+  rst_ms next_tick;
+};
+
+static void
+set_defaults (struct settings *settings)
+{
+  memset (settings, 0, sizeof *settings);
+  settings->store_timeout_ms = 1000;
+  settings->list_interval_ms = 1000;
+  settings->instance_timeout_ms = 2000;
+  settings->lease_ms = 4500;
+  settings->margin_ms = 300;
+  settings->promise_ms = 3000;
+  settings->quiet_ms = 5000;
+  settings->task_lease_ms = 6000;
+  g_strlcpy (settings->log_format, "plain", sizeof settings->log_format);
+  g_strlcpy (settings->log_level, "info", sizeof settings->log_level);
+}
+
+static bool
+check_addresses (struct json_object *list, GString *problems)
+{
+  size_t count = list != NULL ? json_object_array_length (list) : 0;
+  bool sound = true;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const char *address
+          = json_object_get_string (json_object_array_get_idx (list, i));
+
+      if (address != NULL && rst_conf_valid_address (address))
+        continue;
+      g_string_append_printf (problems,
+                              "peers[%zu]: must be an address IP:PORT\n", i);
+      sound = false;
+    }
+  return sound;
+}
+
+static bool
+check_settings (const void *target, GString *problems)
+{
+  const struct settings *settings = target;
+  bool sound = check_addresses (settings->peers, problems);
+
+  if (settings->margin_ms * 2 >= settings->lease_ms
+      || settings->margin_ms * 2 >= settings->promise_ms)
+    {
+      g_string_append (problems, "tenure.margin_ms: must be less than half "
+                                 "of lease_ms and of promise_ms\n");
+      sound = false;
+    }
+  if (settings->quiet_ms <= settings->promise_ms)
+    {
+      g_string_append (problems,
+                       "tenure.quiet_ms: must be more than promise_ms\n");
+      sound = false;
+    }
+  return sound;
+}
+
+static const struct rst_program program = {
+  "rosemarystile-schedd",
+  "Owns instances of one availability zone and starts work on them.",
+  fields,
+  G_N_ELEMENTS (fields),
+  check_settings,
+};
+
+/* ---- Status pages -------------------------------------------------------- */
+
+static char *
+metrics_page (struct daemon *daemon)
+{
+  const struct rst_scheduler_counters *c
+      = rst_scheduler_counters (daemon->sched);
+  GString *page = g_string_new ("");
+
+  rst_metrics_counter (page, "queries_total", "Queries taken.", c->queries);
+  rst_metrics_counter (page, "answered_total", "Queries answered.",
+                       c->answered);
+  rst_metrics_counter (page, "not_run_total", "Queries not run.", c->not_run);
+  rst_metrics_counter (page, "unknown_total",
+                       "Queries whose outcome is unknown.", c->unknown);
+  rst_metrics_counter (page, "retries_total", "Further attempts.",
+                       c->retries);
+  rst_metrics_counter (page, "task_starts_total", "Tasks started.",
+                       c->starts);
+  rst_metrics_counter (page, "task_start_failures_total",
+                       "Tasks that a worker did not start.",
+                       c->start_failures);
+  rst_metrics_counter (page, "store_reads_total", "Reads of the store.",
+                       c->store_reads);
+  rst_metrics_counter (page, "store_writes_total", "Writes of the store.",
+                       c->store_writes);
+  rst_metrics_counter (page, "messages_in_total", "Messages received.",
+                       c->messages_in);
+  rst_metrics_counter (page, "messages_out_total", "Messages sent.",
+                       c->messages_out);
+  rst_metrics_counter (page, "takeovers_total", "Tenures of others ended.",
+                       c->takeovers);
+  rst_metrics_counter (page, "tenures_lost_total", "Own tenures ended.",
+                       c->fenced);
+  rst_metrics_gauge (page, "ready", "Whether it takes work.",
+                     rst_scheduler_ready (daemon->sched));
+  rst_metrics_process (page);
+  return g_string_free (page, FALSE);
+}
+
+static void
+serve_status (struct daemon *daemon, struct rst_http_request *request)
+{
+  const char *path = rst_http_path (request);
+  bool ready = rst_scheduler_ready (daemon->sched);
+  char *text;
+
+  if (strcmp (path, "/livez") == 0)
+    rst_http_reply_text (request, 200, "{\"live\":true}\n");
+  else if (strcmp (path, "/readyz") == 0)
+    rst_http_reply_text (request, ready ? 200 : 503,
+                         ready ? "{\"ready\":true}\n"
+                               : "{\"ready\":false}\n");
+  else if (strcmp (path, "/status") == 0)
+    {
+      text = rst_scheduler_status (daemon->sched);
+      rst_http_reply_text (request, 200, text);
+      free (text);
+    }
+  else if (strcmp (path, "/metrics") == 0)
+    {
+      text = metrics_page (daemon);
+      rst_http_reply (request, 200, "text/plain; version=0.0.4", text,
+                      strlen (text), 0);
+      g_free (text);
+    }
+  else
+    rst_http_reply_text (request, 404, "{\"error\":\"no such page\"}\n");
+}
+
+/* ---- Events --------------------------------------------------------------- */
+
+static void
+on_request (struct rst_http_request *request, void *userdata)
+{
+  struct daemon *daemon = userdata;
+  struct rst_event *event = g_new0 (struct rst_event, 1);
+
+  event->kind = RST_EVENT_HTTP;
+  event->request = request;
+  rst_event_post (daemon->mailbox, event);
+}
+
+static void
+on_platform (struct rst_platform_event *ended, void *userdata)
+{
+  struct daemon *daemon = userdata;
+  struct rst_event *event = g_new0 (struct rst_event, 1);
+
+  event->kind = RST_EVENT_PLATFORM;
+  event->platform = ended;
+  rst_event_post (daemon->mailbox, event);
+}
+
+static void
+handle_event (struct daemon *daemon, struct rst_event *event)
+{
+  switch (event->kind)
+    {
+    case RST_EVENT_OPENED:
+      rst_scheduler_link_opened (daemon->sched, event->link);
+      break;
+    case RST_EVENT_CLOSED:
+      rst_scheduler_link_closed (daemon->sched, event->link);
+      break;
+    case RST_EVENT_MESSAGE:
+      rst_scheduler_message (daemon->sched, event->link, &event->message);
+      break;
+    case RST_EVENT_PLATFORM:
+      rst_platform_event_run (event->platform);
+      break;
+    case RST_EVENT_HTTP:
+      serve_status (daemon, event->request);
+      break;
+    }
+  rst_event_free (event);
+}
+
+static void
+handle_events (struct daemon *daemon, int most)
+{
+  struct rst_event *event;
+
+  while (most-- > 0
+         && (event = rst_mailbox_take (daemon->mailbox)) != NULL)
+    handle_event (daemon, event);
+}
+
+static void *
+decide_main (void *userdata)
+{
+  struct daemon *daemon = userdata;
+
+  while (!rst_scheduler_stopped (daemon->sched))
+    {
+      rst_ms now = rst_os_now ();
+
+      if (now < daemon->next_tick)
+        rst_mailbox_wait (daemon->mailbox, (int)(daemon->next_tick - now));
+      handle_events (daemon, EVENTS_PER_TICK);
+      if (rst_os_now () >= daemon->next_tick)
+        {
+          daemon->next_tick = rst_os_now () + TICK_MS;
+          rst_scheduler_tick (daemon->sched);
+        }
+      if (atomic_load (&daemon->stop))
+        rst_scheduler_stop (daemon->sched);
+    }
+  return NULL;
+}
+
+/* ---- Start and stop --------------------------------------------------------- */
+
+static bool
+start_servers (struct daemon *daemon)
+{
+  const struct settings *settings = &daemon->settings;
+  struct rst_net_config net = rst_link_config (settings->listen,
+                                               &daemon->link);
+  struct rst_http_server_config status = { 0 };
+
+  status.address = settings->status_listen;
+  status.max_body = STATUS_BODY_MAX;
+  status.max_connections = STATUS_CONNECTIONS;
+  status.idle_timeout_s = STATUS_IDLE_S;
+  status.handler = on_request;
+  status.userdata = daemon;
+  if (rst_net_create (&net, &daemon->link.net) != RST_TRANSPORT_OK)
+    {
+      fprintf (stderr, "%s: listen: address cannot be used: %s\n",
+               program.name, settings->listen);
+      return false;
+    }
+  if (rst_http_server_create (&status, &daemon->server) != RST_TRANSPORT_OK)
+    {
+      fprintf (stderr, "%s: status_listen: address cannot be used: %s\n",
+               program.name, settings->status_listen);
+      return false;
+    }
+  return true;
+}
+
+static bool
+start_platform (struct daemon *daemon)
+{
+  const struct settings *settings = &daemon->settings;
+  struct rst_platform_http_config config = { 0 };
+
+  g_strlcpy (config.store_address, settings->store_address, RST_ADDRESS_SIZE);
+  g_strlcpy (config.list_address, settings->list_address, RST_ADDRESS_SIZE);
+  config.store_timeout_ms = settings->store_timeout_ms;
+  config.instance_timeout_ms = settings->instance_timeout_ms;
+  config.deliver = on_platform;
+  config.userdata = daemon;
+  daemon->platform = rst_platform_http_create (&config);
+  return daemon->platform != NULL;
+}
+
+static void
+add_peers (struct daemon *daemon)
+{
+  struct json_object *list = daemon->settings.peers;
+  size_t count = list != NULL ? json_object_array_length (list) : 0;
+
+  for (size_t i = 0; i < count; i++)
+    rst_scheduler_add_seed (
+        daemon->sched,
+        json_object_get_string (json_object_array_get_idx (list, i)));
+}
+
+static void
+create_scheduler (struct daemon *daemon)
+{
+  const struct settings *settings = &daemon->settings;
+  struct rst_scheduler_config config = { 0 };
+
+  g_strlcpy (config.name, settings->name, RST_NAME_SIZE);
+  g_strlcpy (config.zone, settings->zone, RST_NAME_SIZE);
+  g_strlcpy (config.address, rst_net_address (daemon->link.net),
+             RST_ADDRESS_SIZE);
+  g_strlcpy (config.status_address,
+             rst_http_server_address (daemon->server), RST_ADDRESS_SIZE);
+  config.tenure.lease_ms = settings->lease_ms;
+  config.tenure.margin_ms = settings->margin_ms;
+  config.tenure.promise_ms = settings->promise_ms;
+  config.tenure.quiet_ms = settings->quiet_ms;
+  config.task_lease_ms = settings->task_lease_ms;
+  config.list_ms = settings->list_interval_ms;
+  config.clock = rst_os_clock ();
+  config.seed = rst_os_random ();
+  daemon->sched
+      = rst_scheduler_create (&config, rst_platform_http_table (),
+                              daemon->platform, rst_link_table (),
+                              &daemon->link);
+  add_peers (daemon);
+}
+
+static void
+shut_down (struct daemon *daemon)
+{
+  if (daemon->platform != NULL)
+    rst_platform_http_close (daemon->platform);
+  if (daemon->sched != NULL)
+    handle_events (daemon, INT32_MAX);
+  rst_mailbox_close (daemon->mailbox);
+  rst_net_destroy (daemon->link.net);
+  rst_http_server_destroy (daemon->server);
+  rst_scheduler_destroy (daemon->sched);
+  rst_platform_http_destroy (daemon->platform);
+  for (struct rst_event *event = rst_mailbox_take (daemon->mailbox);
+       event != NULL; event = rst_mailbox_take (daemon->mailbox))
+    rst_event_free (event);
+  rst_mailbox_destroy (daemon->mailbox);
+  json_object_put (daemon->settings.peers);
+}
+
+static void *
+wait_main (void *userdata)
+{
+  struct daemon *daemon = userdata;
+
+  rst_os_wait_stop ();
+  atomic_store (&daemon->stop, true);
+  return NULL;
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct daemon daemon;
+  struct rst_log_config log = { 0 };
+  int status = EXIT_FAILURE;
+  int early;
+
+  set_defaults (&daemon.settings);
+  early = rst_program_start (&program, argc, argv, &daemon.settings);
+  if (early >= 0)
+    return early;
+  rst_os_block_signals ();
+  if (sodium_init () < 0)
+    return EXIT_FAILURE;
+  log.json = strcmp (daemon.settings.log_format, "json") == 0;
+  g_strlcpy (log.level, daemon.settings.log_level, sizeof log.level);
+  rst_log_init (daemon.settings.name, &log);
+  daemon.mailbox = rst_mailbox_create (MAILBOX_SIZE);
+  daemon.link.mailbox = daemon.mailbox;
+  if (daemon.mailbox == NULL || !start_servers (&daemon)
+      || !start_platform (&daemon))
+    goto done;
+  create_scheduler (&daemon);
+  if (pthread_create (&daemon.thread, NULL, wait_main, &daemon) != 0)
+    goto done;
+  printf ("ready frames=%s http=%s\n", rst_net_address (daemon.link.net),
+          rst_http_server_address (daemon.server));
+  fflush (stdout);
+  decide_main (&daemon);
+  pthread_join (daemon.thread, NULL);
+  rst_info (LOG_PREFIX, "Stopped.");
+  status = EXIT_SUCCESS;
+
+done:
+  if (daemon.mailbox != NULL)
+    shut_down (&daemon);
+  return status;
+}
--- /dev/null
+++ b/src/protocol/platform_http.c
@@ -0,0 +1,611 @@
+#include "protocol/platform_http.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "state/json.h"
+#include "transport/http_client.h"
+#include "transport/transport.h"
+
+/** Bounds on open connections. */
+#define STORE_CONNECTIONS 8
+#define INSTANCE_CONNECTIONS 512
+#define RUNNER_CONNECTIONS 60
+
+/** Longest URL. */
+#define URL_SIZE 512
+
+/** Most headers of a call. */
+#define HEADERS_MAX 10
+
+/* How an answer's body is read. */
+enum body_kind
+{
+  BODY_NONE,
+  BODY_KV,
+  BODY_KVS,
+  BODY_INSTANCES,
+  BODY_WORK,
+  BODY_RAW,
+};
+
+struct rst_platform_event
+{
+  struct rst_platform_http *platform;
+  enum body_kind kind;
+  bool store;
+  rst_platform_done done;
+  void *data;
+  struct rst_platform_reply reply;
+  char *body;
+};
+
+struct rst_platform_http
+{
+  struct rst_platform_http_config config;
+  struct rst_http_client *store_client;
+  struct rst_http_client *instance_client;
+};
+
+/* ---- Answers ------------------------------------------------------------------- */
+
+static void
+read_kv (struct json_object *item, struct rst_kv *out)
+{
+  const char *key = rst_json_text (item, "key");
+  const char *value = rst_json_text (item, "value");
+
+  out->key = g_strdup (key != NULL ? key : "");
+  out->value = g_strdup (value != NULL ? value : "");
+  out->revision = (uint64_t)rst_json_number (item, "revision", 0);
+  out->deleted = rst_json_bool (item, "deleted", false);
+}
+
+static void
+read_kvs (struct json_object *root, struct rst_platform_reply *reply)
+{
+  struct json_object *list = rst_json_array (root, "items");
+  size_t count = list != NULL ? json_object_array_length (list) : 0;
+
+  reply->kvs = g_new0 (struct rst_kv, count + 1);
+  reply->kv_count = (int)count;
+  for (size_t i = 0; i < count; i++)
+    read_kv (json_object_array_get_idx (list, i), &reply->kvs[i]);
+}
+
+static void
+copy_text (struct json_object *item, const char *key, char *out, size_t size)
+{
+  if (!rst_json_copy_text (item, key, out, size))
+    out[0] = '\0';
+}
+
+static void
+read_instance (struct json_object *item, struct rst_instance_info *out)
+{
+  const char *kind = rst_json_text (item, "kind");
+  const char *state = rst_json_text (item, "state");
+
+  copy_text (item, "name", out->name, RST_NAME_SIZE);
+  copy_text (item, "availability_zone", out->zone, RST_NAME_SIZE);
+  copy_text (item, "rack", out->rack, RST_NAME_SIZE);
+  copy_text (item, "address", out->address, RST_ADDRESS_SIZE);
+  out->kind = g_strcmp0 (kind, "worker") == 0 ? RST_WORKER : RST_RUNNER;
+  out->leaving = g_strcmp0 (state, "leaving") == 0;
+  out->slots = rst_json_number (item, "slots", 0);
+  out->cpu = rst_json_number (item, "cpu_milli", 0);
+  out->memory_mb = rst_json_number (item, "memory_mb", 0);
+  out->accelerators = rst_json_number (item, "accelerators", 0);
+}
+
+static void
+read_instances (struct json_object *root, struct rst_platform_reply *reply)
+{
+  struct json_object *list = rst_json_array (root, "instances");
+  size_t count = list != NULL ? json_object_array_length (list) : 0;
+
+  reply->instances = g_new0 (struct rst_instance_info, count + 1);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct rst_instance_info *info
+          = &reply->instances[reply->instance_count];
+
+      read_instance (json_object_array_get_idx (list, i), info);
+      /* An entry without a name or address is of no use. */
+      if (info->name[0] != '\0' && info->address[0] != '\0')
+        reply->instance_count++;
+    }
+}
+
+static int64_t
+read_result (struct json_object *item)
+{
+  const char *name = rst_json_text (item, "state");
+
+  for (int64_t i = RST_TASK_RUNNING; i <= RST_TASK_UNSURE; i++)
+    if (g_strcmp0 (name, rst_task_result_name ((uint64_t)i)) == 0)
+      return i;
+  return RST_TASK_LOST;
+}
+
+static void
+read_one_work (struct json_object *item, struct rst_work *out)
+{
+  copy_text (item, "id", out->id, sizeof out->id);
+  copy_text (item, "team", out->team, RST_NAME_SIZE);
+  copy_text (item, "job", out->job, RST_NAME_SIZE);
+  copy_text (item, "owner", out->owner, RST_NAME_SIZE);
+  out->index = rst_json_number (item, "index", 0);
+  out->attempt = rst_json_number (item, "attempt", 0);
+  out->policy = rst_json_number (item, "policy", 0);
+  out->cpu = rst_json_number (item, "cpu_milli", 0);
+  out->memory_mb = rst_json_number (item, "memory_mb", 0);
+  out->accelerators = rst_json_number (item, "accelerators", 0);
+  out->run_ms = rst_json_number (item, "run_ms", 0);
+  out->result = read_result (item);
+}
+
+static void
+read_work (struct json_object *root, struct rst_platform_reply *reply)
+{
+  struct json_object *list = rst_json_array (root, "work");
+  size_t count = list != NULL ? json_object_array_length (list) : 0;
+
+  reply->work = g_new0 (struct rst_work, count + 1);
+  reply->work_count = (int)count;
+  for (size_t i = 0; i < count; i++)
+    read_one_work (json_object_array_get_idx (list, i), &reply->work[i]);
+}
+
+static void
+read_json (struct rst_platform_event *event, const char *text)
+{
+  struct rst_platform_reply *reply = &event->reply;
+  struct json_object *root = rst_json_parse (text);
+
+  reply->revision = (uint64_t)rst_json_number (root, "revision", 0);
+  switch (event->kind)
+    {
+    case BODY_KV:
+      reply->kvs = g_new0 (struct rst_kv, 1);
+      reply->kv_count = 1;
+      read_kv (root, reply->kvs);
+      break;
+    case BODY_KVS:
+      read_kvs (root, reply);
+      break;
+    case BODY_INSTANCES:
+      read_instances (root, reply);
+      break;
+    case BODY_WORK:
+      read_work (root, reply);
+      break;
+    default:
+      break;
+    }
+  json_object_put (root);
+}
+
+/* A store that refuses may still have done what was asked. */
+static int
+store_result (int status)
+{
+  if (status == 200)
+    return RST_PLATFORM_OK;
+  if (status == 409)
+    return RST_PLATFORM_CONFLICT;
+  if (status == 404 || status == 410)
+    return RST_PLATFORM_NOT_FOUND;
+  return RST_PLATFORM_UNKNOWN;
+}
+
+static int
+instance_result (int status)
+{
+  if (status == 200)
+    return RST_PLATFORM_OK;
+  if (status == 412)
+    return RST_PLATFORM_FENCED;
+  if (status == 404)
+    return RST_PLATFORM_NOT_FOUND;
+  if (status == 409 || status == 503 || (status >= 400 && status < 500))
+    return RST_PLATFORM_REFUSED;
+  return RST_PLATFORM_UNKNOWN;
+}
+
+static void
+on_result (const struct rst_http_result *result, void *userdata)
+{
+  struct rst_platform_event *event = userdata;
+  struct rst_platform_reply *reply = &event->reply;
+
+  reply->status = result->status;
+  reply->sent_at = result->sent_at;
+  if (result->error == RST_TRANSPORT_NOT_SENT)
+    reply->result = RST_PLATFORM_NOT_SENT;
+  else if (result->error != RST_TRANSPORT_OK)
+    reply->result = RST_PLATFORM_UNKNOWN;
+  else
+    reply->result = event->store ? store_result (result->status)
+                                 : instance_result (result->status);
+  if (reply->result == RST_PLATFORM_OK && event->kind == BODY_RAW)
+    {
+      event->body = g_memdup2 (result->body, result->length + 1);
+      reply->body = event->body;
+      reply->length = result->length;
+    }
+  else if (reply->result == RST_PLATFORM_OK)
+    read_json (event, result->body);
+  event->platform->config.deliver (event,
+                                   event->platform->config.userdata);
+}
+
+void
+rst_platform_event_run (struct rst_platform_event *event)
+{
+  event->done (&event->reply, event->data);
+  for (int i = 0; i < event->reply.kv_count; i++)
+    {
+      g_free (event->reply.kvs[i].key);
+      g_free (event->reply.kvs[i].value);
+    }
+  g_free (event->reply.kvs);
+  g_free (event->reply.instances);
+  g_free (event->reply.work);
+  g_free (event->body);
+  g_free (event);
+}
+
+/* ---- Calls ---------------------------------------------------------------------- */
+
+static struct rst_platform_event *
+event_create (struct rst_platform_http *platform, enum body_kind kind,
+              bool store, rst_platform_done done, void *data)
+{
+  struct rst_platform_event *event = g_new0 (struct rst_platform_event, 1);
+
+  event->platform = platform;
+  event->kind = kind;
+  event->store = store;
+  event->done = done;
+  event->data = data;
+  return event;
+}
+
+static void
+send_call (struct rst_http_client *client, struct rst_http_call *call,
+           struct rst_platform_event *event)
+{
+  call->done = on_result;
+  call->userdata = event;
+  if (client != NULL && rst_http_client_send (client, call) == RST_TRANSPORT_OK)
+    return;
+  event->reply.result = RST_PLATFORM_NOT_SENT;
+  event->platform->config.deliver (event, event->platform->config.userdata);
+}
+
+static void
+store_call (struct rst_platform_http *platform, const char *method,
+            const char *path, const char *body, rst_ms extra_ms,
+            struct rst_platform_event *event)
+{
+  struct rst_http_call call = { 0 };
+  char url[URL_SIZE];
+
+  g_snprintf (url, sizeof url, "http://%s%s", platform->config.store_address,
+              path);
+  call.method = method;
+  call.url = url;
+  call.body = body;
+  call.length = body != NULL ? strlen (body) : 0;
+  call.timeout_ms = platform->config.store_timeout_ms + extra_ms;
+  send_call (platform->store_client, &call, event);
+}
+
+static void
+store_get (void *userdata, const char *key, rst_platform_done done,
+           void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  char path[URL_SIZE];
+
+  g_snprintf (path, sizeof path, "/v1/kv?key=%s", key);
+  store_call (platform, "GET", path, NULL, 0,
+              event_create (platform, BODY_KV, true, done, data));
+}
+
+static void
+store_list (void *userdata, const char *prefix, rst_platform_done done,
+            void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  char path[URL_SIZE];
+
+  g_snprintf (path, sizeof path, "/v1/kv?prefix=%s", prefix);
+  store_call (platform, "GET", path, NULL, 0,
+              event_create (platform, BODY_KVS, true, done, data));
+}
+
+static void
+store_put (void *userdata, const char *key, const char *value,
+           int64_t expected, uint64_t lease, rst_platform_done done,
+           void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  char path[URL_SIZE];
+
+  g_snprintf (path, sizeof path,
+              "/v1/kv?key=%s&expect=%" G_GINT64_FORMAT
+              "&lease=%" G_GUINT64_FORMAT,
+              key, expected, lease);
+  store_call (platform, "PUT", path, value, 0,
+              event_create (platform, BODY_NONE, true, done, data));
+}
+
+static void
+store_delete (void *userdata, const char *key, int64_t expected,
+              rst_platform_done done, void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  char path[URL_SIZE];
+
+  g_snprintf (path, sizeof path, "/v1/kv?key=%s&expect=%" G_GINT64_FORMAT,
+              key, expected);
+  store_call (platform, "DELETE", path, NULL, 0,
+              event_create (platform, BODY_NONE, true, done, data));
+}
+
+static void
+store_watch (void *userdata, const char *prefix, uint64_t after,
+             rst_ms wait_ms, rst_platform_done done, void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  char path[URL_SIZE];
+
+  g_snprintf (path, sizeof path,
+              "/v1/watch?prefix=%s&after=%" G_GUINT64_FORMAT
+              "&wait_ms=%" G_GINT64_FORMAT,
+              prefix, after, wait_ms);
+  store_call (platform, "GET", path, NULL, wait_ms,
+              event_create (platform, BODY_KVS, true, done, data));
+}
+
+static void
+lease_grant (void *userdata, rst_ms ttl_ms, rst_platform_done done,
+             void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  char path[URL_SIZE];
+
+  g_snprintf (path, sizeof path, "/v1/lease?ttl_ms=%" G_GINT64_FORMAT,
+              ttl_ms);
+  store_call (platform, "POST", path, "", 0,
+              event_create (platform, BODY_NONE, true, done, data));
+}
+
+static void
+lease_keep (void *userdata, uint64_t lease, rst_platform_done done,
+            void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  char path[URL_SIZE];
+
+  g_snprintf (path, sizeof path, "/v1/lease?id=%" G_GUINT64_FORMAT, lease);
+  store_call (platform, "PUT", path, "", 0,
+              event_create (platform, BODY_NONE, true, done, data));
+}
+
+static void
+lease_drop (void *userdata, uint64_t lease, rst_platform_done done,
+            void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  char path[URL_SIZE];
+
+  g_snprintf (path, sizeof path, "/v1/lease?id=%" G_GUINT64_FORMAT, lease);
+  store_call (platform, "DELETE", path, NULL, 0,
+              event_create (platform, BODY_NONE, true, done, data));
+}
+
+static void
+list_fetch (void *userdata, uint64_t after, rst_platform_done done,
+            void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  struct rst_http_call call = { 0 };
+  char url[URL_SIZE];
+
+  g_snprintf (url, sizeof url,
+              "http://%s/v1/instances?after=%" G_GUINT64_FORMAT,
+              platform->config.list_address, after);
+  call.method = "GET";
+  call.url = url;
+  call.timeout_ms = platform->config.store_timeout_ms;
+  send_call (platform->store_client, &call,
+             event_create (platform, BODY_INSTANCES, false, done, data));
+}
+
+static void
+runner_run (void *userdata, const char *address, const struct rst_run *run,
+            rst_platform_done done, void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  struct rst_http_call call = { 0 };
+  char url[URL_SIZE];
+  char headers[5][2 * RST_NAME_SIZE + 32];
+  const char *list[HEADERS_MAX] = { 0 };
+
+  g_snprintf (url, sizeof url, "http://%s/v1/run", address);
+  g_snprintf (headers[0], sizeof headers[0], "X-Request-Id: %s", run->id);
+  g_snprintf (headers[1], sizeof headers[1], "X-Team: %s", run->team);
+  g_snprintf (headers[2], sizeof headers[2],
+              "X-Epoch: %" G_GUINT64_FORMAT, run->epoch);
+  g_snprintf (headers[3], sizeof headers[3], "X-Idempotent: %s",
+              run->idempotent ? "true" : "false");
+  g_snprintf (headers[4], sizeof headers[4],
+              "X-Deadline-Ms: %" G_GINT64_FORMAT, run->deadline_ms);
+  for (int i = 0; i < 5; i++)
+    list[i] = headers[i];
+  call.method = "POST";
+  call.url = url;
+  call.headers = list;
+  call.body = run->body != NULL ? run->body : "";
+  call.length = run->length;
+  call.timeout_ms = run->deadline_ms;
+  call.not_after = run->not_after;
+  call.fresh = !run->idempotent;
+  send_call (platform->instance_client, &call,
+             event_create (platform, BODY_RAW, false, done, data));
+}
+
+static void
+instance_call (struct rst_platform_http *platform, const char *address,
+               const char *path, struct json_object *body, rst_ms not_after,
+               struct rst_platform_event *event)
+{
+  struct rst_http_call call = { 0 };
+  char url[URL_SIZE];
+  char *text = rst_json_release (body);
+
+  g_snprintf (url, sizeof url, "http://%s%s", address, path);
+  call.method = "POST";
+  call.url = url;
+  call.body = text;
+  call.length = strlen (text);
+  call.timeout_ms = platform->config.instance_timeout_ms;
+  call.not_after = not_after;
+  send_call (platform->instance_client, &call, event);
+  free (text);
+}
+
+static struct json_object *
+command_create (uint64_t epoch)
+{
+  struct json_object *body = json_object_new_object ();
+
+  rst_json_set_number (body, "epoch", (int64_t)epoch);
+  return body;
+}
+
+static void
+inspect (void *userdata, const char *address, uint64_t epoch,
+         rst_platform_done done, void *data)
+{
+  struct rst_platform_http *platform = userdata;
+
+  instance_call (platform, address, "/v1/inspect", command_create (epoch), 0,
+                 event_create (platform, BODY_WORK, false, done, data));
+}
+
+static void
+task_start (void *userdata, const char *address, uint64_t epoch,
+            const struct rst_work *task, rst_ms lease_ms, rst_ms not_after,
+            rst_platform_done done, void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  struct json_object *body = command_create (epoch);
+
+  rst_json_set_number (body, "lease_ms", lease_ms);
+  rst_json_set_text (body, "id", task->id);
+  rst_json_set_text (body, "team", task->team);
+  rst_json_set_text (body, "job", task->job);
+  rst_json_set_text (body, "owner", task->owner);
+  rst_json_set_number (body, "index", task->index);
+  rst_json_set_number (body, "attempt", task->attempt);
+  rst_json_set_number (body, "policy", task->policy);
+  rst_json_set_number (body, "cpu_milli", task->cpu);
+  rst_json_set_number (body, "memory_mb", task->memory_mb);
+  rst_json_set_number (body, "accelerators", task->accelerators);
+  rst_json_set_number (body, "run_ms", task->run_ms);
+  instance_call (platform, address, "/v1/tasks", body, not_after,
+                 event_create (platform, BODY_NONE, false, done, data));
+}
+
+static void
+task_renew (void *userdata, const char *address, uint64_t epoch,
+            rst_ms lease_ms, const char *const *seen, rst_platform_done done,
+            void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  struct json_object *body = command_create (epoch);
+  struct json_object *list = json_object_new_array ();
+
+  for (int i = 0; seen[i] != NULL; i++)
+    json_object_array_add (list, json_object_new_string (seen[i]));
+  rst_json_set_number (body, "lease_ms", lease_ms);
+  json_object_object_add (body, "seen", list);
+  instance_call (platform, address, "/v1/renew", body, 0,
+                 event_create (platform, BODY_WORK, false, done, data));
+}
+
+static void
+task_stop (void *userdata, const char *address, uint64_t epoch,
+           const char *id, bool checkpoint, rst_platform_done done,
+           void *data)
+{
+  struct rst_platform_http *platform = userdata;
+  struct json_object *body = command_create (epoch);
+
+  rst_json_set_text (body, "id", id);
+  rst_json_set_bool (body, "checkpoint", checkpoint);
+  instance_call (platform, address, "/v1/stop", body, 0,
+                 event_create (platform, BODY_WORK, false, done, data));
+}
+
+static const struct rst_platform table = {
+  .store_get = store_get,
+  .store_list = store_list,
+  .store_put = store_put,
+  .store_delete = store_delete,
+  .store_watch = store_watch,
+  .lease_grant = lease_grant,
+  .lease_keep = lease_keep,
+  .lease_drop = lease_drop,
+  .list_fetch = list_fetch,
+  .runner_run = runner_run,
+  .inspect = inspect,
+  .task_start = task_start,
+  .task_renew = task_renew,
+  .task_stop = task_stop,
+};
+
+const struct rst_platform *
+rst_platform_http_table (void)
+{
+  return &table;
+}
+
+struct rst_platform_http *
+rst_platform_http_create (const struct rst_platform_http_config *config)
+{
+  struct rst_platform_http *platform = g_new0 (struct rst_platform_http, 1);
+
+  platform->config = *config;
+  platform->store_client = rst_http_client_create (STORE_CONNECTIONS, 0);
+  platform->instance_client
+      = rst_http_client_create (INSTANCE_CONNECTIONS, RUNNER_CONNECTIONS);
+  if (platform->store_client == NULL || platform->instance_client == NULL)
+    {
+      rst_platform_http_close (platform);
+      rst_platform_http_destroy (platform);
+      return NULL;
+    }
+  return platform;
+}
+
+void
+rst_platform_http_close (struct rst_platform_http *platform)
+{
+  rst_http_client_destroy (platform->store_client);
+  rst_http_client_destroy (platform->instance_client);
+  platform->store_client = NULL;
+  platform->instance_client = NULL;
+}
+
+void
+rst_platform_http_destroy (struct rst_platform_http *platform)
+{
+  g_free (platform);
+}
--- /dev/null
+++ b/src/transport/http_client.c
@@ -0,0 +1,279 @@
+#include "transport/http_client.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <ck_queue.h>
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "transport/transport.h"
+#include "util/mailbox.h"
+#include "util/os.h"
+
+/** Bound on requests waiting for the client's thread. */
+#define CLIENT_QUEUE_SIZE 16384
+
+/** Longest sleep of the client's thread, in milliseconds. */
+#define CLIENT_POLL_MS 1000
+
+/** Bound on an answer's size in bytes. */
+#define CLIENT_ANSWER_MAX (8 * 1024 * 1024)
+
+/** Idle connections older than this many seconds are not used again. */
+#define CLIENT_IDLE_MAX_S 20
+
+struct transfer
+{
+  CURL *easy;
+  char *url;
+  char *method;
+  struct curl_slist *headers;
+  char *body;
+  size_t length;
+  rst_ms timeout_ms;
+  rst_ms not_after;
+  bool fresh;
+  GString *answer;
+  rst_http_done done;
+  void *userdata;
+  rst_ms sent_at;
+  CK_LIST_ENTRY (transfer) entry;
+};
+
+struct rst_http_client
+{
+  CURLM *multi;
+  struct rst_mailbox *mailbox;
+  pthread_t thread;
+  atomic_bool stop;
+  CK_LIST_HEAD (transfer_list, transfer) active;
+};
+
+static void
+transfer_free (struct transfer *transfer)
+{
+  if (transfer->easy != NULL)
+    curl_easy_cleanup (transfer->easy);
+  curl_slist_free_all (transfer->headers);
+  g_string_free (transfer->answer, TRUE);
+  g_free (transfer->body);
+  g_free (transfer->url);
+  g_free (transfer->method);
+  g_free (transfer);
+}
+
+static size_t
+on_data (char *data, size_t size, size_t count, void *userdata)
+{
+  struct transfer *transfer = userdata;
+
+  if (transfer->answer->len + size * count > CLIENT_ANSWER_MAX)
+    return 0;
+  g_string_append_len (transfer->answer, data, (gssize)(size * count));
+  return size * count;
+}
+
+static void
+set_method (struct transfer *transfer)
+{
+  CURL *easy = transfer->easy;
+
+  if (transfer->body != NULL)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, transfer->body);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)transfer->length);
+    }
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, transfer->method);
+}
+
+/* Ends a transfer that libcurl never saw. */
+static void
+end_unsent (struct transfer *transfer)
+{
+  struct rst_http_result result = { 0 };
+
+  result.error = RST_TRANSPORT_NOT_SENT;
+  result.body = "";
+  result.sent_at = rst_os_now ();
+  transfer->done (&result, transfer->userdata);
+  transfer_free (transfer);
+}
+
+static void
+begin (struct rst_http_client *client, struct transfer *transfer)
+{
+  CURL *easy;
+
+  transfer->sent_at = rst_os_now ();
+  if (transfer->not_after != 0 && transfer->sent_at >= transfer->not_after)
+    {
+      end_unsent (transfer);
+      return;
+    }
+  easy = curl_easy_init ();
+  transfer->easy = easy;
+  curl_easy_setopt (easy, CURLOPT_URL, transfer->url);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, transfer->headers);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)transfer->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_data);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, transfer);
+  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long)CLIENT_IDLE_MAX_S);
+  if (transfer->fresh)
+    {
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+  set_method (transfer);
+  CK_LIST_INSERT_HEAD (&client->active, transfer, entry);
+  curl_multi_add_handle (client->multi, easy);
+}
+
+static int
+classify (struct transfer *transfer, CURLcode code)
+{
+  long sent = 0;
+
+  if (code == CURLE_OK)
+    return RST_TRANSPORT_OK;
+  curl_easy_getinfo (transfer->easy, CURLINFO_REQUEST_SIZE, &sent);
+  if (sent == 0)
+    return RST_TRANSPORT_NOT_SENT;
+  if (code == CURLE_OPERATION_TIMEDOUT)
+    return RST_TRANSPORT_TIMEOUT;
+  return RST_TRANSPORT_BROKEN;
+}
+
+static void
+end_transfer (struct rst_http_client *client, struct transfer *transfer,
+              int error)
+{
+  struct rst_http_result result = { 0 };
+  long status = 0;
+
+  curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+  result.error = error;
+  result.status = error == RST_TRANSPORT_OK ? (int)status : 0;
+  result.body = transfer->answer->str;
+  result.length = transfer->answer->len;
+  result.sent_at = transfer->sent_at;
+  CK_LIST_REMOVE (transfer, entry);
+  curl_multi_remove_handle (client->multi, transfer->easy);
+  transfer->done (&result, transfer->userdata);
+  transfer_free (transfer);
+}
+
+static void
+collect_finished (struct rst_http_client *client)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      struct transfer *transfer = NULL;
+      CURLcode code = message->data.result;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      end_transfer (client, transfer, classify (transfer, code));
+    }
+}
+
+static void *
+client_main (void *userdata)
+{
+  struct rst_http_client *client = userdata;
+  struct transfer *transfer;
+  int running;
+
+  while (!atomic_load (&client->stop))
+    {
+      while ((transfer = rst_mailbox_take (client->mailbox)) != NULL)
+        begin (client, transfer);
+      curl_multi_perform (client->multi, &running);
+      collect_finished (client);
+      curl_multi_poll (client->multi, NULL, 0, CLIENT_POLL_MS, NULL);
+    }
+  while ((transfer = rst_mailbox_take (client->mailbox)) != NULL)
+    end_unsent (transfer);
+  while ((transfer = CK_LIST_FIRST (&client->active)) != NULL)
+    end_transfer (client, transfer, RST_TRANSPORT_BROKEN);
+  return NULL;
+}
+
+struct rst_http_client *
+rst_http_client_create (long max_connections, long max_per_host)
+{
+  struct rst_http_client *client = g_new0 (struct rst_http_client, 1);
+
+  curl_global_init (CURL_GLOBAL_NOTHING);
+  CK_LIST_INIT (&client->active);
+  client->multi = curl_multi_init ();
+  client->mailbox = rst_mailbox_create (CLIENT_QUEUE_SIZE);
+  if (client->multi == NULL || client->mailbox == NULL)
+    goto fail;
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, max_connections);
+  curl_multi_setopt (client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                     max_per_host);
+  if (pthread_create (&client->thread, NULL, client_main, client) != 0)
+    goto fail;
+  return client;
+
+fail:
+  if (client->multi != NULL)
+    curl_multi_cleanup (client->multi);
+  rst_mailbox_destroy (client->mailbox);
+  g_free (client);
+  return NULL;
+}
+
+int
+rst_http_client_send (struct rst_http_client *client,
+                      const struct rst_http_call *call)
+{
+  struct transfer *transfer = g_new0 (struct transfer, 1);
+
+  transfer->method = g_strdup (call->method);
+  transfer->url = g_strdup (call->url);
+  for (int i = 0; call->headers != NULL && call->headers[i] != NULL; i++)
+    transfer->headers
+        = curl_slist_append (transfer->headers, call->headers[i]);
+  transfer->headers = curl_slist_append (transfer->headers, "Expect:");
+  if (call->body != NULL)
+    transfer->body = g_memdup2 (call->body, call->length);
+  transfer->length = call->length;
+  transfer->timeout_ms = call->timeout_ms > 0 ? call->timeout_ms : 1;
+  transfer->not_after = call->not_after;
+  transfer->fresh = call->fresh;
+  transfer->done = call->done;
+  transfer->userdata = call->userdata;
+  transfer->answer = g_string_new (NULL);
+  if (!rst_mailbox_post (client->mailbox, transfer))
+    {
+      transfer_free (transfer);
+      return RST_TRANSPORT_FULL;
+    }
+  curl_multi_wakeup (client->multi);
+  return RST_TRANSPORT_OK;
+}
+
+void
+rst_http_client_destroy (struct rst_http_client *client)
+{
+  if (client == NULL)
+    return;
+  atomic_store (&client->stop, true);
+  curl_multi_wakeup (client->multi);
+  pthread_join (client->thread, NULL);
+  curl_multi_cleanup (client->multi);
+  rst_mailbox_destroy (client->mailbox);
+  g_free (client);
+}
--- /dev/null
+++ b/src/transport/net.c
@@ -0,0 +1,559 @@
+#include "transport/net.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "transport/transport.h"
+#include "util/log.h"
+#include "util/mailbox.h"
+#include "util/os.h"
+
+#define LOG_PREFIX "net"
+
+/** Bound on commands waiting for the net's thread. */
+#define NET_QUEUE_SIZE 32768
+
+/** Events taken from epoll at once. */
+#define NET_EVENTS 64
+
+/** Bytes read from a socket at once. */
+#define NET_READ_SIZE 65536
+
+/** Connections waiting to be accepted. */
+#define NET_BACKLOG 256
+
+enum command_kind
+{
+  COMMAND_CONNECT,
+  COMMAND_SEND,
+  COMMAND_CLOSE,
+};
+
+struct command
+{
+  enum command_kind kind;
+  uint64_t connection;
+  char address[RST_ADDRESS_SIZE];
+  GByteArray *frame;
+};
+
+struct connection
+{
+  uint64_t number;
+  int fd;
+  bool connecting;
+  GByteArray *in;
+  GByteArray *out;
+  rst_ms heard_at;
+  rst_ms sent_at;
+};
+
+struct rst_net
+{
+  struct rst_net_config config;
+  char address[RST_ADDRESS_SIZE];
+  int epoll;
+  int listener;
+  struct rst_mailbox *mailbox;
+  GHashTable *connections;
+  pthread_t thread;
+  atomic_bool stop;
+  atomic_uint_fast64_t next_number;
+  rst_ms next_sweep;
+};
+
+static void
+connection_free (gpointer data)
+{
+  struct connection *connection = data;
+
+  close (connection->fd);
+  g_byte_array_free (connection->in, TRUE);
+  g_byte_array_free (connection->out, TRUE);
+  g_free (connection);
+}
+
+static struct connection *
+add_connection (struct rst_net *net, uint64_t number, int fd, bool connecting)
+{
+  struct connection *connection = g_new0 (struct connection, 1);
+  struct epoll_event event = { 0 };
+  int one = 1;
+
+  connection->number = number;
+  connection->fd = fd;
+  connection->connecting = connecting;
+  connection->in = g_byte_array_new ();
+  connection->out = g_byte_array_new ();
+  connection->heard_at = rst_os_now ();
+  connection->sent_at = connection->heard_at;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  event.events = connecting ? EPOLLIN | EPOLLOUT : EPOLLIN;
+  event.data.u64 = number;
+  epoll_ctl (net->epoll, EPOLL_CTL_ADD, fd, &event);
+  g_hash_table_insert (net->connections, &connection->number, connection);
+  return connection;
+}
+
+static void
+report (struct rst_net *net, enum rst_net_event event, uint64_t number,
+        const void *data, size_t length)
+{
+  net->config.handler (event, number, data, length, net->config.userdata);
+}
+
+static void
+drop (struct rst_net *net, struct connection *connection, const char *reason)
+{
+  uint64_t number = connection->number;
+
+  rst_debug (LOG_PREFIX, "Connection closed.", "reason", reason);
+  g_hash_table_remove (net->connections, &number);
+  report (net, RST_NET_CLOSED, number, reason, strlen (reason));
+}
+
+static void
+want_write (struct rst_net *net, struct connection *connection)
+{
+  struct epoll_event event = { 0 };
+
+  event.events = EPOLLIN;
+  if (connection->connecting || connection->out->len > 0)
+    event.events |= EPOLLOUT;
+  event.data.u64 = connection->number;
+  epoll_ctl (net->epoll, EPOLL_CTL_MOD, connection->fd, &event);
+}
+
+/* Returns false when the connection was dropped. */
+static bool
+flush (struct rst_net *net, struct connection *connection)
+{
+  guint had = connection->out->len;
+
+  while (connection->out->len > 0)
+    {
+      ssize_t count = send (connection->fd, connection->out->data,
+                            connection->out->len, MSG_NOSIGNAL);
+
+      if (count < 0 && errno == EINTR)
+        continue;
+      if (count < 0 && errno == EAGAIN)
+        break;
+      if (count < 0)
+        {
+          drop (net, connection, "write failed");
+          return false;
+        }
+      connection->sent_at = rst_os_now ();
+      g_byte_array_remove_range (connection->out, 0, (guint)count);
+    }
+  if (had > 0)
+    want_write (net, connection);
+  return true;
+}
+
+static void
+append_frame (struct connection *connection, const void *data, size_t length)
+{
+  uint32_t prefix = htonl ((uint32_t)length);
+
+  g_byte_array_append (connection->out, (const guint8 *)&prefix,
+                       RST_NET_PREFIX);
+  if (length > 0)
+    g_byte_array_append (connection->out, data, (guint)length);
+}
+
+static void
+send_frame (struct rst_net *net, struct connection *connection,
+            const GByteArray *frame)
+{
+  if (connection->out->len + frame->len > net->config.max_buffered)
+    {
+      rst_warning (LOG_PREFIX, "Peer does not read; connection closed.");
+      drop (net, connection, "peer does not read");
+      return;
+    }
+  append_frame (connection, frame->data, frame->len);
+  if (!connection->connecting)
+    flush (net, connection);
+}
+
+static void
+start_connect (struct rst_net *net, const struct command *command)
+{
+  struct sockaddr_in address;
+  static const char bad[] = "cannot connect";
+  int fd = -1;
+
+  if (!rst_transport_address (command->address, &address))
+    goto fail;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    goto fail;
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) != 0
+      && errno != EINPROGRESS)
+    goto fail;
+  add_connection (net, command->connection, fd, true);
+  return;
+
+fail:
+  if (fd >= 0)
+    close (fd);
+  report (net, RST_NET_CLOSED, command->connection, bad, sizeof bad - 1);
+}
+
+static void
+run_command (struct rst_net *net, const struct command *command)
+{
+  struct connection *connection
+      = g_hash_table_lookup (net->connections, &command->connection);
+
+  if (command->kind == COMMAND_CONNECT)
+    start_connect (net, command);
+  else if (connection != NULL && command->kind == COMMAND_SEND)
+    send_frame (net, connection, command->frame);
+  else if (connection != NULL)
+    drop (net, connection, "closed here");
+}
+
+static void
+command_free (struct command *command)
+{
+  if (command->frame != NULL)
+    g_byte_array_free (command->frame, TRUE);
+  g_free (command);
+}
+
+static void
+run_commands (struct rst_net *net)
+{
+  struct command *command;
+
+  rst_os_event_clear (rst_mailbox_fd (net->mailbox));
+  while ((command = rst_mailbox_take (net->mailbox)) != NULL)
+    {
+      run_command (net, command);
+      command_free (command);
+    }
+}
+
+static void
+accept_all (struct rst_net *net)
+{
+  for (;;)
+    {
+      int fd = accept4 (net->listener, NULL, NULL,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC);
+      uint64_t number;
+
+      if (fd < 0)
+        return;
+      number = atomic_fetch_add (&net->next_number, 1);
+      add_connection (net, number, fd, false);
+      report (net, RST_NET_OPENED, number, NULL, 0);
+    }
+}
+
+/* Hands over all whole frames.  Returns false when the connection was
+   dropped. */
+static bool
+deliver_frames (struct rst_net *net, struct connection *connection)
+{
+  uint64_t number = connection->number;
+  GByteArray *in = connection->in;
+  size_t at = 0;
+
+  while (in->len - at >= RST_NET_PREFIX)
+    {
+      uint32_t length;
+
+      memcpy (&length, in->data + at, sizeof length);
+      length = ntohl (length);
+      if (length > net->config.max_frame)
+        {
+          rst_warning (LOG_PREFIX, "Frame exceeds the bound; connection "
+                                   "closed.");
+          drop (net, connection, "frame too large");
+          return false;
+        }
+      if (in->len - at - RST_NET_PREFIX < length)
+        break;
+      if (length > 0)
+        report (net, RST_NET_FRAME, number, in->data + at + RST_NET_PREFIX,
+                length);
+      at += RST_NET_PREFIX + length;
+    }
+  if (at > 0)
+    g_byte_array_remove_range (in, 0, (guint)at);
+  return true;
+}
+
+static void
+read_from (struct rst_net *net, struct connection *connection)
+{
+  guint8 buffer[NET_READ_SIZE];
+  ssize_t count = recv (connection->fd, buffer, sizeof buffer, 0);
+
+  if (count < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (count <= 0)
+    {
+      if (connection->in->len > 0)
+        rst_warning (LOG_PREFIX, "Frame was cut off; connection closed.");
+      drop (net, connection, count == 0 ? "closed by peer" : "read failed");
+      return;
+    }
+  connection->heard_at = rst_os_now ();
+  g_byte_array_append (connection->in, buffer, (guint)count);
+  deliver_frames (net, connection);
+}
+
+static void
+finish_connect (struct rst_net *net, struct connection *connection)
+{
+  int error = 0;
+  socklen_t size = sizeof error;
+
+  getsockopt (connection->fd, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0)
+    {
+      drop (net, connection, "cannot connect");
+      return;
+    }
+  connection->connecting = false;
+  connection->heard_at = rst_os_now ();
+  report (net, RST_NET_OPENED, connection->number, NULL, 0);
+  if (flush (net, connection))
+    want_write (net, connection);
+}
+
+static void
+handle_event (struct rst_net *net, const struct epoll_event *event)
+{
+  uint64_t number = event->data.u64;
+  struct connection *connection
+      = g_hash_table_lookup (net->connections, &number);
+
+  if (connection == NULL)
+    return;
+  if (connection->connecting)
+    {
+      finish_connect (net, connection);
+      return;
+    }
+  if ((event->events & EPOLLOUT) && !flush (net, connection))
+    return;
+  if (event->events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+    read_from (net, connection);
+}
+
+/* Sends heartbeats and finds silent connections. */
+static void
+sweep (struct rst_net *net, rst_ms now)
+{
+  GList *all;
+
+  if (now < net->next_sweep)
+    return;
+  net->next_sweep = now + net->config.heartbeat_ms / 2;
+  all = g_hash_table_get_values (net->connections);
+  for (GList *item = all; item != NULL; item = item->next)
+    {
+      struct connection *connection = item->data;
+
+      if (now - connection->heard_at > net->config.silent_ms)
+        {
+          rst_warning (LOG_PREFIX, "Connection is silent and was closed.");
+          drop (net, connection, "silent");
+        }
+      else if (!connection->connecting
+               && now - connection->sent_at >= net->config.heartbeat_ms / 2)
+        {
+          append_frame (connection, NULL, 0);
+          flush (net, connection);
+        }
+    }
+  g_list_free (all);
+}
+
+static void *
+net_main (void *userdata)
+{
+  struct rst_net *net = userdata;
+  struct epoll_event events[NET_EVENTS];
+
+  while (!atomic_load (&net->stop))
+    {
+      int count = epoll_wait (net->epoll, events, NET_EVENTS,
+                              (int)(net->config.heartbeat_ms / 2));
+
+      for (int i = 0; i < count; i++)
+        {
+          if (events[i].data.u64 == 0)
+            run_commands (net);
+          else if (events[i].data.u64 == 1)
+            accept_all (net);
+          else
+            handle_event (net, &events[i]);
+        }
+      sweep (net, rst_os_now ());
+    }
+  run_commands (net);
+  return NULL;
+}
+
+static int
+open_listener (struct rst_net *net, const char *wanted)
+{
+  struct sockaddr_in address;
+  socklen_t size = sizeof address;
+  int one = 1;
+
+  if (!rst_transport_address (wanted, &address))
+    return RST_TRANSPORT_ADDRESS;
+  net->listener
+      = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (net->listener < 0)
+    return RST_TRANSPORT_ADDRESS;
+  setsockopt (net->listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind (net->listener, (struct sockaddr *)&address, sizeof address) != 0
+      || listen (net->listener, NET_BACKLOG) != 0
+      || getsockname (net->listener, (struct sockaddr *)&address, &size) != 0)
+    return RST_TRANSPORT_ADDRESS;
+  rst_transport_address_text (&address, net->address, sizeof net->address);
+  return RST_TRANSPORT_OK;
+}
+
+static void
+watch_fd (struct rst_net *net, int fd, uint64_t number)
+{
+  struct epoll_event event = { 0 };
+
+  event.events = EPOLLIN;
+  event.data.u64 = number;
+  epoll_ctl (net->epoll, EPOLL_CTL_ADD, fd, &event);
+}
+
+static void
+net_free (struct rst_net *net)
+{
+  struct command *command;
+
+  while (net->mailbox != NULL
+         && (command = rst_mailbox_take (net->mailbox)) != NULL)
+    command_free (command);
+  if (net->listener >= 0)
+    close (net->listener);
+  if (net->epoll >= 0)
+    close (net->epoll);
+  g_hash_table_destroy (net->connections);
+  rst_mailbox_destroy (net->mailbox);
+  g_free (net);
+}
+
+int
+rst_net_create (const struct rst_net_config *config, struct rst_net **out)
+{
+  struct rst_net *net = g_new0 (struct rst_net, 1);
+  int error = RST_TRANSPORT_ADDRESS;
+
+  net->config = *config;
+  net->listener = -1;
+  /* 0 and 1 mark the mailbox and the listener in epoll. */
+  atomic_init (&net->next_number, 2);
+  net->connections = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                            connection_free);
+  net->epoll = epoll_create1 (EPOLL_CLOEXEC);
+  net->mailbox = rst_mailbox_create (NET_QUEUE_SIZE);
+  if (net->epoll < 0 || net->mailbox == NULL)
+    goto fail;
+  watch_fd (net, rst_mailbox_fd (net->mailbox), 0);
+  if (config->listen != NULL)
+    {
+      error = open_listener (net, config->listen);
+      if (error != RST_TRANSPORT_OK)
+        goto fail;
+      watch_fd (net, net->listener, 1);
+    }
+  /* Handlers may use the net as soon as its thread runs. */
+  *out = net;
+  if (pthread_create (&net->thread, NULL, net_main, net) != 0)
+    goto fail;
+  return RST_TRANSPORT_OK;
+
+fail:
+  *out = NULL;
+  net_free (net);
+  return error;
+}
+
+const char *
+rst_net_address (const struct rst_net *net)
+{
+  return net->address;
+}
+
+static bool
+post (struct rst_net *net, struct command *command)
+{
+  if (rst_mailbox_post (net->mailbox, command))
+    return true;
+  command_free (command);
+  return false;
+}
+
+uint64_t
+rst_net_connect (struct rst_net *net, const char *address)
+{
+  struct command *command = g_new0 (struct command, 1);
+  uint64_t number = atomic_fetch_add (&net->next_number, 1);
+
+  command->kind = COMMAND_CONNECT;
+  command->connection = number;
+  g_strlcpy (command->address, address, sizeof command->address);
+  return post (net, command) ? number : 0;
+}
+
+int
+rst_net_send (struct rst_net *net, uint64_t connection, const void *data,
+              size_t length)
+{
+  struct command *command = g_new0 (struct command, 1);
+
+  command->kind = COMMAND_SEND;
+  command->connection = connection;
+  command->frame = g_byte_array_sized_new ((guint)length);
+  g_byte_array_append (command->frame, data, (guint)length);
+  return post (net, command) ? RST_TRANSPORT_OK : RST_TRANSPORT_FULL;
+}
+
+void
+rst_net_close (struct rst_net *net, uint64_t connection)
+{
+  struct command *command = g_new0 (struct command, 1);
+
+  command->kind = COMMAND_CLOSE;
+  command->connection = connection;
+  post (net, command);
+}
+
+void
+rst_net_destroy (struct rst_net *net)
+{
+  if (net == NULL)
+    return;
+  atomic_store (&net->stop, true);
+  rst_os_event_signal (rst_mailbox_fd (net->mailbox));
+  pthread_join (net->thread, NULL);
+  net_free (net);
+}
--- /dev/null
+++ b/src/util/log.c
@@ -0,0 +1,177 @@
+#include "util/log.h"
+
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "util/os.h"
+
+/** Largest number of named values in one line. */
+#define LOG_FIELDS_MAX 24
+
+static struct
+{
+  char process[64];
+  bool json;
+  GLogLevelFlags least;
+} log_state = { "", false, G_LOG_LEVEL_INFO };
+
+static const char *
+level_name (GLogLevelFlags level)
+{
+  if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL))
+    return "error";
+  if (level & G_LOG_LEVEL_WARNING)
+    return "warning";
+  if (level & (G_LOG_LEVEL_INFO | G_LOG_LEVEL_MESSAGE))
+    return "info";
+  return "debug";
+}
+
+static void
+append_json_string (GString *line, const char *text)
+{
+  g_string_append_c (line, '"');
+  for (; *text != '\0'; text++)
+    {
+      unsigned char c = (unsigned char)*text;
+
+      if (c == '"' || c == '\\')
+        g_string_append_printf (line, "\\%c", c);
+      else if (c < 0x20)
+        g_string_append_printf (line, "\\u%04x", c);
+      else
+        g_string_append_c (line, (char)c);
+    }
+  g_string_append_c (line, '"');
+}
+
+static const char *
+find_field (const GLogField *fields, gsize count, const char *key)
+{
+  for (gsize i = 0; i < count; i++)
+    if (strcmp (fields[i].key, key) == 0)
+      return fields[i].value;
+  return "";
+}
+
+static bool
+is_named_value (const GLogField *field)
+{
+  return g_ascii_islower (field->key[0]);
+}
+
+static void
+format_plain (GString *line, const char *when, GLogLevelFlags level,
+              const GLogField *fields, gsize count)
+{
+  g_string_append_printf (line, "%s %s %s: %s: %s", when, log_state.process,
+                          level_name (level),
+                          find_field (fields, count, "GLIB_DOMAIN"),
+                          find_field (fields, count, "MESSAGE"));
+  for (gsize i = 0; i < count; i++)
+    if (is_named_value (&fields[i]))
+      g_string_append_printf (line, " %s=%s", fields[i].key,
+                              (const char *)fields[i].value);
+}
+
+static void
+append_json_field (GString *line, const char *key, const char *value)
+{
+  if (line->len > 1)
+    g_string_append_c (line, ',');
+  append_json_string (line, key);
+  g_string_append_c (line, ':');
+  append_json_string (line, value);
+}
+
+static void
+format_json (GString *line, const char *when, GLogLevelFlags level,
+             const GLogField *fields, gsize count)
+{
+  g_string_append_c (line, '{');
+  append_json_field (line, "time", when);
+  append_json_field (line, "process", log_state.process);
+  append_json_field (line, "level", level_name (level));
+  append_json_field (line, "part", find_field (fields, count, "GLIB_DOMAIN"));
+  append_json_field (line, "message", find_field (fields, count, "MESSAGE"));
+  for (gsize i = 0; i < count; i++)
+    if (is_named_value (&fields[i]))
+      append_json_field (line, fields[i].key, fields[i].value);
+  g_string_append_c (line, '}');
+}
+
+static GLogWriterOutput
+write_line (GLogLevelFlags level, const GLogField *fields, gsize count,
+            gpointer userdata)
+{
+  GString *line;
+  char when[32];
+  int64_t now = g_get_real_time ();
+
+  (void)userdata;
+  if (!rst_log_enabled (level))
+    return G_LOG_WRITER_HANDLED;
+  g_snprintf (when, sizeof when, "%" G_GINT64_FORMAT ".%03d", now / 1000000,
+              (int)(now / 1000 % 1000));
+  line = g_string_sized_new (256);
+  if (log_state.json)
+    format_json (line, when, level, fields, count);
+  else
+    format_plain (line, when, level, fields, count);
+  g_string_append_c (line, '\n');
+  while (write (STDERR_FILENO, line->str, line->len) < 0 && errno == EINTR)
+    continue;
+  g_string_free (line, TRUE);
+  return G_LOG_WRITER_HANDLED;
+}
+
+void
+rst_log_init (const char *process, const struct rst_log_config *config)
+{
+  g_strlcpy (log_state.process, process, sizeof log_state.process);
+  log_state.json = config->json;
+  if (strcmp (config->level, "error") == 0)
+    log_state.least = G_LOG_LEVEL_CRITICAL;
+  else if (strcmp (config->level, "warning") == 0)
+    log_state.least = G_LOG_LEVEL_WARNING;
+  else if (strcmp (config->level, "debug") == 0)
+    log_state.least = G_LOG_LEVEL_DEBUG;
+  else
+    log_state.least = G_LOG_LEVEL_INFO;
+  g_log_set_writer_func (write_line, NULL, NULL);
+}
+
+bool
+rst_log_enabled (GLogLevelFlags level)
+{
+  return (level & G_LOG_LEVEL_MASK) <= log_state.least;
+}
+
+void
+rst_log_event (GLogLevelFlags level, const char *prefix, const char *message,
+               ...)
+{
+  GLogField fields[LOG_FIELDS_MAX + 2];
+  gsize count = 0;
+  const char *key;
+  va_list args;
+
+  if (!rst_log_enabled (level))
+    return;
+  fields[count++] = (GLogField){ "GLIB_DOMAIN", prefix, -1 };
+  fields[count++] = (GLogField){ "MESSAGE", message, -1 };
+  va_start (args, message);
+  while ((key = va_arg (args, const char *)) != NULL
+         && count < G_N_ELEMENTS (fields))
+    {
+      const char *value = va_arg (args, const char *);
+
+      if (value != NULL)
+        fields[count++] = (GLogField){ key, value, -1 };
+    }
+  va_end (args);
+  g_log_structured_array (level, fields, count);
+}
