Run the whole path: a cell of nine entry instances on loopback

Found on the way: queries waited until their deadline at schedulers that own no runner (p99 10017 ms at 16 callers); entries counted what they had sent since the last load report without what had been answered since; ends of tasks were seen only at the next renewal, up to 2 s late.

--- a/include/rosemarystile.h
+++ b/include/rosemarystile.h
@@ -132,12 +132,14 @@
  * @name: Name of the process, the same after a restart.
  * @incarnation: Unique for each run of the process.
  * @address: Address for frames, "IP:PORT".
+ * @status_address: Address of its status pages, "IP:PORT".
  */
 struct rst_member
 {
   char name[RST_NAME_SIZE];
   char incarnation[RST_NAME_SIZE];
   char address[RST_ADDRESS_SIZE];
+  char status_address[RST_ADDRESS_SIZE];
 };
 
 /**
--- /dev/null
+++ b/src/cli/store.c
@@ -0,0 +1,185 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli/cli.h"
+#include "state/json.h"
+#include "state/settings.h"
+#include "transport/http_sync.h"
+#include "transport/transport.h"
+
+/** Most tries when other operators change the same branch. */
+#define UPDATE_TRIES 20
+
+static int
+call (const struct cli_args *args, const char *method, const char *path,
+      const char *body, int *status, GString *answer)
+{
+  char *url = g_strdup_printf ("http://%s%s", args->store, path);
+  int error
+      = rst_http_sync (method, url, body, args->timeout_ms, status, answer);
+
+  g_free (url);
+  return error;
+}
+
+static int
+store_failed (int error, int status)
+{
+  if (error != RST_TRANSPORT_OK)
+    fprintf (stderr, "store: %s\n", rst_transport_strerror (error));
+  else
+    fprintf (stderr, "store: answered with status %d\n", status);
+  return CLI_FAILED;
+}
+
+int
+cli_store_get (const struct cli_args *args, const char *key, char **value,
+               uint64_t *revision)
+{
+  char *path = g_strdup_printf ("/v1/kv?key=%s", key);
+  GString *answer = g_string_new ("");
+  struct json_object *root;
+  int status;
+  int error = call (args, "GET", path, NULL, &status, answer);
+  int result = CLI_OK;
+
+  *value = NULL;
+  *revision = 0;
+  if (error == RST_TRANSPORT_OK && status == 404)
+    *value = g_strdup ("");
+  else if (error != RST_TRANSPORT_OK || status != 200)
+    result = store_failed (error, status);
+  else
+    {
+      root = rst_json_parse (answer->str);
+      *value = g_strdup (rst_json_text (root, "value"));
+      *revision = (uint64_t)rst_json_number (root, "revision", 0);
+      json_object_put (root);
+    }
+  g_string_free (answer, TRUE);
+  g_free (path);
+  return result;
+}
+
+int
+cli_store_list (const struct cli_args *args, const char *prefix,
+                struct json_object **items)
+{
+  char *path = g_strdup_printf ("/v1/kv?prefix=%s", prefix);
+  GString *answer = g_string_new ("");
+  struct json_object *root;
+  int status;
+  int error = call (args, "GET", path, NULL, &status, answer);
+  int result = CLI_OK;
+
+  *items = NULL;
+  if (error != RST_TRANSPORT_OK || status != 200)
+    result = store_failed (error, status);
+  else
+    {
+      root = rst_json_parse (answer->str);
+      *items = json_object_get (rst_json_array (root, "items"));
+      json_object_put (root);
+    }
+  g_string_free (answer, TRUE);
+  g_free (path);
+  return result;
+}
+
+static int
+put (const struct cli_args *args, const char *key, const char *value,
+     uint64_t expected, int *status, uint64_t *revision)
+{
+  char *path = g_strdup_printf ("/v1/kv?key=%s&expect=%" G_GUINT64_FORMAT,
+                                key, expected);
+  GString *answer = g_string_new ("");
+  struct json_object *root;
+  int error = call (args, "PUT", path, value, status, answer);
+
+  if (error == RST_TRANSPORT_OK && *status == 200)
+    {
+      root = rst_json_parse (answer->str);
+      *revision = (uint64_t)rst_json_number (root, "revision", 0);
+      json_object_put (root);
+    }
+  g_string_free (answer, TRUE);
+  g_free (path);
+  return error;
+}
+
+static bool
+is_sound (const char *key, const char *value)
+{
+  GString *problems = g_string_new ("");
+  bool sound = rst_settings_check (key, value, problems) == RST_STATE_OK;
+
+  if (!sound)
+    {
+      char **lines = g_strsplit (problems->str, "\n", -1);
+
+      for (int i = 0; lines[i] != NULL && lines[i][0] != '\0'; i++)
+        fprintf (stderr, "%s: %s\n", key, lines[i]);
+      g_strfreev (lines);
+    }
+  g_string_free (problems, TRUE);
+  return sound;
+}
+
+/* One try.  Sets *again when another operator was first, or when the answer
+   was lost and the value must be read again. */
+static int
+try_update (const struct cli_args *args, const char *key, cli_edit edit,
+            void *data, char **last, uint64_t *revision, bool *again)
+{
+  char *value = NULL;
+  char *changed = NULL;
+  int status = 0;
+  int error;
+  int result = cli_store_get (args, key, &value, revision);
+
+  *again = false;
+  if (result != CLI_OK)
+    return result;
+  if (*last != NULL && strcmp (*last, value) == 0)
+    goto done;
+  changed = edit (value, data);
+  if (changed == NULL || !is_sound (key, changed))
+    {
+      result = CLI_USAGE;
+      goto done;
+    }
+  g_free (*last);
+  *last = g_strdup (changed);
+  error = put (args, key, changed, *revision, &status, revision);
+  if (error == RST_TRANSPORT_OK && status == 200)
+    goto done;
+  if (error == RST_TRANSPORT_OK && status != 409)
+    result = store_failed (error, status);
+  else
+    *again = true;
+
+done:
+  free (changed);
+  g_free (value);
+  return result;
+}
+
+int
+cli_store_update (const struct cli_args *args, const char *key, cli_edit edit,
+                  void *data, uint64_t *revision)
+{
+  char *last = NULL;
+  bool again = true;
+  int result = CLI_OK;
+
+  for (int i = 0; i < UPDATE_TRIES && again; i++)
+    result = try_update (args, key, edit, data, &last, revision, &again);
+  g_free (last);
+  if (again)
+    {
+      fprintf (stderr, "%s: others keep changing it; try again\n", key);
+      return CLI_FAILED;
+    }
+  return result;
+}
--- a/src/coordination/entry.c
+++ b/src/coordination/entry.c
@@ -174,6 +174,10 @@
 static void
 forget_pending (struct rst_entry *entry, struct pending *pending)
 {
+  struct scheduler_peer *peer = peer_by_link (entry, pending->link);
+
+  if (peer != NULL)
+    peer->sent_since_load--;
   g_hash_table_remove (entry->pending, &pending->id);
 }
 
@@ -194,13 +198,13 @@
 {
   bool proven = entry_now (entry) - peer->heard_at <= LINK_PROVEN_MS;
 
+  bool query = pending->message.type == RST_QUERY;
+
   if (!peer->known || !peer->open || !peer->has_load || !peer->load.ready
-      || peer->link == pending->link
+      || peer->link == pending->link || (query && peer->load.slots_total == 0)
       || rst_settings_zone_out (entry->settings, peer->zone))
     return false;
-  return proven
-         || (pending->message.type == RST_QUERY
-             && pending->message.query.idempotent);
+  return proven || (query && pending->message.query.idempotent);
 }
 
 static int64_t
--- a/src/coordination/ownership.c
+++ b/src/coordination/ownership.c
@@ -339,7 +339,9 @@
           || !rst_json_copy_text (item, "incarnation", member.incarnation,
                                   RST_NAME_SIZE)
           || !rst_json_copy_text (item, "address", member.address,
-                                  RST_ADDRESS_SIZE))
+                                  RST_ADDRESS_SIZE)
+          || !rst_json_copy_text (item, "status_address",
+                                  member.status_address, RST_ADDRESS_SIZE))
         return false;
       rst_zone_add_member (zone, &member);
     }
@@ -413,6 +415,8 @@
       rst_json_set_text (item, "name", zone->members[i].name);
       rst_json_set_text (item, "incarnation", zone->members[i].incarnation);
       rst_json_set_text (item, "address", zone->members[i].address);
+      rst_json_set_text (item, "status_address",
+                         zone->members[i].status_address);
       json_object_array_add (list, item);
     }
   return list;
--- a/src/coordination/sched_instance.c
+++ b/src/coordination/sched_instance.c
@@ -25,6 +25,12 @@
 /** Renewals in one task lease. */
 #define RENEWALS_PER_LEASE 3
 
+/** Least time between two renewals of one worker. */
+#define RENEW_LEAST_MS 100
+
+/** Time after its declared end at which a task is looked at. */
+#define END_SLACK_MS 20
+
 /** Failed renewals after which no further one is sent. */
 #define RENEWALS_MAX 3
 
@@ -530,6 +536,25 @@
   instance->phase = INSTANCE_ADOPTING;
 }
 
+/* When the next task should have ended by its declared run time. */
+static rst_ms
+next_end (const struct instance *instance)
+{
+  rst_ms next = INT64_MAX;
+  const struct work *work;
+
+  CK_LIST_FOREACH (work, &instance->work, entry)
+  if (work->counted && !work->held && !work->starting && work->info.run_ms > 0)
+    {
+      rst_ms end = work->started_at + work->info.run_ms + END_SLACK_MS;
+
+      /* A task that runs longer than declared is followed by the renewals. */
+      if (end > instance->renewed_at)
+        next = MIN (next, end);
+    }
+  return next;
+}
+
 static void
 renew_tick (struct instance *instance)
 {
@@ -545,10 +570,12 @@
       end_lost_tasks (instance);
       return;
     }
-  if (instance->renewing || now < instance->next_renew
-      || instance->renewals_failed >= RENEWALS_MAX)
+  if (instance->renewing || instance->renewals_failed >= RENEWALS_MAX
+      || now < instance->renewed_at + RENEW_LEAST_MS
+      || (now < instance->next_renew && now < next_end (instance)))
     return;
   instance->renewing = true;
+  instance->renewed_at = now;
   instance->next_renew
       = now + sched->config.task_lease_ms / RENEWALS_PER_LEASE;
   seen = seen_ends (instance);
--- a/src/coordination/sched_member.c
+++ b/src/coordination/sched_member.c
@@ -367,6 +367,8 @@
   g_strlcpy (member.name, sched->config.name, RST_NAME_SIZE);
   g_strlcpy (member.incarnation, sched->incarnation, RST_NAME_SIZE);
   g_strlcpy (member.address, sched->config.address, RST_ADDRESS_SIZE);
+  g_strlcpy (member.status_address, sched->config.status_address,
+             RST_ADDRESS_SIZE);
   return rst_zone_add_member (zone, &member) == RST_OK;
 }
 
--- a/src/coordination/sched_query.c
+++ b/src/coordination/sched_query.c
@@ -798,6 +798,44 @@
   place_query (query);
 }
 
+/* Queries that wait here while peers have room go there. */
+static void
+spread_queue (struct rst_scheduler *sched, struct query_queue *queue)
+{
+  struct query *query = CK_STAILQ_FIRST (queue);
+  struct peer *peer;
+
+  while (query != NULL && query->hops == 0
+         && (peer = choose_peer (sched)) != NULL)
+    {
+      unqueue_head (queue);
+      if (!forward_query (query, peer))
+        {
+          enqueue (query, true);
+          return;
+        }
+      query = CK_STAILQ_FIRST (queue);
+    }
+}
+
+static void
+spread_all (struct rst_scheduler *sched)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  if (sched->queued == 0 || choose_runner (sched) != NULL)
+    return;
+  g_hash_table_iter_init (&iterator, sched->teams);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct team *team = value;
+
+      spread_queue (sched, &team->urgent);
+      spread_queue (sched, &team->normal);
+    }
+}
+
 /* What cannot be started here goes elsewhere at once. */
 static void
 move_queue (struct rst_scheduler *sched, struct query_queue *queue)
@@ -870,6 +908,7 @@
 
   if (sched->queued > 0 && !sched_may_start (sched))
     move_all (sched);
+  spread_all (sched);
   expire_all (sched);
   expire_forwards (sched);
   if (now >= sched->sweep_next_at)
--- a/src/coordination/scheduler_private.h
+++ b/src/coordination/scheduler_private.h
@@ -152,6 +152,7 @@
   bool settled;
   bool renewing;
   rst_ms next_renew;
+  rst_ms renewed_at;
   rst_ms last_renewal_at;
   int renewals_failed;
   CK_LIST_HEAD (work_list, work) work;
--- a/src/state/settings.c
+++ b/src/state/settings.c
@@ -70,7 +70,7 @@
 
 static const struct rst_conf_field key_fields[] = {
   RST_CONF_TEXT ("id", RST_CONF_NAME, true, struct rst_team_key, id),
-  RST_CONF_TEXT ("hash", RST_CONF_NAME, true, struct rst_team_key, hash),
+  RST_CONF_TEXT ("hash", RST_CONF_STRING, true, struct rst_team_key, hash),
 };
 
 static void
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -12,12 +12,12 @@
 #include <unistd.h>
 
 #include <ck_queue.h>
-#include <curl/curl.h>
 #include <glib.h>
 #include <pthread.h>
 
 #include "state/json.h"
 #include "transport/http_server.h"
+#include "transport/http_sync.h"
 #include "transport/transport.h"
 #include "util/os.h"
 #include "util/program.h"
@@ -29,6 +29,9 @@
 #define BODY_MAX (4 * 1024 * 1024)
 
 
+/** Bound on the call that registers the instances. */
+#define REGISTER_MS 10000
+
 struct settings
 {
   char zone[RST_NAME_SIZE];
@@ -565,6 +568,21 @@
   free (text);
 }
 
+/* Ids of the queries that ran and must run once, a line each. */
+static void
+reply_ran (struct rst_http_request *request)
+{
+  GString *text = g_string_new ("");
+  GHashTableIter iterator;
+  gpointer key;
+
+  g_hash_table_iter_init (&iterator, fleet.ran);
+  while (g_hash_table_iter_next (&iterator, &key, NULL))
+    g_string_append_printf (text, "%s\n", (const char *)key);
+  rst_http_reply (request, 200, "text/plain", text->str, text->len, 0);
+  g_string_free (text, TRUE);
+}
+
 static void
 set_fault (struct rst_http_request *request)
 {
@@ -589,6 +607,8 @@
   pthread_mutex_lock (&fleet.lock);
   if (strcmp (path, "/account") == 0)
     reply_account (request);
+  else if (strcmp (path, "/ran") == 0)
+    reply_ran (request);
   else if (strcmp (path, "/faults") == 0)
     set_fault (request);
   else
@@ -672,26 +692,21 @@
 register_all (void)
 {
   struct json_object *list = json_object_new_array ();
-  CURL *easy = curl_easy_init ();
+  GString *answer = g_string_new ("");
   char url[256];
   char *text;
-  bool ok;
+  int status = 0;
+  int error;
 
   for (int i = 0; i < fleet.count; i++)
     json_object_array_add (list, instance_json (&fleet.instances[i]));
   text = rst_json_release (list);
   g_snprintf (url, sizeof url, "http://%s/v1/instances",
               fleet.settings.list_address);
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, text);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT, 10L);
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, stderr);
-  ok = curl_easy_perform (easy) == CURLE_OK;
-  curl_easy_cleanup (easy);
+  error = rst_http_sync ("POST", url, text, REGISTER_MS, &status, answer);
+  g_string_free (answer, TRUE);
   free (text);
-  return ok;
+  return error == RST_TRANSPORT_OK && status == 200;
 }
 
 static bool
@@ -735,7 +750,6 @@
   if (early >= 0)
     return early;
   rst_os_block_signals ();
-  curl_global_init (CURL_GLOBAL_NOTHING);
   fleet.ran = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet.task_starts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- /dev/null
+++ b/tools/lib/cluster.sh
@@ -0,0 +1,216 @@
+# Starts the stand-ins and daemons of one cell on loopback, and ends them by
+# process id.  Expects in $bin the folder of the programs and in $run a folder
+# for settings and logs.  Every port is chosen by the kernel.
+
+declare -A pid_of address_of status_of
+log_level=${log_level:-warning}
+
+# start NAME PROGRAM SETTINGS - starts a program and waits until it is ready.
+# It runs in the main shell's process group; its id is kept in pid_of.
+start ()
+{
+  local name=$1 program=$2 settings=$3
+  local line i
+
+  "$bin/$program" --settings "$settings" >"$run/$name.out" \
+    2>>"$run/$name.log" &
+  pid_of[$name]=$!
+  for i in $(seq 1 500)
+  do
+    line=$(head -n 1 "$run/$name.out" 2>/dev/null)
+    case $line in
+      ready*)
+        status_of[$name]=$(echo "$line" | sed -n 's/.*http=\([^ ]*\).*/\1/p')
+        address_of[$name]=$(echo "$line" \
+          | sed -n 's/.*frames=\([^ ]*\).*/\1/p')
+        return 0
+        ;;
+    esac
+    kill -0 "${pid_of[$name]}" 2>/dev/null || break
+    sleep 0.02
+  done
+  echo "$name did not start:"
+  cat "$run/$name.log"
+  return 1
+}
+
+# stop NAME - stops a process by SIGTERM; returns its exit status.
+stop ()
+{
+  kill -TERM "${pid_of[$1]}"
+  wait "${pid_of[$1]}" 2>/dev/null
+}
+
+# kill_hard NAME - ends a process by SIGKILL.
+kill_hard ()
+{
+  kill -CONT "${pid_of[$1]}" 2>/dev/null
+  kill -KILL "${pid_of[$1]}" 2>/dev/null
+  wait "${pid_of[$1]}" 2>/dev/null
+  return 0
+}
+
+# stop_all - ends every process that was started here.
+stop_all ()
+{
+  local name
+
+  for name in "${!pid_of[@]}"
+  do
+    kill_hard "$name"
+  done
+  pid_of=()
+}
+
+start_store ()
+{
+  echo '{ "listen": "127.0.0.1:0" }' >"$run/store.json"
+  start store standin-store "$run/store.json"
+}
+
+# start_list LAG_MS
+start_list ()
+{
+  echo "{ \"listen\": \"127.0.0.1:0\", \"lag_ms\": $1 }" >"$run/list.json"
+  start list standin-list "$run/list.json"
+}
+
+# start_fleet ZONE RUNNERS WORKERS
+start_fleet ()
+{
+  cat >"$run/fleet-$1.json" <<EOF
+{
+  "availability_zone": "$1",
+  "host": "127.0.0.1",
+  "control": "127.0.0.1:0",
+  "list": { "address": "${status_of[list]}" },
+  "runners": { "count": $2, "slots": 8, "run_ms": 5 },
+  "workers": { "count": $3, "cpu_milli": 16000, "memory_mb": 65536,
+               "accelerators": 0, "rack_size": 8 }
+}
+EOF
+  start "fleet-$1" standin-fleet "$run/fleet-$1.json"
+}
+
+# start_schedd ZONE NAME
+start_schedd ()
+{
+  cat >"$run/schedd-$2.json" <<EOF
+{
+  // The scheduler of entry instance $2.
+  "name": "$2",
+  "availability_zone": "$1",
+  "listen": "${address_of[schedd-$2]:-127.0.0.1:0}",
+  "status_listen": "127.0.0.1:0",
+  "store": { "address": "${status_of[store]}", "timeout_ms": 1000 },
+  "list": { "address": "${status_of[list]}", "interval_ms": 500 },
+  "log": { "format": "plain", "level": "$log_level" }
+}
+EOF
+  start "schedd-$2" rosemarystile-schedd "$run/schedd-$2.json"
+}
+
+# start_entryd ZONE NAME
+start_entryd ()
+{
+  cat >"$run/entryd-$2.json" <<EOF
+{
+  // The entry of entry instance $2; it learns of other schedulers from its
+  // own.
+  "name": "$2",
+  "availability_zone": "$1",
+  "listen": "${status_of[entryd-$2]:-127.0.0.1:0}",
+  "schedulers": [ "${address_of[schedd-$2]}" ],
+  "log": { "format": "plain", "level": "$log_level" }
+}
+EOF
+  start "entryd-$2" rosemarystile-entryd "$run/entryd-$2.json"
+}
+
+# get ADDRESS PATH - prints an answer's body.
+get ()
+{
+  curl -sS --max-time 5 "http://$1$2"
+}
+
+# wait_for SECONDS COMMAND... - repeats a command until it succeeds.
+wait_for ()
+{
+  local deadline=$(($(date +%s%N) / 1000000 + $1 * 1000))
+
+  shift
+  until "$@" >/dev/null 2>&1
+  do
+    [ $(($(date +%s%N) / 1000000)) -lt $deadline ] || return 1
+    sleep 0.05
+  done
+}
+
+# now_ms - milliseconds of the system's clock.
+now_ms ()
+{
+  echo $(($(date +%s%N) / 1000000))
+}
+
+is_ready ()
+{
+  curl -sf --max-time 2 "http://$1/readyz"
+}
+
+# owned_instances - how many instances have an owner that is ready for them.
+owned_instances ()
+{
+  local name sum=0 count
+
+  for name in "${!status_of[@]}"
+  do
+    case $name in
+      schedd-*)
+        kill -0 "${pid_of[$name]:-0}" 2>/dev/null || continue
+        count=$(get "${status_of[$name]}" /status 2>/dev/null \
+          | jq '[.instances[] | select(.ready)] | length' 2>/dev/null)
+        sum=$((sum + ${count:-0}))
+        ;;
+    esac
+  done
+  echo "$sum"
+}
+
+all_owned ()
+{
+  [ "$(owned_instances)" -eq "$1" ]
+}
+
+ctl ()
+{
+  "$bin/rosemarystile-ctl" --store "${status_of[store]}" "$@"
+}
+
+# fleet_sum FIELD - sums a figure over the accounts of all fleets.
+fleet_sum ()
+{
+  local name sum=0
+
+  for name in "${!status_of[@]}"
+  do
+    case $name in
+      fleet-*)
+        sum=$((sum + $(get "${status_of[$name]}" /account | jq ".$1")))
+        ;;
+    esac
+  done
+  echo "$sum"
+}
+
+# ran_twice - queries that must run once and ran on two runners.
+ran_twice ()
+{
+  local name
+
+  for name in "${!status_of[@]}"
+  do
+    case $name in
+      fleet-*) get "${status_of[$name]}" /ran ;;
+    esac
+  done | sort | uniq -d | wc -l
+}
