--- /dev/null
+++ b/test/fuzz/fuzz.cc
@@ -0,0 +1,467 @@
+/**
+ * DOC: fuzz - stateful fuzzing of the schedulers and entries
+ *
+ * Random commands, made and shrunk by rapidcheck, run on the world; the
+ * oracle judges after every step.  At the end all faults heal and all due
+ * work must have started.
+ */
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <iostream>
+
+#include <rapidcheck.h>
+#include <sodium.h>
+
+#include "world.h"
+
+extern "C"
+{
+#include "util/log.h"
+}
+
+namespace fuzz
+{
+
+enum Kind
+{
+  ADVANCE,
+  REQUEST,
+  REPEAT,
+  SUBMIT,
+  CANCEL,
+  CRASH,
+  RESTART,
+  PAUSE,
+  RESUME,
+  STOP,
+  CUT_ZONES,
+  JOIN_ZONES,
+  CUT_STORE,
+  JOIN_STORE,
+  SILENCE,
+  STORE_DOWN,
+  STORE_UP,
+  LOSE_ANSWERS,
+  SLOW_CALLS,
+  DUPLICATES,
+  FAIR_WEATHER,
+  SET_LIMIT,
+  WITHDRAW_KEY,
+  ZONE_OUT,
+  ZONE_IN,
+  LEAVING,
+  BACK,
+  FAILING,
+  SOUND,
+  REBOOT,
+  KINDS,
+};
+
+const char *const kind_names[KINDS]
+    = { "advance",      "request",      "repeat",       "submit",
+        "cancel",       "crash",        "restart",      "pause",
+        "resume",       "stop",         "cut-zones",    "join-zones",
+        "cut-store",    "join-store",   "silence-link", "store-down",
+        "store-up",     "lose-answers", "slow-calls",   "duplicates",
+        "fair-weather", "set-limit",    "withdraw-key", "zone-out",
+        "zone-in",      "leaving",      "back",         "failing",
+        "sound",        "reboot" };
+
+struct Command
+{
+  Kind kind;
+  int a;
+  int b;
+};
+
+std::ostream &
+operator<< (std::ostream &out, const Command &command)
+{
+  return out << kind_names[command.kind] << ' ' << command.a << ' '
+             << command.b;
+}
+
+rc::Gen<Command>
+any_command ()
+{
+  using rc::gen::element;
+  using rc::gen::just;
+
+  auto kind = rc::gen::weightedOneOf<Kind> (
+      { { 20, just (ADVANCE) },
+        { 30, just (REQUEST) },
+        { 5, just (REPEAT) },
+        { 6, just (SUBMIT) },
+        { 2, just (CANCEL) },
+        { 12, element (RESTART, RESUME, JOIN_ZONES, JOIN_STORE, STORE_UP,
+                       FAIR_WEATHER) },
+        { 7, element (CRASH, PAUSE, STOP, CUT_ZONES, CUT_STORE, SILENCE,
+                      STORE_DOWN) },
+        { 3, element (LOSE_ANSWERS, SLOW_CALLS, DUPLICATES) },
+        { 4, element (SET_LIMIT, WITHDRAW_KEY) },
+        { 4, element (ZONE_IN, BACK, SOUND) },
+        { 2, element (ZONE_OUT, LEAVING, FAILING, REBOOT) } });
+
+  return rc::gen::construct<Command> (kind, rc::gen::inRange (0, 10000),
+                                      rc::gen::inRange (0, 10000));
+}
+
+class Run
+{
+public:
+  explicit Run (uint64_t seed, const Shape &shape) : world (shape, seed) {}
+
+  World world;
+
+  /* Returns the number of the first violated step, or -1. */
+  int
+  execute (const std::vector<Command> &commands, bool trace)
+  {
+    world.advance (8000);
+    for (size_t i = 0; i < commands.size (); i++)
+      {
+        if (trace)
+          std::cout << "  " << i << " at " << world.now << ": " << commands[i]
+                    << '\n';
+        step (commands[i]);
+        world.advance (20 + commands[i].b % 80);
+        if (!world.oracle.violations.empty ())
+          return (int)i;
+      }
+    check_liveness ();
+    return world.oracle.violations.empty () ? -1 : (int)commands.size ();
+  }
+
+private:
+  void
+  step (const Command &c)
+  {
+    switch (c.kind)
+      {
+      case ADVANCE:
+        world.advance (c.a % 1500);
+        break;
+      case REQUEST:
+        for (int i = 0; i <= c.b % 4; i++)
+          world.request (c.a, c.b % world.shape.teams, c.a % 3 == 0,
+                         c.a % 4 == 0, c.a % 17 == 0 ? 1500 : 5 + c.a % 100,
+                         200 + c.b % 5000);
+        break;
+      case REPEAT:
+        world.repeat (c.a, std::max (1, world.last_request () - c.b % 20));
+        break;
+      case SUBMIT:
+        world.submit (c.a, c.b % world.shape.teams,
+                      c.a % 10 < 7 ? 0 : c.a % 10 < 9 ? 2 : 1, 1 + c.b % 12,
+                      500 + 500 * (c.a % 8), 100 + c.b % 3000, c.a % 2 == 0);
+        break;
+      case CANCEL:
+        world.cancel (c.a, c.b);
+        break;
+      default:
+        fault (c);
+        break;
+      }
+  }
+
+  Node *
+  any_node (int which)
+  {
+    return world.node (which % world.nodes ());
+  }
+
+  void
+  fault (const Command &c)
+  {
+    switch (c.kind)
+      {
+      case CRASH:
+        world.crash (any_node (c.a));
+        break;
+      case RESTART:
+        for (int i = 0; i < world.nodes (); i++)
+          world.restart (world.node (i));
+        break;
+      case PAUSE:
+        world.pause (any_node (c.a));
+        break;
+      case RESUME:
+        for (int i = 0; i < world.nodes (); i++)
+          world.resume (world.node (i));
+        break;
+      case STOP:
+        world.stop (world.node (c.a % world.schedulers ()));
+        break;
+      case CUT_ZONES:
+      case JOIN_ZONES:
+        world.cut_zones (c.a % world.shape.zones, c.b % world.shape.zones,
+                         c.kind == CUT_ZONES);
+        break;
+      case CUT_STORE:
+      case JOIN_STORE:
+        world.cut_store (c.a % world.shape.zones, c.kind == CUT_STORE);
+        break;
+      case SILENCE:
+        world.silence_link ((uint64_t)c.a);
+        break;
+      case STORE_DOWN:
+      case STORE_UP:
+        world.store_down (c.kind == STORE_DOWN);
+        break;
+      default:
+        weather_or_setting (c);
+        break;
+      }
+  }
+
+  void
+  weather_or_setting (const Command &c)
+  {
+    switch (c.kind)
+      {
+      case LOSE_ANSWERS:
+        world.set_weather (c.a % 300, 0, 0);
+        break;
+      case SLOW_CALLS:
+        world.set_weather (0, c.a % 200, 0);
+        break;
+      case DUPLICATES:
+        world.set_weather (0, 0, c.a % 300);
+        break;
+      case FAIR_WEATHER:
+        world.set_weather (0, 0, 0);
+        break;
+      case SET_LIMIT:
+        world.set_limit (c.a % world.shape.teams, 4 + c.b % 40);
+        break;
+      case WITHDRAW_KEY:
+        world.withdraw_key (c.a % world.shape.teams);
+        break;
+      case ZONE_OUT:
+      case ZONE_IN:
+        world.set_zone (c.a % world.shape.zones, c.kind == ZONE_OUT,
+                        c.b % 2 == 0);
+        break;
+      case LEAVING:
+      case BACK:
+        world.set_leaving (c.a, c.kind == LEAVING);
+        break;
+      case FAILING:
+      case SOUND:
+        world.set_failing (c.a, c.kind == FAILING);
+        break;
+      case REBOOT:
+        world.reboot (c.a);
+        break;
+      default:
+        break;
+      }
+  }
+
+  /* After all faults have healed, all due work must start and end. */
+  void
+  check_liveness ()
+  {
+    world.heal ();
+    for (int z = 0; z < world.shape.zones; z++)
+      world.set_zone (z, false, false);
+    for (int t = 0; t < world.shape.teams; t++)
+      world.set_limit (t, world.shape.upper_limit);
+    world.advance (60000);
+    for (int i = 0; i < 120 && world.unfinished_jobs () > 0; i++)
+      world.advance (1000);
+    if (world.unfinished_jobs () > 0)
+      world.oracle.violate ("liveness",
+                            std::to_string (world.unfinished_jobs ())
+                                + " jobs have not ended",
+                            world.now);
+    if (world.pending_requests () > 0)
+      world.oracle.violate ("liveness",
+                            std::to_string (world.pending_requests ())
+                                + " requests have no outcome",
+                            world.now);
+    check_requests ();
+  }
+
+  void
+  check_requests ()
+  {
+    int before = world.answered;
+    int sent = 0;
+
+    for (int t = 0; t < world.shape.teams; t++)
+      for (int z = 0; z < world.shape.zones; z++, sent++)
+        world.request (z, t, false, z == 0, 20, 3000);
+    world.advance (8000);
+    if (world.answered - before != sent)
+      world.oracle.violate ("liveness",
+                            std::to_string (world.answered - before) + " of "
+                                + std::to_string (sent)
+                                + " requests were answered",
+                            world.now);
+  }
+};
+
+static void
+print_account (const World &world)
+{
+  std::cout << "account: " << world.answered << " answered, "
+            << world.not_run << " not run, " << world.unknown << " unknown, "
+            << world.oracle.runs () << " runs, "
+            << world.oracle.started_tasks () << " tasks started, "
+            << world.store_writes << " store writes, " << world.store_reads
+            << " store reads, " << world.messages << " messages, "
+            << world.now / 1000 << " s\n";
+}
+
+/* Runs a script in a world of its own. */
+static std::vector<Violation>
+violations_of (const std::vector<Command> &commands, uint64_t seed,
+               bool trace, bool account = false)
+{
+  Run run (seed, Shape ());
+
+  run.execute (commands, trace);
+  if (account)
+    print_account (run.world);
+  return run.world.oracle.violations;
+}
+
+constexpr int SHRINK_TRIES = 400;
+
+/* The shortest script found that violates the same property. */
+static std::vector<Command>
+shrink (rc::Shrinkable<std::vector<Command> > failing, uint64_t seed,
+        const std::string &property)
+{
+  int tries = 0;
+  bool progress = true;
+
+  while (progress && tries < SHRINK_TRIES)
+    {
+      auto candidates = failing.shrinks ();
+
+      progress = false;
+      while (tries < SHRINK_TRIES)
+        {
+          auto next = candidates.next ();
+
+          if (!next)
+            break;
+          tries++;
+          auto violations = violations_of (next->value (), seed, false);
+
+          if (violations.empty () || violations[0].property != property)
+            continue;
+          failing = *next;
+          progress = true;
+          break;
+        }
+    }
+  return failing.value ();
+}
+
+static void
+print_violations (const std::vector<Violation> &violations)
+{
+  for (size_t i = 0; i < violations.size () && i < 5; i++)
+    std::cout << "violated: " << violations[i].property << ": "
+              << violations[i].detail << " at " << violations[i].at << '\n';
+}
+
+static int
+fuzz_seed (uint64_t seed, int steps, bool trace, bool shrinking)
+{
+  auto generator = rc::gen::container<std::vector<Command> > (
+      (std::size_t)steps, any_command ());
+  auto made = generator (rc::Random (seed), 100);
+  std::vector<Violation> violations
+      = violations_of (made.value (), seed, trace, true);
+
+  if (!violations.empty ())
+    {
+      print_violations (violations);
+      if (shrinking)
+        {
+          auto script = shrink (made, seed, violations[0].property);
+
+          std::cout << "shrunk script of " << script.size ()
+                    << " commands:\n";
+          for (const auto &command : script)
+            std::cout << "  " << command << '\n';
+          print_violations (violations_of (script, seed, false));
+        }
+    }
+  std::cout << "fuzz: seed " << seed << ", " << steps << " steps, "
+            << violations.size () << " violations" << std::endl;
+  return (int)violations.size ();
+}
+
+}
+
+#ifdef RST_FAULTS
+extern "C" int rst_fault;
+#endif
+
+static void
+print_help ()
+{
+  std::cout << "Usage: fuzz [--seed N] [--steps M] [--seeds COUNT] [--trace]"
+               " [--no-shrink] [--fault N] [--log LEVEL]\n";
+}
+
+int
+main (int argc, char **argv)
+{
+  uint64_t seed = 1;
+  int steps = 2000;
+  int seeds = 1;
+  bool trace = false;
+  bool shrinking = true;
+  struct rst_log_config log = { false, "error" };
+  int bad = 0;
+
+  for (int i = 1; i < argc; i++)
+    {
+      std::string word = argv[i];
+      const char *value = i + 1 < argc ? argv[i + 1] : "";
+
+      if (word == "--help")
+        {
+          print_help ();
+          return 0;
+        }
+      if (word == "--trace")
+        trace = true;
+      else if (word == "--no-shrink")
+        shrinking = false;
+      else if (word == "--seed" && ++i)
+        seed = strtoull (value, nullptr, 10);
+      else if (word == "--steps" && ++i)
+        steps = atoi (value);
+      else if (word == "--seeds" && ++i)
+        seeds = atoi (value);
+      else if (word == "--log" && ++i)
+        g_strlcpy (log.level, value, sizeof log.level);
+#ifdef RST_FAULTS
+      else if (word == "--fault" && ++i)
+        rst_fault = atoi (value);
+#endif
+      else
+        {
+          std::cerr << "fuzz: " << word << ": unknown argument\n";
+          return 2;
+        }
+    }
+  if (sodium_init () < 0 || steps < 1 || seeds < 1)
+    return 2;
+  rst_log_init ("fuzz", &log);
+  for (int i = 0; i < seeds; i++)
+    if (fuzz::fuzz_seed (seed + (uint64_t)i, steps, trace, shrinking) > 0)
+      bad++;
+  if (seeds > 1)
+    std::cout << seeds - bad << " of " << seeds << " seeds held\n";
+  return bad == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/test/fuzz/world.h
@@ -0,0 +1,306 @@
+/**
+ * DOC: world - schedulers and entries on a fake clock with small fakes
+ *
+ * Fakes of the store, the list, runners, workers and the links stand at the
+ * interfaces of the state machines.  All is driven by one queue of events, so
+ * a seed gives the same run every time.
+ */
+#ifndef RST_WORLD_H
+#define RST_WORLD_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <glib.h>
+
+extern "C"
+{
+#include "coordination/entry.h"
+#include "coordination/scheduler.h"
+}
+
+#include "oracle.h"
+
+namespace fuzz
+{
+
+struct Shape
+{
+  int zones = 3;
+  int schedulers = 3;
+  int runners = 4;
+  int workers = 6;
+  int teams = 6;
+  int64_t slots = 4;
+  int64_t cpu = 8000;
+  int64_t memory = 16384;
+  int64_t upper_limit = 24;
+  ms tick = 20;
+};
+
+/* Likelihoods in a thousand, and delays. */
+struct Weather
+{
+  int lose_answer = 0;
+  int slow_call = 0;
+  int duplicate = 0;
+  bool store_down = false;
+};
+
+class World;
+
+/* What a call to an outside system gives back. */
+struct Reply
+{
+  int result = RST_PLATFORM_OK;
+  int status = 200;
+  uint64_t revision = 0;
+  std::vector<std::pair<std::string, std::string> > kvs;
+  std::vector<uint64_t> revisions;
+  std::vector<bool> deleted;
+  std::vector<struct rst_instance_info> instances;
+  std::vector<struct rst_work> work;
+  std::string body;
+};
+
+/* One process. */
+struct Node
+{
+  World *world = nullptr;
+  std::string name;
+  std::string zone;
+  std::string address;
+  bool is_entry = false;
+  struct rst_scheduler *scheduler = nullptr;
+  struct rst_entry *entry = nullptr;
+  int life = 0;
+  bool paused = false;
+  bool dying = false;
+  bool stopping = false;
+  bool cut_from_store = false;
+  double rate = 1.0;
+  ms born = 0;
+  uint64_t calls = 0;
+  std::vector<std::function<void ()> > deferred;
+  std::map<uint64_t, std::function<void (const Reply &)> > outstanding;
+
+  bool alive () const { return scheduler != nullptr || entry != nullptr; }
+};
+
+struct Link
+{
+  Node *side[2];
+  int life[2];
+  uint64_t id[2];
+  bool open = false;
+  bool silent = false;
+  bool closing = false;
+  ms last_delivery[2] = { 0, 0 };
+};
+
+struct FakeTask
+{
+  struct rst_work work;
+  bool running = true;
+  bool run_once = false;
+  ms ends_at = 0;
+  ms lease_until = 0;
+};
+
+struct FakeRun
+{
+  int request;
+  std::string id;
+  std::string team;
+};
+
+struct FakeInstance
+{
+  struct rst_instance_info info;
+  uint64_t epoch = 0;
+  bool failing = false;
+  bool silent = false;
+  std::map<uint64_t, FakeRun> runs;
+  std::map<std::string, FakeTask> tasks;
+  std::set<std::string> tombstones;
+};
+
+class World
+{
+public:
+  World (const Shape &shape, uint64_t seed);
+  ~World ();
+
+  Oracle oracle;
+  Weather weather;
+  Shape shape;
+  ms now = 1000000;
+  std::mt19937_64 random;
+
+  void advance (ms time);
+  void at (ms delay, std::function<void ()> what);
+
+  /* Processes. */
+  Node *node (int index) { return nodes_[index].get (); }
+  int nodes () const { return (int)nodes_.size (); }
+  int schedulers () const { return shape.zones * shape.schedulers; }
+  void crash (Node *node);
+  void restart (Node *node);
+  void pause (Node *node);
+  void resume (Node *node);
+  void stop (Node *node);
+
+  /* Faults. */
+  void cut_zones (int a, int b, bool cut);
+  void cut_store (int zone, bool cut);
+  void silence_link (uint64_t which);
+  void store_down (bool down);
+  void set_weather (int lose_answer, int slow_call, int duplicate);
+  void reboot (int instance);
+  void heal ();
+
+  /* Operators and callers. */
+  bool put_setting (const std::string &key, const std::string &value);
+  void set_limit (int team, int64_t limit);
+  void withdraw_key (int team);
+  void set_zone (int zone, bool out, bool move);
+  void set_leaving (int instance, bool leaving);
+  void set_failing (int instance, bool failing);
+  int request (int entry, int team, bool idempotent, bool keyed, ms run_ms,
+               ms deadline);
+  void repeat (int entry, int request);
+  int submit (int entry, int team, int policy, int tasks, int64_t cpu,
+              ms run_ms, bool run_once);
+  void cancel (int entry, int job);
+
+  std::string zone_name (int zone) const;
+  std::string team_name (int team) const;
+  int instances () const { return (int)instances_.size (); }
+  FakeInstance &instance (int index) { return *by_index_[index]; }
+  int last_request () const { return next_request_ - 1; }
+  int pending_requests () const { return pending_; }
+  int unfinished_jobs () const;
+  int64_t store_reads = 0;
+  int64_t store_writes = 0;
+  int64_t messages = 0;
+  int answered = 0, not_run = 0, unknown = 0;
+
+  /* Used by the fakes. */
+  void call (Node *from, const std::string &zone, bool store, ms timeout,
+             std::function<Reply (std::function<void (Reply)>, bool *)> effect,
+             rst_platform_done done, void *data);
+  FakeInstance *by_address (const std::string &address);
+  Reply store_put (const std::string &key, const std::string &value,
+                   int64_t expected, uint64_t lease);
+  Reply store_delete (const std::string &key, int64_t expected);
+  Reply store_get (const std::string &key);
+  Reply store_list (const std::string &prefix);
+  uint64_t connect (Node *from, const std::string &address);
+  bool send (Node *from, uint64_t link, const struct rst_message *message);
+  void close (Node *from, uint64_t link);
+  void answer (int request, const struct rst_entry_reply *reply);
+  ms node_time (const Node *node) const;
+  void end_task (FakeInstance &instance, FakeTask &task, int64_t result);
+  int pick (int bound);
+  bool chance (int in_a_thousand);
+
+  struct Watch
+  {
+    std::string prefix;
+    uint64_t after;
+    std::function<void (Reply)> reply;
+  };
+  struct Value
+  {
+    std::string value;
+    uint64_t revision;
+    uint64_t lease;
+  };
+  struct Change
+  {
+    std::string key;
+    std::string value;
+    uint64_t revision;
+    bool deleted;
+  };
+  struct Lease
+  {
+    ms ttl;
+    ms expires_at;
+  };
+  std::map<std::string, Value> values;
+  std::vector<Change> history;
+  std::map<uint64_t, Lease> leases;
+  std::vector<Watch> watches;
+  uint64_t revision = 1;
+  uint64_t next_lease = 1;
+  uint64_t list_revision = 1;
+  Reply changes_after (const std::string &prefix, uint64_t after);
+
+private:
+  struct Event
+  {
+    ms at;
+    uint64_t order;
+    std::function<void ()> what;
+    bool operator< (const Event &other) const
+    {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+  struct Caller
+  {
+    int entry;
+    int team;
+    bool idempotent;
+    std::string id;
+    std::string body;
+    ms deadline;
+    std::string key;
+  };
+
+  std::priority_queue<Event> events_;
+  uint64_t order_ = 0;
+  uint64_t next_link_ = 10;
+  uint64_t next_call_ = 1;
+  int next_request_ = 1;
+  int pending_ = 0;
+  std::vector<std::unique_ptr<Node> > nodes_;
+  std::map<std::string, std::unique_ptr<FakeInstance> > instances_;
+  std::vector<FakeInstance *> by_index_;
+  std::map<uint64_t, std::shared_ptr<Link> > links_;
+  std::set<std::pair<int, int> > cut_zones_;
+  std::set<int> cut_store_;
+  std::map<int, Caller> callers_;
+  std::map<int, std::string> keys_;
+  std::map<int, int> key_number_;
+  std::map<std::string, std::pair<bool, bool> > zone_state_;
+  std::map<int, std::string> jobs_;
+  std::set<std::string> faults_;
+
+  void start_node (Node *node);
+  void deliver (Node *node, int life, std::function<void ()> what);
+  void tick_node (Node *node);
+  void observe (Node *node);
+  bool zones_cut (const std::string &a, const std::string &b) const;
+  void close_link (std::shared_ptr<Link> link, ms delay);
+  void notify (const std::string &key);
+  void expire ();
+  void write_team (int team, int64_t limit);
+  void send_request (int request);
+  void fault (const std::string &name, bool active);
+  int zone_index (const std::string &zone) const;
+  std::map<int, int64_t> team_limits_;
+  void *watch_ = nullptr;
+};
+
+}
+
+#endif
