Remember refused starts, so that a late copy of the request starts nothing

The owner itself repeats unanswered starts, so this needs no faulty network.

Open: liveness of jobs, request ids whose home moves, late starts.

--- a/src/coordination/sched_limit.c
+++ b/src/coordination/sched_limit.c
@@ -13,7 +13,10 @@
 #define LOG_PREFIX "limit"
 
 /** Time for which a demand counts after it was last seen. */
-#define WANT_FRESH_MS 1000
+#define WANT_FRESH_MS 1500
+
+/** Refusals closer together than this belong to one burst. */
+#define WANT_BURST_MS 50
 
 /* Work left on an instance that was handed to another member. */
 struct away
@@ -535,12 +538,32 @@
   return changed;
 }
 
+void
+sched_limit_wanted (struct team *team)
+{
+  rst_ms now = sched_now (team->sched);
+  uint32_t in_use = team->used + team->away;
+
+  if (now - team->task_want_at < WANT_BURST_MS)
+    team->task_want++;
+  else
+    team->task_want = 1;
+  /* The places of a gang that was refused are given back before the part
+     can grow, so the whole need is kept, not what is missing. */
+  if (now - team->task_want_at >= WANT_FRESH_MS)
+    team->task_need = 0;
+  team->task_need = MAX (team->task_need, in_use + team->task_want);
+  team->task_want_at = now;
+}
+
 static uint32_t
 demand (const struct team *team)
 {
-  rst_ms now = sched_now (team->sched);
-  uint32_t tasks
-      = now - team->task_want_at < WANT_FRESH_MS ? team->task_want : 0;
+  uint32_t in_use = team->used + team->away;
+  bool fresh = sched_now (team->sched) - team->task_want_at < WANT_FRESH_MS;
+  uint32_t tasks = fresh && team->task_need > in_use
+                       ? team->task_need - in_use
+                       : 0;
 
   return team->queued + tasks;
 }
--- a/src/coordination/sched_task.c
+++ b/src/coordination/sched_task.c
@@ -11,6 +11,9 @@
 
 #define LOG_PREFIX "task"
 
+/** How long the refusal of a start is remembered. */
+#define REFUSAL_KEEP_MS 60000
+
 /** How long a held place waits for the start. */
 #define HOLD_MS 4000
 
@@ -30,6 +33,8 @@
 sched_task_init (struct rst_scheduler *sched)
 {
   sched->tasks = g_hash_table_new (g_str_hash, g_str_equal);
+  sched->refusals
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sched->generations
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -39,6 +44,7 @@
 {
   g_hash_table_destroy (sched->tasks);
   g_hash_table_destroy (sched->generations);
+  g_hash_table_destroy (sched->refusals);
 }
 
 void
@@ -97,12 +103,62 @@
   sched_send (work->team->sched, work->reply_link, &message);
 }
 
+/* The highest attempt of a task that was refused here. */
+struct refusal
+{
+  uint64_t attempt;
+  rst_ms expires_at;
+};
+
+static char *
+task_key (const struct rst_task_start *task)
+{
+  return g_strdup_printf ("%s.%" G_GUINT64_FORMAT, task->job, task->index);
+}
+
+/* A request that arrives a second time must not start what was refused. */
+static void
+note_refusal (struct rst_scheduler *sched, const struct rst_task_start *task)
+{
+  char *key = task_key (task);
+  struct refusal *refusal = g_hash_table_lookup (sched->refusals, key);
+
+  if (refusal == NULL)
+    {
+      refusal = g_new0 (struct refusal, 1);
+      g_hash_table_insert (sched->refusals, g_strdup (key), refusal);
+    }
+  refusal->attempt = MAX (refusal->attempt, task->attempt);
+  refusal->expires_at = sched_now (sched) + REFUSAL_KEEP_MS;
+  g_free (key);
+}
+
+static bool
+was_refused (struct rst_scheduler *sched, const struct rst_task_start *task)
+{
+  char *key = task_key (task);
+  const struct refusal *refusal = g_hash_table_lookup (sched->refusals, key);
+
+  g_free (key);
+  return refusal != NULL && task->attempt <= refusal->attempt;
+}
+
+static gboolean
+refusal_expired (gpointer key, gpointer value, gpointer userdata)
+{
+  (void)key;
+  return ((struct refusal *)value)->expires_at
+         <= *(const rst_ms *)userdata;
+}
+
 static void
 refuse_start (struct rst_scheduler *sched, uint64_t link,
               const struct rst_message *asked, const char *reason)
 {
   struct rst_message message = { 0 };
 
+  note_refusal (sched, &asked->task_start);
+
   message.type = RST_TASK_STARTED;
   message.id = asked->id;
   message.task_event.job = asked->task_start.job;
@@ -228,8 +284,14 @@
 {
   struct rst_scheduler *sched = work->team->sched;
 
+  struct rst_task_start task = { 0 };
+
   sched->counters.start_failures++;
   log_start (work, "Task was not started.", result);
+  task.job = work->info.job;
+  task.index = (uint64_t)work->info.index;
+  task.attempt = (uint64_t)work->info.attempt;
+  note_refusal (sched, &task);
   reply_started (work, RST_TASK_NOT_RUN);
   if (work->instance != NULL)
     sched_work_remove (work);
@@ -416,6 +478,8 @@
     return "not-ready";
   if (is_outdated (sched, task))
     return "outdated";
+  if (was_refused (sched, task))
+    return "refused-before";
   if (rst_settings_team (sched->settings, task->team) == NULL)
     return "unknown-team";
   if (!sched_limit_allows (team))
@@ -521,6 +585,7 @@
                  const struct rst_message *message)
 {
   const struct rst_task_event *event = &message->task_event;
+  struct rst_task_start stopped = { 0 };
   struct rst_message reply = { 0 };
   char id[2 * RST_NAME_SIZE];
   struct work *work;
@@ -534,6 +599,10 @@
     }
   if (work != NULL)
     sched_work_remove (work);
+  stopped.job = event->job;
+  stopped.index = event->index;
+  stopped.attempt = event->attempt;
+  note_refusal (sched, &stopped);
   reply = *message;
   reply.type = RST_TASK_END;
   reply.id = 0;
@@ -795,4 +864,9 @@
         sweep_instance (sched, instance, &moves);
     }
   stop_excess (sched);
+  if (now >= sched->refusal_sweep_next_at)
+    {
+      sched->refusal_sweep_next_at = now + REFUSAL_KEEP_MS / 8;
+      g_hash_table_foreach_remove (sched->refusals, refusal_expired, &now);
+    }
 }
--- a/src/coordination/scheduler_private.h
+++ b/src/coordination/scheduler_private.h
@@ -208,6 +208,7 @@
   CK_LIST_HEAD (away_list, away) away_list;
   CK_LIST_HEAD (transfer_list, transfer) transfers;
   uint32_t task_want;
+  uint32_t task_need;
   rst_ms task_want_at;
   uint64_t served;
   uint32_t queued;
@@ -338,6 +339,8 @@
 
   GHashTable *tasks;
   GHashTable *generations;
+  GHashTable *refusals;
+  rst_ms refusal_sweep_next_at;
   rst_ms task_sweep_next_at;
 
   GHashTable *jobs;
@@ -433,6 +436,7 @@
 uint32_t sched_limit_upper (const struct rst_scheduler *sched,
                             const char *team);
 bool sched_limit_allows (const struct team *team);
+void sched_limit_wanted (struct team *team);
 void sched_limit_away (struct team *team, const char *instance);
 void sched_limit_say_adopted (const struct instance *instance);
 bool sched_limit_covered (const struct team *team);
--- a/test/fuzz/fuzz.cc
+++ b/test/fuzz/fuzz.cc
@@ -118,6 +118,17 @@
   /* Returns the number of the first violated step, or -1. */
   int
   execute (const std::vector<Command> &commands, bool trace)
+  {
+    int failed = execute_all (commands, trace);
+
+    if (failed >= 0 && trace)
+      print_states ();
+    return failed;
+  }
+
+private:
+  int
+  execute_all (const std::vector<Command> &commands, bool trace)
   {
     world.advance (8000);
     for (size_t i = 0; i < commands.size (); i++)
@@ -134,7 +145,19 @@
     return world.oracle.violations.empty () ? -1 : (int)commands.size ();
   }
 
-private:
+  void
+  print_states ()
+  {
+    for (int i = 0; i < world.schedulers (); i++)
+      if (world.node (i)->alive ())
+        {
+          char *text = rst_scheduler_status (world.node (i)->scheduler);
+
+          std::cout << text << '\n';
+          free (text);
+        }
+  }
+
   void
   step (const Command &c)
   {
