Let the last attempt of a task decide when a job changes hands

While a successor looked for a task, the repeated report of an earlier attempt's end was taken for the present one, and the task was started a second time beside its running last attempt.

--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -66,6 +66,7 @@
   uint32_t attempt;
   uint32_t failures;
   uint64_t inherited;
+  bool found;
   rst_ms asked_at;
   rst_ms retry_at;
   char holder[RST_NAME_SIZE];
@@ -639,22 +640,13 @@
   job->dirty = true;
 }
 
-/* Whether an event speaks of the present attempt.  While a task is looked
-   for, an earlier owner's attempt counts. */
+/* Whether an event speaks of the attempt that counts. */
 static bool
 is_present (const struct job *job, const struct task *task, uint64_t attempt)
 {
-  return attempt == full_attempt (job, task)
-         || (task->state == TASK_LOOKED_FOR
-             && attempt / RST_ATTEMPTS_PER_GENERATION
-                    < job->record.generation);
-}
-
-/* The attempt under which a task taken over runs. */
-static bool
-is_inherited (const struct task *task, uint64_t attempt)
-{
-  return task->inherited != 0 && task->inherited == attempt;
+  if (task->inherited != 0)
+    return task->inherited == attempt;
+  return attempt == full_attempt (job, task);
 }
 
 /* The holder that was asked to stop a task does not have it. */
@@ -681,9 +673,11 @@
   struct task *task = &job->tasks[event->index];
 
   (void)sched;
-  if (task->state != TASK_ENDED
-      && (is_present (job, task, event->attempt)
-          || is_inherited (task, event->attempt)))
+  /* Which attempt was the last is known once all schedulers have answered;
+     until then its end is reported again. */
+  if (task->state == TASK_LOOKED_FOR)
+    return;
+  if (task->state != TASK_ENDED && is_present (job, task, event->attempt))
     {
       if (event->result == RST_TASK_NOT_RUN)
         not_here (job, task, event->attempt);
@@ -1028,13 +1022,13 @@
         note_answer (job, incarnation, event->attempt);
       return;
     }
-  /* If it has ended already, its end will be reported again. */
+  /* The last attempt counts; an earlier one has ended. */
   task = &job->tasks[event->index];
-  if (task->state != TASK_LOOKED_FOR)
+  if (task->state != TASK_LOOKED_FOR || event->attempt < task->inherited)
     return;
   g_strlcpy (task->holder, incarnation, RST_NAME_SIZE);
   task->inherited = event->attempt;
-  set_state (job, task, TASK_RUNNING);
+  task->found = true;
 }
 
 static struct job *
@@ -1131,10 +1125,13 @@
 void
 sched_job_find_anew (struct job *job)
 {
+  for (int64_t i = 0; i < job->record.spec.tasks; i++)
+    job->tasks[i].found = false;
   if (job->found_at != NULL)
     g_hash_table_destroy (job->found_at);
   job->found_at
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  job->find_id = 0;
   job->find_next_at = 0;
 }
 
@@ -1198,7 +1195,9 @@
 conclude_finding (struct job *job)
 {
   for (int64_t i = 0; i < job->record.spec.tasks; i++)
-    if (job->tasks[i].state == TASK_LOOKED_FOR)
+    if (job->tasks[i].state == TASK_LOOKED_FOR && job->tasks[i].found)
+      set_state (job, &job->tasks[i], TASK_RUNNING);
+    else if (job->tasks[i].state == TASK_LOOKED_FOR)
       {
         job->tasks[i].inherited = 0;
         if (job->record.cancelled && !job->record.spec.run_once)
@@ -1221,7 +1220,7 @@
     return;
   job->find_next_at = now + FIND_EVERY_MS;
   /* An answer counts only for the question asked since the last change. */
-  if (job->find_id == 0 || g_hash_table_size (job->found_at) == 0)
+  if (job->find_id == 0)
     job->find_id = sched_next_id (job->sched);
   rst_settings_records (job->sched->settings, ask_members, &ask);
   if (!ask.consistent)
--- a/src/coordination/sched_task.c
+++ b/src/coordination/sched_task.c
@@ -158,6 +158,16 @@
   struct rst_message message = { 0 };
 
   note_refusal (sched, &asked->task_start);
+  if (rst_log_enabled (G_LOG_LEVEL_INFO))
+    {
+      char id[2 * RST_NAME_SIZE];
+
+      task_id (id, sizeof id, asked->task_start.job, asked->task_start.index,
+               asked->task_start.attempt);
+      rst_info (LOG_PREFIX, "Task was refused.", "task", id, "team",
+                asked->task_start.team, "zone", sched->config.zone, "reason",
+                reason);
+    }
 
   message.type = RST_TASK_STARTED;
   message.id = asked->id;
--- a/src/coordination/scheduler.c
+++ b/src/coordination/scheduler.c
@@ -497,6 +497,8 @@
       rst_json_set_number (item, "part", team->granted);
       rst_json_set_number (item, "running", team->used);
       rst_json_set_number (item, "waiting", team->queued);
+      rst_json_set_number (item, "handed_over", team->away);
+      rst_json_set_bool (item, "limit_write_pending", team->busy);
       json_object_array_add (list, item);
     }
   return list;
--- a/test/fuzz/fuzz.cc
+++ b/test/fuzz/fuzz.cc
@@ -108,6 +108,9 @@
                                       rc::gen::inRange (0, 10000));
 }
 
+/* A limit that lets all due work start. */
+constexpr int64_t LIMIT_AT_END = 400;
+
 class Run
 {
 public:
@@ -148,6 +151,9 @@
   void
   print_states ()
   {
+    for (const auto &value : world.values)
+      if (value.first.compare (0, 7, "shared/") == 0)
+        std::cout << value.first << ' ' << value.second.value << '\n';
     for (int i = 0; i < world.schedulers (); i++)
       if (world.node (i)->alive ())
         {
@@ -291,8 +297,14 @@
     for (int z = 0; z < world.shape.zones; z++)
       world.set_zone (z, false, false);
     for (int t = 0; t < world.shape.teams; t++)
-      world.set_limit (t, world.shape.upper_limit);
-    world.advance (60000);
+      world.set_limit (t, LIMIT_AT_END);
+    world.advance (30000);
+    /* Services never end and would keep the places of due work. */
+    for (int i = 0; i < 3; i++)
+      {
+        world.cancel_services ();
+        world.advance (10000);
+      }
     for (int i = 0; i < 120 && world.unfinished_jobs () > 0; i++)
       world.advance (1000);
     if (world.unfinished_jobs () > 0)
--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -1506,6 +1506,8 @@
   if (!node->alive () || node->paused)
     return 0;
   jobs_[number] = team_name (team) + "/" + id;
+  if (policy == 1)
+    services_.insert (jobs_[number]);
   request.key = authorization.c_str ();
   request.operation = RST_JOB_SUBMIT;
   request.body = body.c_str ();
@@ -1517,20 +1519,35 @@
 
 void
 World::cancel (int entry, int which)
+{
+  if (jobs_.empty ())
+    return;
+  auto found = jobs_.begin ();
+
+  std::advance (found, which % (int)jobs_.size ());
+  cancel_job (entry, found->second);
+}
+
+void
+World::cancel_services ()
+{
+  int entry = 0;
+
+  for (const auto &service : services_)
+    cancel_job (entry++, service);
+}
+
+void
+World::cancel_job (int entry, const std::string &name)
 {
   Node *node = nodes_[schedulers () + entry % shape.zones].get ();
   struct rst_entry_request request = {};
   std::string authorization;
-  std::string id;
-  int team;
+  std::string id = name.substr (name.find ('/') + 1);
+  int team = atoi (name.c_str () + 4);
 
-  if (jobs_.empty () || !node->alive () || node->paused)
+  if (!node->alive () || node->paused)
     return;
-  auto found = jobs_.begin ();
-
-  std::advance (found, which % (int)jobs_.size ());
-  team = atoi (found->second.c_str () + 4);
-  id = found->second.substr (found->second.find ('/') + 1);
   authorization = "Bearer " + keys_[team];
   request.key = authorization.c_str ();
   request.operation = RST_JOB_CANCEL;
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -179,6 +179,7 @@
   int submit (int entry, int team, int policy, int tasks, int64_t cpu,
               ms run_ms, bool run_once);
   void cancel (int entry, int job);
+  void cancel_services ();
 
   std::string zone_name (int zone) const;
   std::string team_name (int team) const;
@@ -283,6 +284,7 @@
   std::map<int, int> key_number_;
   std::map<std::string, std::pair<bool, bool> > zone_state_;
   std::map<int, std::string> jobs_;
+  std::set<std::string> services_;
   std::set<std::string> faults_;
 
   void start_node (Node *node);
@@ -295,6 +297,7 @@
   void expire ();
   void write_team (int team, int64_t limit);
   void send_request (int request);
+  void cancel_job (int entry, const std::string &name);
   void fault (const std::string &name, bool active);
   int zone_index (const std::string &zone) const;
   std::map<int, int64_t> team_limits_;
