Keep a gang's whole need while its part of the limit grows

Cause: the refused starts of a gang were counted after its places had been given back, so the part never grew to the gang's size.

--- a/src/coordination/sched_limit.c
+++ b/src/coordination/sched_limit.c
@@ -543,7 +543,6 @@
 {
   rst_ms now = sched_now (team->sched);
   uint32_t in_use = team->used + team->away;
-
   if (now - team->task_want_at < WANT_BURST_MS)
     team->task_want++;
   else
--- a/src/coordination/sched_task.c
+++ b/src/coordination/sched_task.c
@@ -494,11 +494,7 @@
     return "unknown-team";
   if (!sched_limit_allows (team))
     {
-      rst_ms now = sched_now (sched);
-
-      team->task_want
-          = now - team->task_want_at < TASK_SWEEP_MS ? team->task_want + 1 : 1;
-      team->task_want_at = now;
+      sched_limit_wanted (team);
       return "upper-limit";
     }
   return NULL;
