--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -982,10 +982,8 @@
         break;
       block (job, event->reason[0] != '\0' ? event->reason : "no-capacity",
              BLOCKED_MS);
-      if (job->record.spec.policy == RST_POLICY_GANG && !job->gang_started)
-        release_gang (job);
-      else
-        restart_task (job, task, 0);
+      /* A gang keeps its other places until the time to collect is over. */
+      restart_task (job, task, 0);
       break;
     default:
       /* Its end or its discovery will be reported. */
