--- a/src/cli/teams.c
+++ b/src/cli/teams.c
@@ -7,6 +7,7 @@
 #include "cli/cli.h"
 #include "state/json.h"
 #include "state/settings.h"
+#include "util/conf.h"
 
 /** Length of a key's secret in bytes. */
 #define SECRET_BYTES 32
@@ -152,6 +153,11 @@
 {
   struct team_edit edit = { args, args->words[0], NULL, NULL };
 
+  if (!rst_conf_valid_name (edit.name))
+    {
+      fprintf (stderr, "team %s: not a name of a team\n", edit.name);
+      return CLI_USAGE;
+    }
   return update (&edit, edit_team);
 }
 
--- a/src/coordination/sched_limit.c
+++ b/src/coordination/sched_limit.c
@@ -560,9 +560,8 @@
 {
   uint32_t in_use = team->used + team->away;
   bool fresh = sched_now (team->sched) - team->task_want_at < WANT_FRESH_MS;
-  uint32_t tasks = fresh && team->task_need > in_use
-                       ? team->task_need - in_use
-                       : 0;
+  uint32_t tasks
+      = fresh && team->task_need > in_use ? team->task_need - in_use : 0;
 
   return team->queued + tasks;
 }
--- a/src/coordination/sched_task.c
+++ b/src/coordination/sched_task.c
@@ -147,8 +147,7 @@
 refusal_expired (gpointer key, gpointer value, gpointer userdata)
 {
   (void)key;
-  return ((struct refusal *)value)->expires_at
-         <= *(const rst_ms *)userdata;
+  return ((struct refusal *)value)->expires_at <= *(const rst_ms *)userdata;
 }
 
 static void
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -24,7 +24,8 @@
 {
   struct rst_http_server *server;
   struct MHD_Connection *connection;
-  enum request_state state;
+  /* Set by the thread that replies, read by the server's. */
+  _Atomic enum request_state state;
   char *method;
   char *path;
   GString *body;
--- a/src/util/conf.c
+++ b/src/util/conf.c
@@ -268,14 +268,12 @@
                int count, void *target, GString *problems)
 {
   struct json_object *object;
-  GError *error = NULL;
   char *text = NULL;
   bool sound = false;
 
-  if (!g_file_get_contents (file, &text, NULL, &error))
+  if (!g_file_get_contents (file, &text, NULL, NULL))
     {
-      g_string_append_printf (problems, "(file): %s\n", error->message);
-      g_error_free (error);
+      g_string_append (problems, "(file): cannot be read\n");
       return false;
     }
   object = rst_conf_parse (text, problems);
--- a/test/fuzz/fuzz.cc
+++ b/test/fuzz/fuzz.cc
@@ -59,15 +59,14 @@
   KINDS,
 };
 
-const char *const kind_names[KINDS]
-    = { "advance",      "request",      "repeat",       "submit",
-        "cancel",       "crash",        "restart",      "pause",
-        "resume",       "stop",         "cut-zones",    "join-zones",
-        "cut-store",    "join-store",   "silence-link", "store-down",
-        "store-up",     "lose-answers", "slow-calls",   "duplicates",
-        "fair-weather", "set-limit",    "withdraw-key", "zone-out",
-        "zone-in",      "leaving",      "back",         "failing",
-        "sound",        "reboot" };
+const char *const kind_names[KINDS] = {
+  "advance",      "request",    "repeat",       "submit",     "cancel",
+  "crash",        "restart",    "pause",        "resume",     "stop",
+  "cut-zones",    "join-zones", "cut-store",    "join-store", "silence-link",
+  "store-down",   "store-up",   "lose-answers", "slow-calls", "duplicates",
+  "fair-weather", "set-limit",  "withdraw-key", "zone-out",   "zone-in",
+  "leaving",      "back",       "failing",      "sound",      "reboot"
+};
 
 struct Command
 {
@@ -183,8 +182,11 @@
         break;
       case SUBMIT:
         world.submit (c.a, c.b % world.shape.teams,
-                      c.a % 10 < 7 ? 0 : c.a % 10 < 9 ? 2 : 1, 1 + c.b % 12,
-                      500 + 500 * (c.a % 8), 100 + c.b % 3000, c.a % 2 == 0);
+                      c.a % 10 < 7   ? 0
+                      : c.a % 10 < 9 ? 2
+                                     : 1,
+                      1 + c.b % 12, 500 + 500 * (c.a % 8), 100 + c.b % 3000,
+                      c.a % 2 == 0);
         break;
       case CANCEL:
         world.cancel (c.a, c.b);
@@ -342,8 +344,8 @@
 static void
 print_account (const World &world)
 {
-  std::cout << "account: " << world.answered << " answered, "
-            << world.not_run << " not run, " << world.unknown << " unknown, "
+  std::cout << "account: " << world.answered << " answered, " << world.not_run
+            << " not run, " << world.unknown << " unknown, "
             << world.oracle.runs () << " runs, "
             << world.oracle.started_tasks () << " tasks started, "
             << world.store_writes << " store writes, " << world.store_reads
@@ -353,8 +355,8 @@
 
 /* Runs a script in a world of its own. */
 static std::vector<Violation>
-violations_of (const std::vector<Command> &commands, uint64_t seed,
-               bool trace, bool account = false)
+violations_of (const std::vector<Command> &commands, uint64_t seed, bool trace,
+               bool account = false)
 {
   Run run (seed, Shape ());
 
@@ -422,8 +424,7 @@
         {
           auto script = shrink (made, seed, violations[0].property);
 
-          std::cout << "shrunk script of " << script.size ()
-                    << " commands:\n";
+          std::cout << "shrunk script of " << script.size () << " commands:\n";
           for (const auto &command : script)
             std::cout << "  " << command << '\n';
           print_violations (violations_of (script, seed, false));
--- a/test/fuzz/oracle.cc
+++ b/test/fuzz/oracle.cc
@@ -178,8 +178,8 @@
   if (withdrawn != withdrawn_.end ()
       && entry.sent_at - withdrawn->second > IN_FORCE_MS
       && settled (withdrawn->second, entry.sent_at))
-    violate ("withdrawn-key",
-             "request " + std::to_string (request) + " ran", now);
+    violate ("withdrawn-key", "request " + std::to_string (request) + " ran",
+             now);
   if (!entry.idempotent && entry.runs > 1)
     violate ("non-idempotent-once",
              "request " + std::to_string (request) + " ran twice", now);
--- a/test/fuzz/oracle.h
+++ b/test/fuzz/oracle.h
@@ -68,8 +68,16 @@
   /* Faults: while any is active, rules with a time bound do not apply. */
   void fault_begins (ms now);
   void fault_ends (ms now);
-  ms calm_since () const { return calm_since_; }
-  bool calm () const { return faults_ == 0; }
+  ms
+  calm_since () const
+  {
+    return calm_since_;
+  }
+  bool
+  calm () const
+  {
+    return faults_ == 0;
+  }
 
   /* What operators did. */
   void limit_set (const std::string &team, int64_t limit, ms now);
@@ -82,7 +90,11 @@
 
   /* What callers saw. */
   void sent (int request, const Request &what);
-  void repeated (int request) { requests_[request].sends++; }
+  void
+  repeated (int request)
+  {
+    requests_[request].sends++;
+  }
   void answered (int request, const std::string &outcome,
                  const std::string &body, ms now);
 
@@ -110,8 +122,16 @@
   void violate (const std::string &property, const std::string &detail,
                 ms now);
   int running (const std::string &team) const;
-  int64_t started_tasks () const { return started_tasks_; }
-  int64_t runs () const { return runs_; }
+  int64_t
+  started_tasks () const
+  {
+    return started_tasks_;
+  }
+  int64_t
+  runs () const
+  {
+    return runs_;
+  }
 
 private:
   struct Instance
@@ -137,8 +157,8 @@
   std::map<int, Request> requests_;
   std::map<std::string, int> tasks_running_;
   std::set<std::string> once_started_;
-  std::map<std::string, std::map<std::string, uint64_t>> held_;
-  std::map<std::string, std::pair<uint64_t, ms>> stored_;
+  std::map<std::string, std::map<std::string, uint64_t> > held_;
+  std::map<std::string, std::pair<uint64_t, ms> > stored_;
   std::map<std::string, ms> stops_;
   int faults_ = 0;
   ms calm_since_ = 0;
--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -44,7 +44,8 @@
   return static_cast<Node *> (userdata);
 }
 
-/* ---- The table of outside systems ------------------------------------------- */
+/* ---- The table of outside systems
+ * ------------------------------------------- */
 
 void
 p_get (void *u, const char *key, rst_platform_done done, void *data)
@@ -126,9 +127,7 @@
           return reply;
         *deferred = true;
         w->watches.push_back ({ p, after, later });
-        w->at (wait, [=] {
-          later (w->changes_after (p, after));
-        });
+        w->at (wait, [=] { later (w->changes_after (p, after)); });
         return reply;
       },
       done, data);
@@ -419,8 +418,7 @@
           return fenced ();
         instance->epoch = epoch;
         for (const auto &id : ids)
-          if (instance->tasks.count (id) > 0
-              && !instance->tasks[id].running)
+          if (instance->tasks.count (id) > 0 && !instance->tasks[id].running)
             instance->tasks.erase (id);
         for (auto &task : instance->tasks)
           task.second.lease_until = w->now + lease;
@@ -464,8 +462,8 @@
 }
 
 const struct rst_platform platform
-    = { p_get,       p_list, p_put,     p_delete, p_watch, p_grant, p_keep,
-        p_drop,      p_instances, p_run, p_inspect, p_start, p_renew, p_stop };
+    = { p_get,  p_list,      p_put, p_delete,  p_watch, p_grant, p_keep,
+        p_drop, p_instances, p_run, p_inspect, p_start, p_renew, p_stop };
 
 uint64_t
 l_connect (void *u, const char *address)
@@ -498,7 +496,8 @@
 
 }
 
-/* ---- Events -------------------------------------------------------------------- */
+/* ---- Events
+ * -------------------------------------------------------------------- */
 
 void
 World::at (ms delay, std::function<void ()> what)
@@ -558,7 +557,8 @@
   return zone.empty () ? -1 : atoi (zone.c_str () + 1) - 1;
 }
 
-/* ---- Processes -------------------------------------------------------------------- */
+/* ---- Processes
+ * -------------------------------------------------------------------- */
 
 /* Runs something on a process, later if it is paused, never if it is gone. */
 void
@@ -744,7 +744,9 @@
   rst_scheduler_stop (node->scheduler);
 }
 
-/* ---- Links ----------------------------------------------------------------------------- */
+/* ---- Links
+ * -----------------------------------------------------------------------------
+ */
 
 bool
 World::zones_cut (const std::string &a, const std::string &b) const
@@ -908,7 +910,8 @@
   return true;
 }
 
-/* ---- Calls to outside systems ------------------------------------------------------------- */
+/* ---- Calls to outside systems
+ * ------------------------------------------------------------- */
 
 static void
 tell (rst_platform_done done, void *data, const Reply &reply, ms sent_at)
@@ -981,7 +984,7 @@
   Reply failed;
 
   failed.status = 0;
-  failed.result = from->dying ? RST_PLATFORM_NOT_SENT
+  failed.result = from->dying           ? RST_PLATFORM_NOT_SENT
                   : cut && chance (500) ? RST_PLATFORM_NOT_SENT
                                         : RST_PLATFORM_UNKNOWN;
   if (from->dying)
@@ -1017,7 +1020,9 @@
   });
 }
 
-/* ---- Store ----------------------------------------------------------------------------------- */
+/* ---- Store
+ * -----------------------------------------------------------------------------------
+ */
 
 Reply
 World::changes_after (const std::string &prefix, uint64_t after)
@@ -1139,16 +1144,17 @@
   return reply;
 }
 
-/* ---- Instances ---------------------------------------------------------------------------------- */
+/* ---- Instances
+ * ----------------------------------------------------------------------------------
+ */
 
 void
 World::end_task (FakeInstance &instance, FakeTask &task, int64_t result)
 {
   task.running = false;
   task.work.result = result;
-  oracle.task_ended (instance.info.name, task.work.team,
-                     task_name (task.work), needs_of (task.work),
-                     result == RST_TASK_MOVED);
+  oracle.task_ended (instance.info.name, task.work.team, task_name (task.work),
+                     needs_of (task.work), result == RST_TASK_MOVED);
 }
 
 /* Leases of processes and tasks lapse; tasks end. */
@@ -1198,7 +1204,9 @@
   return instances_[address].get ();
 }
 
-/* ---- Faults ---------------------------------------------------------------------------------------- */
+/* ---- Faults
+ * ----------------------------------------------------------------------------------------
+ */
 
 void
 World::fault (const std::string &name, bool active)
@@ -1298,7 +1306,9 @@
   instance->tasks.clear ();
 }
 
-/* ---- Operators ---------------------------------------------------------------------------------------- */
+/* ---- Operators
+ * ----------------------------------------------------------------------------------------
+ */
 
 bool
 World::put_setting (const std::string &key, const std::string &value)
@@ -1370,8 +1380,8 @@
   for (const auto &state : zone_state_)
     value += (value.size () > 1 ? "," : "") + ("\"" + state.first)
              + "\":{\"state\":\"" + (state.second.first ? "out" : "in")
-             + "\",\"running\":\""
-             + (state.second.second ? "move" : "finish") + "\"}";
+             + "\",\"running\":\"" + (state.second.second ? "move" : "finish")
+             + "\"}";
   value += "}";
   put_setting (RST_KEY_ZONES, value);
   if (out)
@@ -1403,7 +1413,9 @@
   by_index_[index % (int)by_index_.size ()]->failing = failing;
 }
 
-/* ---- Callers --------------------------------------------------------------------------------------------- */
+/* ---- Callers
+ * ---------------------------------------------------------------------------------------------
+ */
 
 void
 World::send_request (int number)
@@ -1494,10 +1506,10 @@
   std::string id = (run_once ? "once" : "job") + std::to_string (number);
   std::string authorization = "Bearer " + keys_[team];
   struct rst_entry_request request = {};
-  std::string body = "{\"id\":\"" + id + "\",\"policy\":\""
-                     + policies[policy] + "\",\"tasks\":"
-                     + std::to_string (tasks) + ",\"cpu_milli\":"
-                     + std::to_string (cpu) + ",\"memory_mb\":512";
+  std::string body = "{\"id\":\"" + id + "\",\"policy\":\"" + policies[policy]
+                     + "\",\"tasks\":" + std::to_string (tasks)
+                     + ",\"cpu_milli\":" + std::to_string (cpu)
+                     + ",\"memory_mb\":512";
 
   if (policy != 1)
     body += ",\"run_ms\":" + std::to_string (run_ms)
@@ -1576,9 +1588,12 @@
   return count;
 }
 
-/* ---- Construction ------------------------------------------------------------------------------------------- */
+/* ---- Construction
+ * -------------------------------------------------------------------------------------------
+ */
 
-World::World (const Shape &wanted, uint64_t seed) : shape (wanted), random (seed)
+World::World (const Shape &wanted, uint64_t seed)
+    : shape (wanted), random (seed)
 {
   for (int z = 0; z < shape.zones; z++)
     for (int i = 0; i < shape.runners + shape.workers; i++)
@@ -1586,8 +1601,8 @@
         auto instance = std::make_unique<FakeInstance> ();
         struct rst_instance_info &info = instance->info;
         bool runner = i < shape.runners;
-        std::string name = zone_name (z) + (runner ? "-r" : "-w")
-                           + std::to_string (i);
+        std::string name
+            = zone_name (z) + (runner ? "-r" : "-w") + std::to_string (i);
         Capacity capacity;
 
         memset (&info, 0, sizeof info);
@@ -1606,15 +1621,15 @@
     {
       auto node = std::make_unique<Node> ();
       bool entry = i >= shape.zones * shape.schedulers;
-      int zone = entry ? i - shape.zones * shape.schedulers
-                       : i / shape.schedulers;
+      int zone
+          = entry ? i - shape.zones * shape.schedulers : i / shape.schedulers;
 
       node->world = this;
       node->is_entry = entry;
       node->zone = zone_name (zone);
       node->name = (entry ? "entry" : "sched") + std::to_string (i);
-      node->address = "10.0." + std::to_string (zone) + "."
-                      + std::to_string (i) + ":1";
+      node->address
+          = "10.0." + std::to_string (zone) + "." + std::to_string (i) + ":1";
       nodes_.push_back (std::move (node));
     }
   for (int z = 0; z < shape.zones; z++)
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -91,7 +91,11 @@
   std::vector<std::function<void ()> > deferred;
   std::map<uint64_t, std::function<void (const Reply &)> > outstanding;
 
-  bool alive () const { return scheduler != nullptr || entry != nullptr; }
+  bool
+  alive () const
+  {
+    return scheduler != nullptr || entry != nullptr;
+  }
 };
 
 struct Link
@@ -148,9 +152,21 @@
   void at (ms delay, std::function<void ()> what);
 
   /* Processes. */
-  Node *node (int index) { return nodes_[index].get (); }
-  int nodes () const { return (int)nodes_.size (); }
-  int schedulers () const { return shape.zones * shape.schedulers; }
+  Node *
+  node (int index)
+  {
+    return nodes_[index].get ();
+  }
+  int
+  nodes () const
+  {
+    return (int)nodes_.size ();
+  }
+  int
+  schedulers () const
+  {
+    return shape.zones * shape.schedulers;
+  }
   void crash (Node *node);
   void restart (Node *node);
   void pause (Node *node);
@@ -183,10 +199,26 @@
 
   std::string zone_name (int zone) const;
   std::string team_name (int team) const;
-  int instances () const { return (int)instances_.size (); }
-  FakeInstance &instance (int index) { return *by_index_[index]; }
-  int last_request () const { return next_request_ - 1; }
-  int pending_requests () const { return pending_; }
+  int
+  instances () const
+  {
+    return (int)instances_.size ();
+  }
+  FakeInstance &
+  instance (int index)
+  {
+    return *by_index_[index];
+  }
+  int
+  last_request () const
+  {
+    return next_request_ - 1;
+  }
+  int
+  pending_requests () const
+  {
+    return pending_;
+  }
   int unfinished_jobs () const;
   int64_t store_reads = 0;
   int64_t store_writes = 0;
@@ -251,7 +283,8 @@
     ms at;
     uint64_t order;
     std::function<void ()> what;
-    bool operator< (const Event &other) const
+    bool
+    operator<(const Event &other) const
     {
       return at != other.at ? at > other.at : order > other.order;
     }
--- /dev/null
+++ b/test/unit/coordination_test.cc
@@ -0,0 +1,353 @@
+/**
+ * DOC: coordination_test - lease, tenure, ownership, limits, retries
+ */
+#include <cstdlib>
+#include <cstring>
+
+#include <gtest/gtest.h>
+
+#include "rosemarystile.h"
+
+namespace
+{
+
+const struct rst_tenure_config config = { 4000, 200, 2000, 4000 };
+
+struct rst_zone *
+zone_of (const char *const *members, int count, uint64_t revision)
+{
+  struct rst_zone *zone = rst_zone_create ("z1");
+
+  for (int i = 0; i < count; i++)
+    {
+      struct rst_member member = {};
+
+      strcpy (member.name, members[i]);
+      strcpy (member.incarnation, members[i]);
+      rst_zone_add_member (zone, &member);
+    }
+  zone->revision = revision;
+  return zone;
+}
+
+TEST (Lease, CountsFromBeforeTheRenewalWasSent)
+{
+  struct rst_lease lease;
+
+  ASSERT_EQ (rst_lease_init (&lease, 1000, 100), RST_OK);
+  EXPECT_FALSE (rst_lease_held (&lease, 0));
+  rst_lease_renewed (&lease, 500);
+  EXPECT_TRUE (rst_lease_held (&lease, 1399));
+  EXPECT_FALSE (rst_lease_held (&lease, 1400));
+  rst_lease_renewed (&lease, 300);
+  EXPECT_TRUE (rst_lease_held (&lease, 1399));
+  rst_lease_drop (&lease);
+  EXPECT_FALSE (rst_lease_held (&lease, 600));
+}
+
+TEST (Lease, RefusesAMarginOutsideTheTimeToLive)
+{
+  struct rst_lease lease;
+
+  EXPECT_EQ (rst_lease_init (&lease, 100, 100), RST_ERROR_INVALID);
+  EXPECT_EQ (rst_lease_init (&lease, 0, 0), RST_ERROR_INVALID);
+}
+
+class Tenure : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    const char *members[] = { "a", "b", "c" };
+
+    tenure = rst_tenure_create (&config, "a");
+    zone = zone_of (members, 3, 10);
+    rst_tenure_declare (tenure, zone);
+    rst_tenure_declared (tenure, 10);
+  }
+
+  void
+  TearDown () override
+  {
+    rst_zone_destroy (zone);
+    rst_tenure_destroy (tenure);
+  }
+
+  struct rst_tenure *tenure;
+  struct rst_zone *zone;
+};
+
+TEST_F (Tenure, IsHeldByTheLeaseAlone)
+{
+  rst_tenure_renewed (tenure, 1000);
+  EXPECT_TRUE (rst_tenure_held (tenure, 4799));
+  EXPECT_FALSE (rst_tenure_held (tenure, 4800));
+}
+
+TEST_F (Tenure, NeedsThePromiseOfEveryDeclaredMember)
+{
+  rst_tenure_promised (tenure, "b", 1000, 2000);
+  EXPECT_FALSE (rst_tenure_held (tenure, 1500));
+  EXPECT_STREQ (rst_tenure_lacking (tenure, 1500), "c");
+  rst_tenure_promised (tenure, "c", 1200, 2000);
+  EXPECT_TRUE (rst_tenure_held (tenure, 2799));
+  EXPECT_FALSE (rst_tenure_held (tenure, 2800));
+}
+
+TEST_F (Tenure, NeedsPromisesOfAViewFromBeforeItsWriteIsSent)
+{
+  const char *more[] = { "a", "b", "c", "d" };
+  struct rst_zone *wider = zone_of (more, 4, 20);
+
+  rst_tenure_promised (tenure, "b", 1000, 2000);
+  rst_tenure_promised (tenure, "c", 1000, 2000);
+  ASSERT_TRUE (rst_tenure_held (tenure, 1500));
+  rst_tenure_declare (tenure, wider);
+  EXPECT_FALSE (rst_tenure_held (tenure, 1500));
+  rst_tenure_promised (tenure, "d", 1400, 2000);
+  EXPECT_TRUE (rst_tenure_held (tenure, 1500));
+  rst_zone_destroy (wider);
+}
+
+TEST_F (Tenure, KeepsAnOlderViewUntilTheNewOneIsStored)
+{
+  const char *fewer[] = { "a", "b" };
+  struct rst_zone *narrower = zone_of (fewer, 2, 20);
+
+  rst_tenure_declare (tenure, narrower);
+  rst_tenure_promised (tenure, "b", 1000, 2000);
+  EXPECT_FALSE (rst_tenure_held (tenure, 1500));
+  rst_tenure_declared (tenure, 20);
+  EXPECT_TRUE (rst_tenure_held (tenure, 1500));
+  rst_zone_destroy (narrower);
+}
+
+TEST_F (Tenure, CountsAStoppedMemberOnlyInsideTheQuietTime)
+{
+  rst_tenure_promised (tenure, "b", 1000, 2000);
+  rst_tenure_promised (tenure, "c", 1000, 2000);
+  rst_tenure_stopped (tenure, "c", 4900);
+  EXPECT_FALSE (rst_tenure_held (tenure, 4950));
+  rst_tenure_promised (tenure, "b", 4900, 2000);
+  EXPECT_FALSE (rst_tenure_held (tenure, 4950));
+  rst_tenure_promised (tenure, "c", 5000, 2000);
+  rst_tenure_stopped (tenure, "c", 8000);
+  rst_tenure_promised (tenure, "b", 8000, 2000);
+  EXPECT_TRUE (rst_tenure_held (tenure, 9000));
+}
+
+TEST_F (Tenure, EndsForGood)
+{
+  rst_tenure_renewed (tenure, 1000);
+  rst_tenure_end (tenure);
+  EXPECT_FALSE (rst_tenure_held (tenure, 1001));
+}
+
+TEST (Promises, RunOutBeforeATenureMayBeEnded)
+{
+  struct rst_promises *promises = rst_promises_create (&config, 0);
+
+  EXPECT_FALSE (rst_promises_may_end (promises, "a", 3999));
+  EXPECT_TRUE (rst_promises_may_end (promises, "a", 4000));
+  EXPECT_EQ (rst_promises_give (promises, "a", 5000), 2000);
+  EXPECT_FALSE (rst_promises_may_end (promises, "a", 8999));
+  EXPECT_TRUE (rst_promises_may_end (promises, "a", 9000));
+  rst_promises_refuse (promises, "a", true);
+  EXPECT_EQ (rst_promises_give (promises, "a", 9001), 0);
+  rst_promises_refuse (promises, "a", false);
+  EXPECT_EQ (rst_promises_give (promises, "a", 9002), 2000);
+  rst_promises_destroy (promises);
+}
+
+TEST (Ownership, SurvivesItsJson)
+{
+  const char *members[] = { "a", "b" };
+  const char *instances[] = { "w2", "w1", "w3" };
+  struct rst_zone *zone = zone_of (members, 2, 5);
+  struct rst_zone *read = nullptr;
+  char *text;
+
+  strcpy (zone->writer, "a");
+  zone->write = 7;
+  ASSERT_GE (rst_zone_claim (zone, "a", instances, 3), 0);
+  text = rst_zone_format (zone);
+  ASSERT_EQ (rst_zone_parse (text, 9, &read), RST_OK);
+  EXPECT_EQ (read->revision, 9u);
+  EXPECT_EQ (read->write, 7u);
+  EXPECT_EQ (read->member_count, 2);
+  ASSERT_EQ (read->owned_count, 3);
+  EXPECT_STREQ (read->owned[0].instance, "w1");
+  EXPECT_STREQ (read->owned[2].owner, zone->owned[2].owner);
+  EXPECT_EQ (rst_zone_parse ("{\"zone\":1}", 1, &read), RST_ERROR_INVALID);
+  free (text);
+  rst_zone_destroy (zone);
+  rst_zone_destroy (read);
+}
+
+TEST (Ownership, ClaimsOnlyWhatNobodyOwnsAndRaisesTheEpoch)
+{
+  const char *members[] = { "a" };
+  const char *instances[] = { "w1", "w2" };
+  struct rst_zone *zone = zone_of (members, 1, 1);
+
+  EXPECT_EQ (rst_zone_claim (zone, "a", instances, 2), 2);
+  EXPECT_EQ (rst_zone_claim (zone, "a", instances, 2), 0);
+  EXPECT_EQ (rst_zone_find_owned (zone, "w1")->epoch, 1u);
+  EXPECT_EQ (rst_zone_remove_member (zone, "a"), RST_OK);
+  EXPECT_STREQ (rst_zone_find_owned (zone, "w1")->owner, "");
+  EXPECT_FALSE (rst_zone_find_owned (zone, "w1")->settled);
+  EXPECT_EQ (rst_zone_claim (zone, "a", instances, 2), 0);
+  rst_zone_destroy (zone);
+}
+
+TEST (Ownership, SharesInstancesEvenlyWithFewMoves)
+{
+  const char *members[] = { "a", "b", "c" };
+  struct rst_zone *zone = zone_of (members, 3, 1);
+  char names[60][8];
+  const char *instances[60];
+  int held[3] = { 0, 0, 0 };
+
+  for (int i = 0; i < 60; i++)
+    {
+      snprintf (names[i], sizeof names[i], "w%d", i);
+      instances[i] = names[i];
+    }
+  for (int round = 0; round < 3; round++)
+    for (int m = 0; m < 3; m++)
+      rst_zone_claim (zone, members[m], instances, 60);
+  for (int i = 0; i < zone->owned_count; i++)
+    for (int m = 0; m < 3; m++)
+      if (strcmp (zone->owned[i].owner, members[m]) == 0)
+        held[m]++;
+  EXPECT_EQ (held[0] + held[1] + held[2], 60);
+  EXPECT_LE (held[0], 30);
+  EXPECT_LE (held[1], 30);
+  EXPECT_LE (held[2], 30);
+  rst_zone_destroy (zone);
+}
+
+TEST (Ownership, RendezvousMovesOnlyWhatTheLostOneHad)
+{
+  const char *three[] = { "a", "b", "c" };
+  const char *two[] = { "a", "b" };
+
+  for (int i = 0; i < 200; i++)
+    {
+      std::string key = "key" + std::to_string (i);
+      int before = rst_rendezvous (key.c_str (), three, 3);
+
+      if (before == 2)
+        continue;
+      EXPECT_EQ (rst_rendezvous (key.c_str (), two, 2), before);
+    }
+  EXPECT_EQ (rst_rendezvous ("x", two, 0), -1);
+}
+
+TEST (Limit, NeverGrantsMoreThanTheUpperLimit)
+{
+  struct rst_limit limit;
+
+  ASSERT_EQ (rst_limit_parse (nullptr, 0, &limit), RST_OK);
+  EXPECT_EQ (rst_limit_request (&limit, "a", 10, 8), RST_OK);
+  EXPECT_EQ (rst_limit_request (&limit, "b", 10, 8), RST_ERROR_LIMIT);
+  EXPECT_EQ (rst_limit_granted (&limit), 10u);
+  EXPECT_EQ (rst_limit_find (&limit, "b")->wanted, 6u);
+}
+
+TEST (Limit, ReturnsHalfOfWhatIsUnusedWhenOthersAsk)
+{
+  struct rst_limit limit;
+
+  rst_limit_parse (nullptr, 0, &limit);
+  rst_limit_request (&limit, "a", 10, 10);
+  EXPECT_EQ (rst_limit_target (&limit, "a", 10, 2, 0), 10u);
+  rst_limit_request (&limit, "b", 10, 3);
+  EXPECT_EQ (rst_limit_target (&limit, "a", 10, 2, 0), 7u);
+  EXPECT_EQ (rst_limit_target (&limit, "a", 10, 2, 8), 10u);
+}
+
+TEST (Limit, ALoweredLimitIsSharedOut)
+{
+  struct rst_limit limit;
+
+  rst_limit_parse (nullptr, 0, &limit);
+  rst_limit_request (&limit, "a", 20, 15);
+  rst_limit_request (&limit, "b", 20, 5);
+  EXPECT_EQ (rst_limit_target (&limit, "a", 10, 15, 0), 7u);
+  EXPECT_EQ (rst_limit_target (&limit, "b", 10, 5, 0), 2u);
+}
+
+TEST (Limit, SurvivesItsJson)
+{
+  struct rst_limit limit;
+  struct rst_limit read;
+  char *text;
+
+  rst_limit_parse (nullptr, 0, &limit);
+  rst_limit_request (&limit, "a", 20, 15);
+  rst_limit_find (&limit, "a")->write = 4;
+  text = rst_limit_format (&limit);
+  ASSERT_EQ (rst_limit_parse (text, 3, &read), RST_OK);
+  EXPECT_EQ (read.revision, 3u);
+  EXPECT_EQ (rst_limit_find (&read, "a")->granted, 15u);
+  EXPECT_EQ (rst_limit_find (&read, "a")->write, 4u);
+  EXPECT_EQ (rst_limit_parse ("[]", 1, &read), RST_ERROR_INVALID);
+  free (text);
+}
+
+TEST (Budget, BoundsRetriesToAPartOfTheRequests)
+{
+  struct rst_budget budget;
+  int retries = 0;
+
+  rst_budget_init (&budget, 100, 2);
+  for (int i = 0; i < 100; i++)
+    {
+      rst_budget_earn (&budget);
+      if (rst_budget_spend (&budget))
+        retries++;
+    }
+  EXPECT_LE (retries, 12);
+  EXPECT_GE (retries, 10);
+}
+
+TEST (Breaker, OpensProbesOnceAndCloses)
+{
+  struct rst_breaker breaker;
+
+  rst_breaker_init (&breaker, 2, 100);
+  rst_breaker_result (&breaker, false, 0);
+  EXPECT_TRUE (rst_breaker_allows (&breaker, 0));
+  rst_breaker_result (&breaker, false, 0);
+  EXPECT_FALSE (rst_breaker_allows (&breaker, 99));
+  EXPECT_TRUE (rst_breaker_allows (&breaker, 100));
+  rst_breaker_sent (&breaker);
+  EXPECT_FALSE (rst_breaker_allows (&breaker, 101));
+  rst_breaker_result (&breaker, false, 101);
+  EXPECT_FALSE (rst_breaker_allows (&breaker, 300));
+  EXPECT_TRUE (rst_breaker_allows (&breaker, 301));
+  rst_breaker_result (&breaker, true, 302);
+  EXPECT_TRUE (rst_breaker_allows (&breaker, 302));
+}
+
+TEST (MemberRecord, SurvivesItsJson)
+{
+  struct rst_member_record record = {};
+  struct rst_member_record read;
+  char *text;
+
+  strcpy (record.incarnation, "z1:e1:1");
+  strcpy (record.fenced_by, "z1:e2:1");
+  record.view = 12;
+  record.touch = 3;
+  text = rst_member_record_format (&record);
+  ASSERT_EQ (rst_member_record_parse (text, &read), RST_OK);
+  EXPECT_STREQ (read.fenced_by, "z1:e2:1");
+  EXPECT_EQ (read.view, 12u);
+  EXPECT_EQ (rst_member_record_parse ("{}", &read), RST_ERROR_INVALID);
+  free (text);
+}
+
+}
