--- a/src/coordination/sched_instance.c
+++ b/src/coordination/sched_instance.c
@@ -673,7 +673,9 @@
 yield_instances (struct rst_scheduler *sched, struct rst_zone *zone)
 {
   uint64_t revision = zone->revision;
-  int moved = rst_zone_yield (zone, sched->incarnation, SCHED_YIELD_MOVES);
+  int moves
+      = MAX (SCHED_YIELD_MOVES, (int)sched->owned->len / SCHED_YIELD_PART);
+  int moved = rst_zone_yield (zone, sched->incarnation, moves);
 
   for (guint i = 0; i < sched->owned->len && moved > 0; i++)
     {
--- a/src/coordination/sched_query.c
+++ b/src/coordination/sched_query.c
@@ -491,6 +491,7 @@
 static bool
 dispatch_one (struct rst_scheduler *sched)
 {
+  int64_t began_ns = rst_os_now_ns ();
   struct query_queue *queue = choose_queue (sched, true);
   struct instance *instance;
   struct query *query;
@@ -501,6 +502,7 @@
     return false;
   instance = choose_runner (sched);
   sched->counters.decisions++;
+  sched->counters.decision_ns += (uint64_t)(rst_os_now_ns () - began_ns);
   if (instance == NULL)
     return false;
   query = CK_STAILQ_FIRST (queue);
--- a/src/coordination/sched_store.c
+++ b/src/coordination/sched_store.c
@@ -13,6 +13,19 @@
 
 /* ---- Branches ---------------------------------------------------------- */
 
+/* Operators vouch that these members have stopped. */
+static void
+note_stopped (struct rst_scheduler *sched)
+{
+  const struct rst_cell *cell = rst_settings_cell (sched->settings);
+  char **list = g_strsplit_set (cell->stopped, " ,", -1);
+
+  for (int i = 0; list[i] != NULL; i++)
+    if (list[i][0] != '\0')
+      sched_member_stopped (sched, list[i]);
+  g_strfreev (list);
+}
+
 static void
 branch_in_force (struct rst_scheduler *sched, const char *key,
                  uint64_t revision, const char *value)
@@ -23,6 +36,8 @@
   if (g_str_has_prefix (key, RST_KEY_SETTINGS))
     rst_info ("settings", "Branch is in force.", "key", key, "revision", text);
   sched_peer_push (sched, key, revision, value);
+  if (strcmp (key, RST_KEY_CELL) == 0)
+    note_stopped (sched);
   if (!g_str_has_prefix (key, RST_KEY_ZONE_RECORDS))
     ;
   else if (strcmp (key + strlen (RST_KEY_ZONE_RECORDS), sched->config.zone)
--- a/src/coordination/scheduler_private.h
+++ b/src/coordination/scheduler_private.h
@@ -38,8 +38,10 @@
 /** How long an answer is kept for repeats of its request. */
 #define SCHED_RECORD_MS 60000
 
-/** Most instances released at once for balance. */
+/** Most instances released at once for balance, or that part of those owned
+ * if it is more. */
 #define SCHED_YIELD_MOVES 2
+#define SCHED_YIELD_PART 8
 
 /** Time between two steps of claiming, yielding and settling. */
 #define SCHED_ZONE_EVERY_MS 300
--- a/src/daemon/entryd.c
+++ b/src/daemon/entryd.c
@@ -28,7 +28,7 @@
 #define MAILBOX_SIZE 65536
 
 /** Time between two ticks. */
-#define TICK_MS 10
+#define TICK_MS 20
 
 /** Most events handled between two ticks. */
 #define EVENTS_PER_TICK 512
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -88,8 +88,8 @@
  * struct rst_cell - Settings of the whole cell.
  * @max_deadline_ms: Bound on a request's deadline.
  * @queue_per_team: Bound on a team's waiting queries at one scheduler.
- * @stopped: Incarnations that operators know to have stopped; a JSON list
- *   as text.
+ * @stopped: Incarnations that operators know to have stopped, separated by
+ *   spaces.
  */
 struct rst_cell
 {
--- a/src/util/os.c
+++ b/src/util/os.c
@@ -10,14 +10,21 @@
 #include <unistd.h>
 
 #define US_PER_SECOND 1000000
+#define NS_PER_SECOND 1000000000
 
 int64_t
-rst_os_now_us (void)
+rst_os_now_ns (void)
 {
   struct timespec ts;
 
   clock_gettime (CLOCK_BOOTTIME, &ts);
-  return (int64_t)ts.tv_sec * US_PER_SECOND + ts.tv_nsec / 1000;
+  return (int64_t)ts.tv_sec * NS_PER_SECOND + ts.tv_nsec;
+}
+
+int64_t
+rst_os_now_us (void)
+{
+  return rst_os_now_ns () / 1000;
 }
 
 rst_ms
--- a/src/util/os.h
+++ b/src/util/os.h
@@ -38,6 +38,9 @@
 /** rst_os_now_us() - The same clock in microseconds, for measurements. */
 int64_t rst_os_now_us (void);
 
+/** rst_os_now_ns() - The same clock in nanoseconds, for measurements. */
+int64_t rst_os_now_ns (void);
+
 /** rst_os_random() - An unpredictable number. */
 uint64_t rst_os_random (void);
 
--- /dev/null
+++ b/test/bench/measure.cc
@@ -0,0 +1,190 @@
+/**
+ * DOC: measure - slopes behind docs/CAPACITY.md
+ *
+ * Runs the state machines on the fake clock at growing sizes and prints what
+ * one process spends a second: processor time (the fakes' part included),
+ * messages, bytes and store calls.
+ */
+#include <chrono>
+#include <cstdio>
+
+#include <sodium.h>
+
+#include "../fuzz/world.h"
+
+extern "C"
+{
+#include "util/log.h"
+#include "util/os.h"
+}
+
+using namespace fuzz;
+
+namespace
+{
+
+constexpr ms SETTLE_MS = 25000;
+constexpr ms MEASURE_MS = 20000;
+
+struct Load
+{
+  int queries_per_s = 0;
+  int services = 0;
+  int settings = 0;
+};
+
+void
+print_header ()
+{
+  printf ("%-12s %6s | %9s %9s %9s %9s %9s %8s\n", "slope over", "value",
+          "cpu %", "msg/s", "KB/s", "reads/s", "writes/s", "rss MB");
+}
+
+/* One point: idle or loaded cell of a shape; figures for one process, store
+   calls for the whole cell. */
+void
+measure (const char *name, int value, const Shape &shape, const Load &load)
+{
+  World world (shape, 7);
+  double seconds = MEASURE_MS / 1000.0;
+  int64_t reads;
+  int64_t writes;
+
+  world.advance (SETTLE_MS);
+  for (int i = 0; i < load.services; i++)
+    world.submit (i, i % shape.teams, 1, 20, 200, 0, false);
+  world.advance (load.services > 0 ? SETTLE_MS : 0);
+  world.count_bytes = true;
+  world.engine_ns = 0;
+  world.messages = 0;
+  world.message_bytes = 0;
+  reads = world.store_reads;
+  writes = world.store_writes;
+  for (ms t = 0; t < MEASURE_MS; t += 100)
+    {
+      for (int i = 0; i < load.queries_per_s / 10; i++)
+        world.request (i, i % shape.teams, false, false, 5, 2000);
+      for (int i = 0; i < load.settings && t % 1000 == 0; i++)
+        world.set_limit (i % shape.teams, shape.upper_limit);
+      world.advance (100);
+    }
+  printf ("%-12s %6d | %9.3f %9.1f %9.2f %9.1f %9.1f %8.1f\n", name, value,
+          (double)world.engine_ns / 1e9 / seconds / world.nodes () * 100,
+          (double)world.messages / seconds / world.nodes (),
+          (double)world.message_bytes / 1024 / seconds / world.nodes (),
+          (double)(world.store_reads - reads) / seconds,
+          (double)(world.store_writes - writes) / seconds,
+          (double)rst_os_resident_kb () / 1024);
+}
+
+Shape
+today ()
+{
+  Shape shape;
+
+  shape.runners = 17;
+  shape.workers = 17;
+  shape.slots = 8;
+  shape.cpu = 16000;
+  shape.memory = 65536;
+  shape.upper_limit = 2000;
+  return shape;
+}
+
+/* Time of one placement of a query with a number of owned runners. */
+void
+measure_decision (int runners)
+{
+  Shape shape = today ();
+  int requests = 3000;
+
+  shape.zones = 1;
+  shape.schedulers = 1;
+  shape.runners = runners;
+  shape.workers = 0;
+  World world (shape, 7);
+
+  world.advance (SETTLE_MS);
+  /* Parts of the limits grow first. */
+  for (int i = 0; i < 600; i++)
+    world.request (0, i % shape.teams, false, false, 5, 2000);
+  world.advance (5000);
+
+  const struct rst_scheduler_counters *counters
+      = rst_scheduler_counters (world.node (0)->scheduler);
+  uint64_t decisions = counters->decisions;
+  uint64_t ns = counters->decision_ns;
+
+  for (int i = 0; i < requests; i++)
+    {
+      world.request (0, i % shape.teams, false, false, 5, 2000);
+      if (i % 20 == 19)
+        world.advance (50);
+    }
+  world.advance (3000);
+  printf ("decision     %6d | %9.2f us each, %d of %d answered\n", runners,
+          (double)(counters->decision_ns - ns) / 1000
+              / (double)(counters->decisions - decisions),
+          world.answered, requests + 600);
+}
+
+}
+
+int
+main (void)
+{
+  struct rst_log_config log = { false, "error" };
+
+  if (sodium_init () < 0)
+    return 1;
+  rst_log_init ("measure", &log);
+  measure_decision (50);
+  measure_decision (275);
+  measure_decision (550);
+  measure_decision (1100);
+  print_header ();
+  for (int instances : { 50, 275, 550, 1100 })
+    {
+      Shape shape = today ();
+
+      shape.runners = instances / 6;
+      shape.workers = instances / 6;
+      measure ("instances", instances, shape, Load ());
+    }
+  for (int teams : { 6, 50, 100, 200 })
+    {
+      Shape shape = today ();
+
+      shape.teams = teams;
+      measure ("teams", teams, shape, Load ());
+    }
+  for (int schedulers : { 1, 2, 3, 5 })
+    {
+      Shape shape = today ();
+
+      shape.schedulers = schedulers;
+      measure ("schedulers", schedulers * 3, shape, Load ());
+    }
+  for (int services : { 0, 5, 10, 20 })
+    {
+      Load load;
+
+      load.services = services;
+      measure ("tasks", services * 20, today (), load);
+    }
+  for (int queries : { 0, 100, 200, 400 })
+    {
+      Load load;
+
+      load.queries_per_s = queries;
+      measure ("queries/s", queries, today (), load);
+    }
+  for (int settings : { 0, 1, 5, 20 })
+    {
+      Load load;
+
+      load.settings = settings;
+      measure ("settings/s", settings, today (), load);
+    }
+  return 0;
+}
--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -1,6 +1,7 @@
 #include "world.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstring>
 
 #include <sodium.h>
@@ -560,6 +561,19 @@
 /* ---- Processes
  * -------------------------------------------------------------------- */
 
+/* Adds the processor's time of a call into a state machine, the fakes that
+   it calls included. */
+void
+World::timed (const std::function<void ()> &what)
+{
+  auto before = std::chrono::steady_clock::now ();
+
+  what ();
+  engine_ns += std::chrono::duration_cast<std::chrono::nanoseconds> (
+                   std::chrono::steady_clock::now () - before)
+                   .count ();
+}
+
 /* Runs something on a process, later if it is paused, never if it is gone. */
 void
 World::deliver (Node *node, int life, std::function<void ()> what)
@@ -569,7 +583,7 @@
   if (node->paused)
     node->deferred.push_back (std::move (what));
   else
-    what ();
+    timed (what);
 }
 
 void
@@ -604,10 +618,12 @@
     return;
   if (!node->paused)
     {
-      if (node->is_entry)
-        rst_entry_tick (node->entry);
-      else
-        rst_scheduler_tick (node->scheduler);
+      timed ([node] {
+        if (node->is_entry)
+          rst_entry_tick (node->entry);
+        else
+          rst_scheduler_tick (node->scheduler);
+      });
       if (node->scheduler != nullptr
           && rst_scheduler_stopped (node->scheduler))
         {
@@ -867,6 +883,14 @@
     return false;
   link = found->second;
   messages++;
+  if (count_bytes)
+    {
+      struct rst_blob frame;
+
+      if (rst_message_encode (message, &frame) == RST_PROTOCOL_OK)
+        message_bytes += (int64_t)frame.length + 4;
+      rst_blob_free (&frame);
+    }
   to = link->id[0] == id ? 1 : 0;
   if (link->silent || zones_cut (link->side[0]->zone, link->side[1]->zone))
     {
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -223,6 +223,9 @@
   int64_t store_reads = 0;
   int64_t store_writes = 0;
   int64_t messages = 0;
+  int64_t message_bytes = 0;
+  bool count_bytes = false;
+  int64_t engine_ns = 0;
   int answered = 0, not_run = 0, unknown = 0;
 
   /* Used by the fakes. */
@@ -323,6 +326,7 @@
   void start_node (Node *node);
   void deliver (Node *node, int life, std::function<void ()> what);
   void tick_node (Node *node);
+  void timed (const std::function<void ()> &what);
   void observe (Node *node);
   bool zones_cut (const std::string &a, const std::string &b) const;
   void close_link (std::shared_ptr<Link> link, ms delay);
