Ask earlier homes before a request id runs at a new one

A new home now asks the members that may have been the home and live, and says 'unknown' when one of them is lost; ownership records name the members that have left.

--- a/src/coordination/ownership.c
+++ b/src/coordination/ownership.c
@@ -128,6 +128,20 @@
   owned->settled = false;
 }
 
+/* The oldest name makes room. */
+static void
+add_departed (struct rst_zone *zone, const char *incarnation)
+{
+  if (zone->departed_count == RST_DEPARTED_MAX)
+    {
+      memmove (zone->departed[0], zone->departed[1],
+               sizeof zone->departed - RST_NAME_SIZE);
+      zone->departed_count--;
+    }
+  g_strlcpy (zone->departed[zone->departed_count++], incarnation,
+             RST_NAME_SIZE);
+}
+
 int
 rst_zone_remove_member (struct rst_zone *zone, const char *incarnation)
 {
@@ -139,6 +153,7 @@
   for (int i = 0; i < zone->owned_count; i++)
     if (strcmp (zone->owned[i].owner, incarnation) == 0)
       set_owner (&zone->owned[i], "");
+  add_departed (zone, incarnation);
   at = (int)(member - zone->members);
   memmove (&zone->members[at], &zone->members[at + 1],
            (size_t)(zone->member_count - at - 1) * sizeof *member);
@@ -165,17 +180,22 @@
   return RST_OK;
 }
 
+uint64_t
+rst_rendezvous_score (const char *key, const char *name)
+{
+  return XXH3_64bits_withSeed (name, strlen (name),
+                               XXH3_64bits (key, strlen (key)));
+}
+
 int
 rst_rendezvous (const char *key, const char *const *names, int count)
 {
   int best = -1;
   uint64_t best_score = 0;
-  uint64_t seed = XXH3_64bits (key, strlen (key));
 
   for (int i = 0; i < count; i++)
     {
-      uint64_t score
-          = XXH3_64bits_withSeed (names[i], strlen (names[i]), seed);
+      uint64_t score = rst_rendezvous_score (key, names[i]);
 
       if (best < 0 || score > best_score
           || (score == best_score && strcmp (names[i], names[best]) < 0))
@@ -347,6 +367,26 @@
   return true;
 }
 
+static bool
+parse_departed (struct json_object *root, struct rst_zone *zone)
+{
+  struct json_object *list = rst_json_array (root, "departed");
+  size_t count = list != NULL ? json_object_array_length (list) : 0;
+
+  if (count > RST_DEPARTED_MAX)
+    return false;
+  for (size_t i = 0; i < count; i++)
+    {
+      const char *name
+          = json_object_get_string (json_object_array_get_idx (list, i));
+
+      if (name == NULL || strlen (name) >= RST_NAME_SIZE)
+        return false;
+      add_departed (zone, name);
+    }
+  return true;
+}
+
 static bool
 parse_instances (struct json_object *root, struct rst_zone *zone)
 {
@@ -388,7 +428,8 @@
     }
   if (!rst_json_copy_text (root, "zone", zone->zone, RST_NAME_SIZE)
       || !rst_json_copy_text (root, "writer", zone->writer, RST_NAME_SIZE)
-      || !parse_members (root, zone) || !parse_instances (root, zone))
+      || !parse_members (root, zone) || !parse_departed (root, zone)
+      || !parse_instances (root, zone))
     goto fail;
   zone->write = (uint64_t)rst_json_number (root, "write", 0);
   zone->revision = revision;
@@ -421,6 +462,16 @@
   return list;
 }
 
+static struct json_object *
+format_departed (const struct rst_zone *zone)
+{
+  struct json_object *list = json_object_new_array ();
+
+  for (int i = 0; i < zone->departed_count; i++)
+    json_object_array_add (list, json_object_new_string (zone->departed[i]));
+  return list;
+}
+
 static struct json_object *
 format_instances (const struct rst_zone *zone)
 {
@@ -448,6 +499,7 @@
   rst_json_set_text (root, "writer", zone->writer);
   rst_json_set_number (root, "write", (int64_t)zone->write);
   json_object_object_add (root, "members", format_members (zone));
+  json_object_object_add (root, "departed", format_departed (zone));
   json_object_object_add (root, "instances", format_instances (zone));
   return rst_json_release (root);
 }
--- a/src/coordination/sched_member.c
+++ b/src/coordination/sched_member.c
@@ -51,6 +51,7 @@
   sched->touch = 0;
   sched->declared_view = 0;
   sched->joined_revision = 0;
+  sched_record_new_life (sched);
 }
 
 static void
--- a/src/coordination/sched_peer.c
+++ b/src/coordination/sched_peer.c
@@ -240,6 +240,8 @@
   if (peer->digest_hash == rst_settings_hash (sched->settings))
     {
       peer->mismatches = 0;
+      if (peer->role == RST_ROLE_SCHEDULER)
+        sched_record_informed (sched, peer);
       return;
     }
   peer->mismatches++;
--- a/src/coordination/sched_query.c
+++ b/src/coordination/sched_query.c
@@ -134,8 +134,8 @@
   rst_message_copy (message, &record->answer);
 }
 
-static void
-end_query (struct query *query, const struct rst_answer *answer)
+void
+sched_query_end (struct query *query, const struct rst_answer *answer)
 {
   struct rst_scheduler *sched = query->sched;
   struct rst_message message = { 0 };
@@ -168,7 +168,7 @@
   answer.status = query->may_have_run ? STATUS_TIMEOUT : status;
   answer.reason = (char *)reason;
   answer.detail = (char *)detail;
-  end_query (query, &answer);
+  sched_query_end (query, &answer);
 }
 
 static void
@@ -183,7 +183,7 @@
   answer.detail = (char *)detail;
   answer.instance = (char *)instance;
   answer.epoch = epoch;
-  end_query (query, &answer);
+  sched_query_end (query, &answer);
 }
 
 static void
@@ -396,7 +396,7 @@
   answer.epoch = epoch;
   answer.body.data = (char *)reply->body;
   answer.body.length = reply->length;
-  end_query (query, &answer);
+  sched_query_end (query, &answer);
 }
 
 static void
@@ -637,7 +637,7 @@
     refuse_query (query, message->answer.status, message->answer.reason,
                   message->answer.detail);
   else
-    end_query (query, &message->answer);
+    sched_query_end (query, &message->answer);
 }
 
 static void
@@ -705,6 +705,12 @@
 
   if (record == NULL)
     return false;
+  if (record->elsewhere)
+    {
+      refuse_message (sched, link, message->id, STATUS_UNAVAILABLE,
+                      "home-changed", "another scheduler keeps this id now");
+      return true;
+    }
   if (record->running != NULL)
     {
       add_waiter (record->running, link, message->id);
@@ -771,8 +777,8 @@
   g_hash_table_insert (query->sched->records, record->key, record);
 }
 
-static void
-place_query (struct query *query)
+void
+sched_query_place (struct query *query)
 {
   struct rst_scheduler *sched = query->sched;
   int64_t bound = rst_settings_cell (sched->settings)->queue_per_team;
@@ -800,6 +806,35 @@
   sched_query_dispatch (sched);
 }
 
+void
+sched_query_end_unsure (struct query *query, const char *detail)
+{
+  end_unknown (query, STATUS_TIMEOUT, "", 0, detail);
+}
+
+/* A request with the caller's id runs only at its home, and only when no
+   earlier home can have run it. */
+static void
+place_keyed (struct query *query)
+{
+  switch (sched_record_check (query))
+    {
+    case RECORD_NEW:
+      sched_query_place (query);
+      break;
+    case RECORD_ASKED:
+      query->sched->asking = true;
+      break;
+    case RECORD_UNSURE:
+      sched_query_end_unsure (query, "an earlier home of this id is lost");
+      break;
+    case RECORD_ELSEWHERE:
+      refuse_query (query, STATUS_UNAVAILABLE, "home-changed",
+                    "another scheduler keeps this id now");
+      break;
+    }
+}
+
 void
 sched_query_take (struct rst_scheduler *sched, uint64_t link,
                   const struct rst_message *message)
@@ -829,9 +864,13 @@
     return;
   rst_budget_earn (&sched->retry_budget);
   query = query_create (sched, link, message);
-  if (query->keyed)
-    add_record (query, key);
-  place_query (query);
+  if (!query->keyed)
+    {
+      sched_query_place (query);
+      return;
+    }
+  add_record (query, key);
+  place_keyed (query);
 }
 
 /* Queries that wait here while peers have room go there. */
@@ -946,6 +985,34 @@
   return *(const rst_ms *)value <= *(const rst_ms *)userdata;
 }
 
+/* Earlier homes that did not answer may have run the request. */
+static void
+expire_asked (struct rst_scheduler *sched)
+{
+  rst_ms now = sched_now (sched);
+  GList *records;
+
+  if (!sched->asking)
+    return;
+  sched->asking = false;
+  records = g_hash_table_get_values (sched->records);
+  for (GList *item = records; item != NULL; item = item->next)
+    {
+      struct query *query = ((struct record *)item->data)->running;
+
+      if (query == NULL || query->asked == 0)
+        continue;
+      if (now < query->ask_until)
+        sched->asking = true;
+      else
+        {
+          query->asked = 0;
+          sched_query_end_unsure (query, "an earlier home did not answer");
+        }
+    }
+  g_list_free (records);
+}
+
 void
 sched_query_tick (struct rst_scheduler *sched)
 {
@@ -956,6 +1023,7 @@
   spread_all (sched);
   expire_all (sched);
   expire_forwards (sched);
+  expire_asked (sched);
   if (now >= sched->sweep_next_at)
     {
       sched->sweep_next_at = now + SCHED_SWEEP_EVERY_MS;
--- /dev/null
+++ b/src/coordination/sched_record.c
@@ -0,0 +1,326 @@
+/**
+ * DOC: sched_record - request ids whose home changes
+ *
+ * The home of a request id is the member that rendezvous hashing picks.  When
+ * members come and go, the home of some ids moves.  A new home runs such a
+ * request only once it is sure that no earlier home has run it: it asks those
+ * that live, and says "unknown" when one of them is lost.
+ */
+#include "coordination/scheduler_private.h"
+
+#include <string.h>
+
+#define LOG_PREFIX "record"
+
+/** How long the answers of earlier homes are waited for. */
+#define ASK_MS 500
+
+/* What this process has seen of a member. */
+struct seen_member
+{
+  rst_ms first_seen;
+  rst_ms departed_at;
+};
+
+void
+sched_record_init (struct rst_scheduler *sched)
+{
+  sched->history
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  sched->informed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+sched_record_clear (struct rst_scheduler *sched)
+{
+  g_hash_table_destroy (sched->history);
+  g_hash_table_destroy (sched->informed);
+}
+
+void
+sched_record_new_life (struct rst_scheduler *sched)
+{
+  if (sched->informed != NULL)
+    g_hash_table_remove_all (sched->informed);
+  sched->joined_at = 0;
+}
+
+/* How long after an event an earlier run must still be reckoned with. */
+static rst_ms
+window (const struct rst_scheduler *sched)
+{
+  return rst_settings_cell (sched->settings)->max_deadline_ms
+         + SCHED_RECORD_MS;
+}
+
+static struct seen_member *
+find_or_add (struct rst_scheduler *sched, const char *incarnation)
+{
+  struct seen_member *member
+      = g_hash_table_lookup (sched->history, incarnation);
+
+  if (member != NULL)
+    return member;
+  member = g_new0 (struct seen_member, 1);
+  member->first_seen = sched_now (sched);
+  g_hash_table_insert (sched->history, g_strdup (incarnation), member);
+  return member;
+}
+
+void
+sched_record_zone (struct rst_scheduler *sched, const struct rst_zone *zone)
+{
+  for (int i = 0; i < zone->member_count; i++)
+    find_or_add (sched, zone->members[i].incarnation);
+  for (int i = 0; i < zone->departed_count; i++)
+    {
+      struct seen_member *member = find_or_add (sched, zone->departed[i]);
+
+      if (member->departed_at == 0)
+        member->departed_at = sched_now (sched);
+    }
+  if (sched->joined_at == 0
+      && rst_zone_find_member (zone, sched->incarnation) != NULL)
+    sched->joined_at = sched_now (sched);
+}
+
+/* A peer that holds the same records knows that this process is a member. */
+void
+sched_record_informed (struct rst_scheduler *sched, const struct peer *peer)
+{
+  rst_ms *at;
+
+  if (sched->joined_at == 0
+      || g_hash_table_contains (sched->informed, peer->incarnation))
+    return;
+  at = g_new (rst_ms, 1);
+  *at = sched_now (sched);
+  g_hash_table_insert (sched->informed, g_strdup (peer->incarnation), at);
+}
+
+/* ---- Who may have been the home
+ * --------------------------------------------- */
+
+struct search
+{
+  struct rst_scheduler *sched;
+  const char *key;
+  rst_ms now;
+  rst_ms window;
+  const char *home;
+  uint64_t home_score;
+  uint64_t stable_score;
+};
+
+static bool
+is_stable (const struct search *search, const char *incarnation)
+{
+  const struct seen_member *member
+      = g_hash_table_lookup (search->sched->history, incarnation);
+
+  return member != NULL && search->now - member->first_seen >= search->window;
+}
+
+static void
+look_at_members (const struct rst_zone *zone, void *userdata)
+{
+  struct search *search = userdata;
+
+  for (int i = 0; i < zone->member_count; i++)
+    {
+      const char *incarnation = zone->members[i].incarnation;
+      uint64_t score = rst_rendezvous_score (search->key, incarnation);
+
+      if (search->home == NULL || score > search->home_score)
+        {
+          search->home = incarnation;
+          search->home_score = score;
+        }
+      if (strcmp (incarnation, search->sched->incarnation) != 0
+          && is_stable (search, incarnation))
+        search->stable_score = MAX (search->stable_score, score);
+    }
+}
+
+/* Whether a lost member may have been the home within the window. */
+static bool
+lost_home (const struct search *search)
+{
+  struct rst_scheduler *sched = search->sched;
+  uint64_t bar = search->stable_score;
+  GHashTableIter iterator;
+  gpointer name;
+  gpointer value;
+
+  if (sched->joined_at != 0
+      && search->now - sched->joined_at >= search->window)
+    bar = MAX (bar, rst_rendezvous_score (search->key, sched->incarnation));
+  g_hash_table_iter_init (&iterator, sched->history);
+  while (g_hash_table_iter_next (&iterator, &name, &value))
+    {
+      const struct seen_member *member = value;
+
+      if (member->departed_at != 0
+          && search->now - member->departed_at < search->window
+          && rst_rendezvous_score (search->key, name) > bar)
+        return true;
+    }
+  return false;
+}
+
+/* Whether a live member may have taken the request as its home, because it
+   did not know of this process until a short time ago. */
+static bool
+is_rival (const struct search *search, const char *incarnation)
+{
+  const rst_ms *informed_at
+      = g_hash_table_lookup (search->sched->informed, incarnation);
+
+  if (strcmp (incarnation, search->sched->incarnation) == 0
+      || rst_rendezvous_score (search->key, incarnation)
+             < search->stable_score)
+    return false;
+  return informed_at == NULL || search->now - *informed_at < search->window;
+}
+
+struct ask
+{
+  struct search *search;
+  struct query *query;
+  bool unreachable;
+};
+
+static void
+ask_rivals (const struct rst_zone *zone, void *userdata)
+{
+  struct ask *ask = userdata;
+  struct rst_scheduler *sched = ask->search->sched;
+  struct rst_message message = { 0 };
+
+  message.type = RST_RECORD_ASK;
+  message.record.key = (char *)ask->search->key;
+  for (int i = 0; i < zone->member_count; i++)
+    {
+      const char *incarnation = zone->members[i].incarnation;
+
+      if (!is_rival (ask->search, incarnation))
+        continue;
+      if (sched_send (sched, sched_link_to (sched, incarnation), &message))
+        ask->query->asked++;
+      else
+        ask->unreachable = true;
+    }
+}
+
+/* Decides whether a request whose id is not known here may be run. */
+enum record_check
+sched_record_check (struct query *query)
+{
+  struct rst_scheduler *sched = query->sched;
+  struct search search
+      = { sched, query->record_key, sched_now (sched), window (sched), NULL, 0,
+          0 };
+  struct ask ask = { &search, query, false };
+
+  rst_settings_records (sched->settings, look_at_members, &search);
+  if (search.home == NULL || strcmp (search.home, sched->incarnation) != 0)
+    return RECORD_ELSEWHERE;
+  if (query->idempotent)
+    return RECORD_NEW;
+  if (lost_home (&search))
+    return RECORD_UNSURE;
+  rst_settings_records (sched->settings, ask_rivals, &ask);
+  if (ask.unreachable)
+    {
+      query->asked = 0;
+      return RECORD_UNSURE;
+    }
+  query->ask_until = search.now + ASK_MS;
+  return query->asked > 0 ? RECORD_ASKED : RECORD_NEW;
+}
+
+/* ---- Messages
+ * ------------------------------------------------------------------ */
+
+/* After "nothing" was said, the request must not run here any more. */
+static void
+give_up_home (struct rst_scheduler *sched, const char *key)
+{
+  struct record *record = g_new0 (struct record, 1);
+
+  g_strlcpy (record->key, key, sizeof record->key);
+  record->elsewhere = true;
+  record->expires_at = sched_now (sched) + window (sched);
+  g_hash_table_insert (sched->records, record->key, record);
+}
+
+void
+sched_record_ask (struct rst_scheduler *sched, uint64_t link,
+                  const struct rst_message *message)
+{
+  const char *key = message->record.key;
+  const struct record *record = g_hash_table_lookup (sched->records, key);
+  struct rst_message reply = { 0 };
+  const struct rst_answer *answer;
+
+  reply.type = RST_RECORD;
+  reply.record.key = (char *)key;
+  if (record == NULL)
+    give_up_home (sched, key);
+  else if (record->running != NULL)
+    reply.record.state = RST_RECORD_RUNNING;
+  else if (!record->elsewhere)
+    {
+      answer = &record->answer.answer;
+      reply.record.state = RST_RECORD_ENDED;
+      reply.record.outcome = answer->outcome;
+      reply.record.status = answer->status;
+      reply.record.reason = answer->reason;
+      reply.record.detail = answer->detail;
+      reply.record.instance = answer->instance;
+      reply.record.epoch = answer->epoch;
+      reply.record.body = answer->body;
+    }
+  sched_send (sched, link, &reply);
+}
+
+static void
+end_as_recorded (struct query *query, const struct rst_record_message *record)
+{
+  struct rst_answer answer = { 0 };
+
+  answer.outcome = record->outcome;
+  answer.status = record->status;
+  answer.reason = record->reason;
+  answer.detail = record->detail;
+  answer.instance = record->instance;
+  answer.epoch = record->epoch;
+  answer.body = record->body;
+  sched_query_end (query, &answer);
+}
+
+void
+sched_record_reply (struct rst_scheduler *sched, uint64_t link,
+                    const struct rst_message *message)
+{
+  const struct record *record
+      = g_hash_table_lookup (sched->records, message->record.key);
+  struct query *query = record != NULL ? record->running : NULL;
+
+  (void)link;
+  if (query == NULL || query->asked == 0)
+    return;
+  if (message->record.state == RST_RECORD_ENDED)
+    {
+      query->asked = 0;
+      end_as_recorded (query, &message->record);
+    }
+  else if (message->record.state == RST_RECORD_RUNNING)
+    {
+      query->asked = 0;
+      sched_query_end_unsure (query, "it runs at its earlier home");
+    }
+  else if (--query->asked == 0)
+    sched_query_place (query);
+}
--- a/src/coordination/sched_store.c
+++ b/src/coordination/sched_store.c
@@ -38,6 +38,10 @@
   sched_peer_push (sched, key, revision, value);
   if (strcmp (key, RST_KEY_CELL) == 0)
     note_stopped (sched);
+  if (g_str_has_prefix (key, RST_KEY_ZONE_RECORDS))
+    sched_record_zone (
+        sched, rst_settings_record (sched->settings,
+                                    key + strlen (RST_KEY_ZONE_RECORDS)));
   if (!g_str_has_prefix (key, RST_KEY_ZONE_RECORDS))
     ;
   else if (strcmp (key + strlen (RST_KEY_ZONE_RECORDS), sched->config.zone)
--- a/src/coordination/scheduler.c
+++ b/src/coordination/scheduler.c
@@ -152,6 +152,7 @@
   sched->shared_watch.prefix = RST_KEY_SHARED;
   sched_query_init (sched);
   sched_task_init (sched);
+  sched_record_init (sched);
   sched_job_init (sched);
   sched_member_init (sched);
   return sched;
@@ -180,6 +181,7 @@
   clear_local (sched);
   g_hash_table_destroy (sched->instances);
   sched_task_clear (sched);
+  sched_record_clear (sched);
   g_hash_table_destroy (sched->teams);
   sched_member_clear (sched);
   g_ptr_array_free (sched->owned, TRUE);
@@ -243,6 +245,12 @@
     case RST_ANSWER:
       sched_query_answer (sched, link, message);
       break;
+    case RST_RECORD_ASK:
+      sched_record_ask (sched, link, message);
+      break;
+    case RST_RECORD:
+      sched_record_reply (sched, link, message);
+      break;
     case RST_JOB_CALL:
       sched_job_call (sched, link, message);
       break;
--- a/src/coordination/scheduler_private.h
+++ b/src/coordination/scheduler_private.h
@@ -241,6 +241,8 @@
   rst_ms deadline;
   rst_ms arrived_at;
   struct rst_blob body;
+  int asked;
+  rst_ms ask_until;
   int attempts;
   bool may_have_run;
   struct work *work;
@@ -257,6 +259,7 @@
 {
   char key[3 * RST_NAME_SIZE];
   struct query *running;
+  bool elsewhere;
   struct rst_message answer;
   rst_ms expires_at;
 };
@@ -331,6 +334,10 @@
   GHashTable *teams;
   GHashTable *records;
   GHashTable *taken;
+  GHashTable *history;
+  GHashTable *informed;
+  rst_ms joined_at;
+  bool asking;
   GHashTable *forwards;
   uint64_t queued;
   uint64_t running_queries;
@@ -458,6 +465,32 @@
 void sched_query_clear (struct rst_scheduler *sched);
 bool sched_query_busy (const struct rst_scheduler *sched);
 
+/* sched_record.c: request ids whose home changes */
+enum record_check
+{
+  RECORD_NEW,
+  RECORD_ASKED,
+  RECORD_UNSURE,
+  RECORD_ELSEWHERE,
+};
+void sched_record_init (struct rst_scheduler *sched);
+void sched_record_clear (struct rst_scheduler *sched);
+void sched_record_new_life (struct rst_scheduler *sched);
+void sched_record_zone (struct rst_scheduler *sched,
+                        const struct rst_zone *zone);
+void sched_record_informed (struct rst_scheduler *sched,
+                            const struct peer *peer);
+enum record_check sched_record_check (struct query *query);
+void sched_record_ask (struct rst_scheduler *sched, uint64_t link,
+                       const struct rst_message *message);
+void sched_record_reply (struct rst_scheduler *sched, uint64_t link,
+                         const struct rst_message *message);
+
+/* used by sched_record.c */
+void sched_query_place (struct query *query);
+void sched_query_end (struct query *query, const struct rst_answer *answer);
+void sched_query_end_unsure (struct query *query, const char *detail);
+
 /* sched_task.c: tasks on owned workers */
 void sched_task_init (struct rst_scheduler *sched);
 void sched_task_clear (struct rst_scheduler *sched);
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -122,6 +122,14 @@
   U (rst_adopted, count),
 };
 
+static const struct field record_fields[] = {
+  T (rst_record_message, key),      U (rst_record_message, state),
+  U (rst_record_message, outcome),  U (rst_record_message, status),
+  T (rst_record_message, reason),   T (rst_record_message, detail),
+  T (rst_record_message, instance), U (rst_record_message, epoch),
+  D (rst_record_message, body),
+};
+
 #define LAYOUT(name, fields)                                                  \
   {                                                                           \
     name, fields, G_N_ELEMENTS (fields)                                       \
@@ -146,6 +154,8 @@
   [RST_ADOPTED] = LAYOUT ("adopted", adopted_fields),
   [RST_TASK_FIND] = LAYOUT ("task-find", task_event_fields),
   [RST_TASK_FOUND] = LAYOUT ("task-found", task_event_fields),
+  [RST_RECORD_ASK] = LAYOUT ("record-ask", record_fields),
+  [RST_RECORD] = LAYOUT ("record", record_fields),
 };
 
 /* All members of the union start at the same place. */
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -62,6 +62,8 @@
  * @RST_ADOPTED: What a new owner found running on a yielded instance.
  * @RST_TASK_FIND: Asks whether a task is known.
  * @RST_TASK_FOUND: The answer to it.
+ * @RST_RECORD_ASK: Asks whether a request id is known.
+ * @RST_RECORD: The answer to it.
  */
 enum rst_message_type
 {
@@ -83,6 +85,8 @@
   RST_ADOPTED,
   RST_TASK_FIND,
   RST_TASK_FOUND,
+  RST_RECORD_ASK,
+  RST_RECORD,
   RST_MESSAGE_TYPES,
 };
 
@@ -359,6 +363,44 @@
   uint64_t count;
 };
 
+/**
+ * enum rst_record_state - What is known of a request id.
+ * @RST_RECORD_NONE: Nothing.
+ * @RST_RECORD_RUNNING: It runs.
+ * @RST_RECORD_ENDED: It has ended.
+ */
+enum rst_record_state
+{
+  RST_RECORD_NONE,
+  RST_RECORD_RUNNING,
+  RST_RECORD_ENDED,
+};
+
+/**
+ * struct rst_record_message - What is known of a request id.
+ * @key: Team and request id.
+ * @state: A value of enum rst_record_state.
+ * @outcome: How it ended; this and the rest as in struct rst_answer.
+ * @status: HTTP status.
+ * @reason: A word naming the reason of a refusal.
+ * @detail: A sentence about it.
+ * @instance: Instance that ran it.
+ * @epoch: Epoch under which it was sent.
+ * @body: The runner's answer.
+ */
+struct rst_record_message
+{
+  char *key;
+  uint64_t state;
+  uint64_t outcome;
+  uint64_t status;
+  char *reason;
+  char *detail;
+  char *instance;
+  uint64_t epoch;
+  struct rst_blob body;
+};
+
 /**
  * struct rst_message - A message of any type.
  * @type: A value of enum rst_message_type.
@@ -382,6 +424,7 @@
     struct rst_task_start task_start;
     struct rst_task_event task_event;
     struct rst_adopted adopted;
+    struct rst_record_message record;
   };
 };
 
