--- a/src/coordination/sched_instance.c
+++ b/src/coordination/sched_instance.c
@@ -354,6 +354,7 @@
     }
   if (work->starting || work->ended)
     return;
+  work->unsure = false;
   if (reported->result != RST_TASK_RUNNING)
     sched_work_end (work, (uint64_t)reported->result);
 }
@@ -379,6 +380,8 @@
           if (work->adopted)
             sched_work_remove (work);
         }
+      else if (work->unsure)
+        sched_task_settle_unsure (work);
       else
         sched_work_end (work, RST_TASK_LOST);
       work = next;
@@ -484,6 +487,13 @@
   if (instance == NULL)
     return;
   instance->renewing = false;
+  if (reply->result == RST_PLATFORM_FENCED)
+    {
+      /* Another owns it; the ownership record will say so. */
+      instance->next_renew = sched_now (instance->sched)
+                             + instance->sched->config.task_lease_ms;
+      return;
+    }
   if (reply->result != RST_PLATFORM_OK)
     {
       instance->renewals_failed++;
@@ -515,10 +525,17 @@
 static bool
 leases_have_lapsed (const struct instance *instance)
 {
+  const struct work *work;
+
   const struct rst_scheduler *sched = instance->sched;
   rst_ms last = MAX (instance->last_renewal_at, instance->heard_at);
 
+  CK_LIST_FOREACH (work, &instance->work, entry)
+  if (work->starting)
+    return false;
+  /* Another owner, who would renew them, is ruled out by the tenure. */
   return instance->renewals_failed >= RENEWALS_MAX
+         && rst_tenure_held (sched->tenure, sched_now (sched))
          && sched_now (sched) - last
                 > sched->config.task_lease_ms + LEASE_MARGIN_MS;
 }
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -41,6 +41,9 @@
 /** How long a finished job is kept. */
 #define FINISHED_KEEP_MS 600000
 
+/** Time between two looks for all running tasks of a job. */
+#define RECONCILE_MS 30000
+
 /** Failures after which a task is not started again. */
 #define TASK_FAILURES_MAX 3
 
@@ -107,6 +110,7 @@
   rst_ms finished_at;
   rst_ms blocked_until;
   rst_ms find_next_at;
+  rst_ms reconcile_next_at;
   rst_ms ask_next_at;
   rst_ms cancel_next_at;
   rst_ms gang_since;
@@ -246,6 +250,7 @@
   job->record = *record;
   job->tasks = g_new0 (struct task, (gsize)record->spec.tasks);
   job->created_at = sched_now (sched);
+  job->reconcile_next_at = job->created_at + RECONCILE_MS;
   CK_STAILQ_INIT (&job->ends);
   for (int64_t i = 0; i < record->spec.tasks; i++)
     if (record->ended[i] != '.')
@@ -793,6 +798,7 @@
   message.task_start.run_ms = (uint64_t)spec->run_ms;
   message.task_start.deadline_ms = START_DEADLINE_MS;
   message.task_start.hold_only = hold_only;
+  message.task_start.run_once = spec->run_once;
   task->asked_at = sched_now (sched);
   sched_send (sched, link, &message);
 }
@@ -986,8 +992,11 @@
       restart_task (job, task, 0);
       break;
     default:
-      /* Its end or its discovery will be reported. */
-      set_state (job, task, TASK_RUNNING);
+      /* It may be at this holder or, if its instance has changed hands, at
+         another. */
+      task->inherited = event->attempt;
+      set_state (job, task, TASK_LOOKED_FOR);
+      sched_job_find_anew (job);
       break;
     }
 }
@@ -1096,6 +1105,31 @@
     }
 }
 
+/* Looks for all running tasks once in a while: one that was lost while its
+   instance changed hands is reported by nobody. */
+static void
+reconcile (struct job *job)
+{
+  rst_ms now = sched_now (job->sched);
+
+  if (now < job->reconcile_next_at)
+    return;
+  job->reconcile_next_at = now + sched_jitter (job->sched, RECONCILE_MS);
+  if (job->running == 0 || job->looked_for > 0)
+    return;
+  for (int64_t i = 0; i < job->record.spec.tasks; i++)
+    {
+      struct task *task = &job->tasks[i];
+
+      if (task->state != TASK_RUNNING)
+        continue;
+      if (task->inherited == 0)
+        task->inherited = full_attempt (job, task);
+      set_state (job, task, TASK_LOOKED_FOR);
+    }
+  sched_job_find_anew (job);
+}
+
 /* Running tasks whose holder is gone are reported by its successor, to whom
    stops must go. */
 static void
@@ -1287,6 +1321,7 @@
       extend_intent (job);
     }
   ask_again (job);
+  reconcile (job);
   find_tick (job);
 }
 
--- a/src/coordination/sched_task.c
+++ b/src/coordination/sched_task.c
@@ -352,6 +352,49 @@
       work->instance->epoch, work->info.id, false, on_stop_unsure, work);
 }
 
+/* The worker may have started this run-once task and have lost it since, so
+   the start is not sent again: its next report tells. */
+static void
+start_unsure (struct work *work)
+{
+  work->starting = false;
+  work->unsure = true;
+  work->started_at = sched_now (work->team->sched);
+  work->instance->next_renew = 0;
+  log_start (work, "Start of the task is unsure.", "no-answer");
+  reply_started (work, RST_TASK_UNSURE);
+}
+
+static void
+on_unsure_settled (const struct rst_platform_reply *reply, void *data)
+{
+  struct work *work = data;
+
+  work->calls--;
+  if (work->instance == NULL)
+    {
+      g_free (work);
+      return;
+    }
+  if (reply->result == RST_PLATFORM_NOT_FOUND)
+    sched_work_end (work, RST_TASK_LOST);
+  else if (reply->result == RST_PLATFORM_OK && reply->work_count == 1)
+    sched_work_end (work, (uint64_t)reply->work[0].result);
+}
+
+/* The worker did not report a task whose start is unsure: it is asked never
+   to start it. */
+void
+sched_task_settle_unsure (struct work *work)
+{
+  struct rst_scheduler *sched = work->team->sched;
+
+  work->calls++;
+  sched->platform->task_stop (
+      sched->platform_data, work->instance->info.address,
+      work->instance->epoch, work->info.id, false, on_unsure_settled, work);
+}
+
 static void
 start_confirmed (struct work *work)
 {
@@ -374,6 +417,9 @@
   struct rst_scheduler *sched = work->team->sched;
 
   work->calls--;
+  /* A start gives a lease as a renewal does. */
+  if (work->instance != NULL)
+    work->instance->last_renewal_at = sched_now (sched);
   if (work->instance != NULL)
     rst_breaker_result (&work->instance->breaker,
                         reply->result == RST_PLATFORM_OK, sched_now (sched));
@@ -386,6 +432,8 @@
       reply_started (work, RST_TASK_UNSURE);
       g_free (work);
     }
+  else if (work->run_once)
+    start_unsure (work);
   else if (sched_now (sched) < work->start_deadline && sched_may_start (sched))
     send_start (work);
   else
@@ -414,6 +462,7 @@
   work->reply_due = true;
   work->reply_link = link;
   work->reply_id = asked->id;
+  work->run_once = asked->task_start.run_once;
   work->start_deadline
       = sched_now (work->team->sched)
         + (rst_ms)MIN (asked->task_start.deadline_ms, INT32_MAX);
--- a/src/coordination/scheduler_private.h
+++ b/src/coordination/scheduler_private.h
@@ -169,6 +169,8 @@
   int calls;
   bool counted;
   bool starting;
+  bool run_once;
+  bool unsure;
   bool stopping;
   bool stop_wanted;
   bool stop_checkpoint;
@@ -505,6 +507,7 @@
 void sched_task_find (struct rst_scheduler *sched, uint64_t link,
                       const struct rst_message *message);
 void sched_task_tick (struct rst_scheduler *sched);
+void sched_task_settle_unsure (struct work *work);
 void sched_task_stop_work (struct work *work, bool checkpoint);
 
 /* sched_job.c: jobs owned by this scheduler */
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -108,6 +108,7 @@
   U (rst_task_start, cpu),          U (rst_task_start, memory_mb),
   U (rst_task_start, accelerators), U (rst_task_start, run_ms),
   U (rst_task_start, deadline_ms),  B (rst_task_start, hold_only),
+  B (rst_task_start, run_once),
 };
 
 static const struct field task_event_fields[] = {
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -314,6 +314,7 @@
  * @run_ms: Declared run time; 0 for a service.
  * @deadline_ms: Time left for the start.
  * @hold_only: Only hold the place; a later message starts the task.
+ * @run_once: A start whose outcome is unknown must not be sent again.
  */
 struct rst_task_start
 {
@@ -329,6 +330,7 @@
   uint64_t run_ms;
   uint64_t deadline_ms;
   bool hold_only;
+  bool run_once;
 };
 
 /**
