--- a/src/coordination/ownership.c
+++ b/src/coordination/ownership.c
@@ -101,6 +101,9 @@
   memset (owned, 0, sizeof *owned);
   g_strlcpy (owned->instance, instance, RST_NAME_SIZE);
   owned->settled = true;
+  /* An instance that was forgotten and is listed again has seen epochs, each
+     of them less than the revision that it was given in. */
+  owned->epoch = zone->revision;
   return owned;
 }
 
--- a/src/coordination/sched_instance.c
+++ b/src/coordination/sched_instance.c
@@ -203,6 +203,9 @@
   instance->next_inspect = 0;
   instance->heard_at = sched_now (sched);
   instance->renewals_failed = 0;
+  /* Calls made under the old epoch no longer report here. */
+  instance->inspecting = false;
+  instance->renewing = false;
   g_ptr_array_add (sched->owned, instance);
 }
 
--- a/src/coordination/sched_task.c
+++ b/src/coordination/sched_task.c
@@ -693,9 +693,13 @@
     if (zone->owned[i].owner[0] == '\0')
       return false;
   for (guint i = 0; i < sched->owned->len; i++)
-    if (((const struct instance *)g_ptr_array_index (sched->owned, i))->phase
-        == INSTANCE_ADOPTING)
-      return false;
+    {
+      const struct instance *instance = g_ptr_array_index (sched->owned, i);
+      bool runner = instance->listed && instance->info.kind == RST_RUNNER;
+
+      if (instance->phase == INSTANCE_ADOPTING && !runner)
+        return false;
+    }
   return true;
 }
 
