--- a/src/coordination/entry.c
+++ b/src/coordination/entry.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 
+#include "coordination/fault_private.h"
 #include "state/job.h"
 #include "state/json.h"
 #include "util/log.h"
@@ -437,7 +438,8 @@
     }
   reply.status = (unsigned)said->status;
   reply.body = said->body.data;
-  reply.length = said->body.length;
+  reply.length = RST_FAULT (RST_FAULT_CUT_ANSWER) ? said->body.length / 2
+                                                  : said->body.length;
   count_outcome (entry, RST_ANSWERED);
   entry->answer (pending->handle, &reply);
   forget_pending (entry, pending);
@@ -604,6 +606,15 @@
 {
   if (authorization == NULL || !g_str_has_prefix (authorization, BEARER))
     return NULL;
+  if (RST_FAULT (RST_FAULT_WITHDRAWN_KEY))
+    {
+      char **parts = g_strsplit (authorization + strlen (BEARER), "/", 2);
+      const struct rst_team *team
+          = rst_settings_team (entry->settings, parts[0]);
+
+      g_strfreev (parts);
+      return team;
+    }
   return rst_settings_key_team (entry->settings,
                                 authorization + strlen (BEARER));
 }
@@ -669,7 +680,8 @@
       return;
     }
   pending = add_pending (entry, handle, MIN (deadline_ms, bound));
-  query.team = g_strdup (team->name);
+  query.team
+      = g_strdup (RST_FAULT (RST_FAULT_WRONG_TEAM) ? "team0" : team->name);
   query.keyed = request->request_id != NULL;
   query.request_id = query.keyed
                          ? g_strdup (request->request_id)
--- a/src/coordination/sched_instance.c
+++ b/src/coordination/sched_instance.c
@@ -39,7 +39,8 @@
                        const struct instance *instance)
 {
   return instance->phase == INSTANCE_READY && !instance->yielding
-         && instance->listed && !instance->info.leaving
+         && instance->listed
+         && (!instance->info.leaving || RST_FAULT (RST_FAULT_LEAVING))
          && rst_breaker_allows (&instance->breaker, sched_now (sched));
 }
 
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -577,7 +577,7 @@
 static void
 lose_task (struct job *job, struct task *task)
 {
-  if (job->record.spec.run_once)
+  if (job->record.spec.run_once && !RST_FAULT (RST_FAULT_TASK_TWICE))
     end_task (job, task, 'u');
   else
     restart_task (job, task, 0);
--- a/src/coordination/sched_limit.c
+++ b/src/coordination/sched_limit.c
@@ -98,7 +98,7 @@
 {
   uint32_t upper = sched_limit_upper (team->sched, team->name);
 
-  if (upper == RST_NO_LIMIT)
+  if (upper == RST_NO_LIMIT || RST_FAULT (RST_FAULT_UPPER_LIMIT))
     return true;
   return team->used + team->away < MIN (team->granted, upper);
 }
--- a/src/coordination/sched_peer.c
+++ b/src/coordination/sched_peer.c
@@ -15,7 +15,7 @@
 #define CONNECT_EVERY_MS 500
 
 /** Digests that must differ before all branches are sent again. */
-#define MISMATCHES_FOR_ALL 3
+#define MISMATCHES_FOR_ALL 2
 
 struct peer *
 sched_peer_by_link (struct rst_scheduler *sched, uint64_t link)
--- a/src/coordination/sched_query.c
+++ b/src/coordination/sched_query.c
@@ -403,11 +403,14 @@
 run_failed (struct query *query, const struct rst_platform_reply *reply,
             const char *instance, uint64_t epoch)
 {
-  bool may_have_run = reply->result == RST_PLATFORM_UNKNOWN;
+  bool may_have_run = reply->result == RST_PLATFORM_UNKNOWN
+                      && !RST_FAULT (RST_FAULT_FALSE_REFUSAL);
 
   if (may_have_run)
     query->may_have_run = true;
-  if ((!may_have_run || query->idempotent) && retry (query))
+  if ((!may_have_run || query->idempotent
+       || RST_FAULT (RST_FAULT_REQUEST_TWICE))
+      && retry (query))
     return;
   if (may_have_run)
     end_unknown (query, STATUS_TIMEOUT, instance, epoch,
--- a/src/coordination/sched_store.c
+++ b/src/coordination/sched_store.c
@@ -60,6 +60,10 @@
 sched_branch (struct rst_scheduler *sched, const char *key, uint64_t revision,
               const char *value)
 {
+  if (RST_FAULT (RST_FAULT_OLD_SETTINGS) && revision % 3 == 0
+      && g_str_has_prefix (key, RST_KEY_SETTINGS))
+    return;
+
   GString *problems = g_string_new ("");
   int error
       = rst_settings_apply (sched->settings, key, revision, value, problems);
--- a/src/coordination/sched_task.c
+++ b/src/coordination/sched_task.c
@@ -186,6 +186,8 @@
 {
   const struct rst_instance_info *info = &instance->info;
 
+  if (RST_FAULT (RST_FAULT_OVERCOMMIT))
+    return info->kind == RST_WORKER;
   return info->kind == RST_WORKER
          && instance->cpu_used + (int64_t)task->cpu <= info->cpu
          && instance->memory_used + (int64_t)task->memory_mb <= info->memory_mb
--- a/src/coordination/scheduler.c
+++ b/src/coordination/scheduler.c
@@ -81,7 +81,8 @@
 sched_may_start (const struct rst_scheduler *sched)
 {
   return !sched->stopping
-         && !rst_settings_zone_out (sched->settings, sched->config.zone)
+         && (RST_FAULT (RST_FAULT_ZONE_OUT)
+             || !rst_settings_zone_out (sched->settings, sched->config.zone))
          && rst_tenure_held (sched->tenure, sched_now (sched));
 }
 
@@ -317,6 +318,10 @@
 
   if (now - sched->stop_at > SCHED_DRAIN_MS)
     busy = false;
+  if (RST_FAULT (RST_FAULT_NEVER_STOPS))
+    return;
+  if (now - sched->stop_at > SCHED_STOP_MS)
+    sched->stopped = true;
   if (!busy && sched->stop_given && !sched->zone_writer.busy)
     sched->stopped = true;
 }
--- a/src/coordination/scheduler_private.h
+++ b/src/coordination/scheduler_private.h
@@ -7,6 +7,7 @@
 #include <ck_queue.h>
 #include <glib.h>
 
+#include "coordination/fault_private.h"
 #include "coordination/scheduler.h"
 #include "state/json.h"
 #include "util/log.h"
@@ -15,7 +16,7 @@
 #define SCHED_RETRY_MS 500
 
 /** Longest wait of one watch. */
-#define SCHED_WATCH_MS 25000
+#define SCHED_WATCH_MS 10000
 
 /** Time between two requests for promises. */
 #define SCHED_PROMISE_EVERY_MS 500
@@ -55,6 +56,9 @@
 /** Longest time that a planned stop waits for running queries. */
 #define SCHED_DRAIN_MS 20000
 
+/** Longest time that a planned stop takes, even without the store. */
+#define SCHED_STOP_MS 22000
+
 struct peer
 {
   uint64_t link;
--- a/test/fuzz/fuzz.cc
+++ b/test/fuzz/fuzz.cc
@@ -56,17 +56,19 @@
   FAILING,
   SOUND,
   REBOOT,
+  CALM,
   KINDS,
 };
 
-const char *const kind_names[KINDS] = {
-  "advance",      "request",    "repeat",       "submit",     "cancel",
-  "crash",        "restart",    "pause",        "resume",     "stop",
-  "cut-zones",    "join-zones", "cut-store",    "join-store", "silence-link",
-  "store-down",   "store-up",   "lose-answers", "slow-calls", "duplicates",
-  "fair-weather", "set-limit",  "withdraw-key", "zone-out",   "zone-in",
-  "leaving",      "back",       "failing",      "sound",      "reboot"
-};
+const char *const kind_names[KINDS]
+    = { "advance",      "request",      "repeat",       "submit",
+        "cancel",       "crash",        "restart",      "pause",
+        "resume",       "stop",         "cut-zones",    "join-zones",
+        "cut-store",    "join-store",   "silence-link", "store-down",
+        "store-up",     "lose-answers", "slow-calls",   "duplicates",
+        "fair-weather", "set-limit",    "withdraw-key", "zone-out",
+        "zone-in",      "leaving",      "back",         "failing",
+        "sound",        "reboot",       "calm" };
 
 struct Command
 {
@@ -100,6 +102,7 @@
                       STORE_DOWN) },
         { 3, element (LOSE_ANSWERS, SLOW_CALLS, DUPLICATES) },
         { 4, element (SET_LIMIT, WITHDRAW_KEY) },
+        { 1, just (CALM) },
         { 4, element (ZONE_IN, BACK, SOUND) },
         { 2, element (ZONE_OUT, LEAVING, FAILING, REBOOT) } });
 
@@ -110,6 +113,9 @@
 /* Longest deadline and the time for which an answer is kept. */
 constexpr ms RECORD_WINDOW_MS = 130000;
 
+/* Longer than the oracle's time for changes after faults. */
+constexpr ms CALM_MS = 11000;
+
 /* A limit that lets all due work start. */
 constexpr int64_t LIMIT_AT_END = 400;
 
@@ -180,6 +186,9 @@
                          c.a % 4 == 0, c.a % 17 == 0 ? 1500 : 5 + c.a % 100,
                          200 + c.b % 5000);
         break;
+      case CALM:
+        calm (c);
+        break;
       case REPEAT:
         world.repeat (c.a, std::max (1, world.last_request () - c.b % 20));
         break;
@@ -200,6 +209,22 @@
       }
   }
 
+  /* Faults heal, changes have their time, then work comes again: rules with
+     a time bound apply to it. */
+  void
+  calm (const Command &c)
+  {
+    world.heal_faults ();
+    world.advance (CALM_MS);
+    for (int t = 0; t < world.shape.teams; t++)
+      {
+        world.request (c.a + t, t, false, false, 10, 2000);
+        world.request_with_old_key (c.b + t, t);
+        world.submit (c.a + t, t, 0, 2, 500, 200, false);
+      }
+    world.advance (1000);
+  }
+
   Node *
   any_node (int which)
   {
@@ -446,6 +471,7 @@
 
 #ifdef RST_FAULTS
 extern "C" int rst_fault;
+int rst_fault = 0;
 #endif
 
 static void
--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -690,6 +690,7 @@
 {
   if (!node->alive ())
     return;
+  node->stopping = false;
   if (node->paused)
     resume (node);
   fault ("down " + node->name, true);
@@ -733,6 +734,7 @@
   if (!node->alive () || node->paused)
     return;
   node->paused = true;
+  oracle.stop_done (node->name, now);
   fault ("pause " + node->name, true);
 }
 
@@ -748,6 +750,9 @@
   deferred.swap (node->deferred);
   for (auto &what : deferred)
     what ();
+  /* A stop's time runs while the process does. */
+  if (node->stopping && node->alive ())
+    oracle.stop_asked (node->name, now);
 }
 
 void
@@ -1296,7 +1301,7 @@
 }
 
 void
-World::heal ()
+World::heal_faults ()
 {
   for (int a = 0; a < shape.zones; a++)
     {
@@ -1311,6 +1316,12 @@
       resume (node.get ());
       restart (node.get ());
     }
+}
+
+void
+World::heal ()
+{
+  heal_faults ();
   for (int i = 0; i < instances (); i++)
     {
       set_failing (i, false);
@@ -1369,7 +1380,10 @@
   if (put_setting (std::string (RST_KEY_TEAMS) + name, text))
     {
       if (keys_.count (team) > 0 && keys_[team] != key)
-        oracle.key_withdrawn (keys_[team], now);
+        {
+          oracle.key_withdrawn (keys_[team], now);
+          old_keys_[team] = keys_[team];
+        }
       keys_[team] = key;
       oracle.key_granted (name, key);
       oracle.limit_set (name, limit, now);
@@ -1487,6 +1501,18 @@
   return number;
 }
 
+void
+World::request_with_old_key (int entry, int team)
+{
+  std::string present = keys_[team];
+
+  if (old_keys_.count (team) == 0)
+    return;
+  keys_[team] = old_keys_[team];
+  request (entry, team, false, false, 10, 2000);
+  keys_[team] = present;
+}
+
 void
 World::answer (int number, const struct rst_entry_reply *reply)
 {
@@ -1667,6 +1693,7 @@
   expire ();
   std::function<void ()> *watch = new std::function<void ()>;
   *watch = [this, watch] {
+    oracle.check_stops (now);
     for (auto &node : nodes_)
       if (node->alive () && !node->paused)
         {
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -180,6 +180,7 @@
   void store_down (bool down);
   void set_weather (int lose_answer, int slow_call, int duplicate);
   void reboot (int instance);
+  void heal_faults ();
   void heal ();
 
   /* Operators and callers. */
@@ -192,6 +193,7 @@
   int request (int entry, int team, bool idempotent, bool keyed, ms run_ms,
                ms deadline);
   void repeat (int entry, int request);
+  void request_with_old_key (int entry, int team);
   int submit (int entry, int team, int policy, int tasks, int64_t cpu,
               ms run_ms, bool run_once);
   void cancel (int entry, int job);
@@ -317,6 +319,7 @@
   std::set<int> cut_store_;
   std::map<int, Caller> callers_;
   std::map<int, std::string> keys_;
+  std::map<int, std::string> old_keys_;
   std::map<int, int> key_number_;
   std::map<std::string, std::pair<bool, bool> > zone_state_;
   std::map<int, std::string> jobs_;
