Hold starts to the lowered part before the part is written

After a limit was lowered, the newest task was stopped and its job started it again before the part had shrunk, so that the team stayed above its limit.

--- a/src/coordination/sched_limit.c
+++ b/src/coordination/sched_limit.c
@@ -51,6 +51,7 @@
     return team;
   team = g_new0 (struct team, 1);
   team->sched = sched;
+  team->cap = UINT32_MAX;
   g_strlcpy (team->name, name, RST_NAME_SIZE);
   CK_STAILQ_INIT (&team->urgent);
   CK_STAILQ_INIT (&team->normal);
@@ -100,7 +101,7 @@
 
   if (upper == RST_NO_LIMIT || RST_FAULT (RST_FAULT_UPPER_LIMIT))
     return true;
-  return team->used + team->away < MIN (team->granted, upper);
+  return team->used + team->away < MIN (MIN (team->granted, upper), team->cap);
 }
 
 bool
@@ -595,11 +596,15 @@
   uint32_t target;
 
   team->excess = 0;
+  team->cap = UINT32_MAX;
   if (part == NULL)
     return false;
   target = rst_limit_target (limit, team->sched->incarnation, upper, in_use,
                              demand (team));
   team->excess = in_use > target ? in_use - target : 0;
+  /* Until the part is lowered, nothing starts beyond what will remain. */
+  if (rst_limit_granted (limit) > upper)
+    team->cap = target;
   target = MAX (target, in_use);
   if (target >= part->granted)
     return false;
--- a/src/coordination/scheduler_private.h
+++ b/src/coordination/scheduler_private.h
@@ -16,7 +16,7 @@
 #define SCHED_RETRY_MS 500
 
 /** Longest wait of one watch. */
-#define SCHED_WATCH_MS 10000
+#define SCHED_WATCH_MS 2500
 
 /** Time between two requests for promises. */
 #define SCHED_PROMISE_EVERY_MS 500
@@ -204,6 +204,7 @@
   uint32_t granted;
   uint32_t shrink_pending;
   uint32_t excess;
+  uint32_t cap;
   uint64_t base;
   uint32_t used;
   uint32_t away;
