--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -25,7 +26,7 @@
   struct rst_http_server *server;
   struct MHD_Connection *connection;
   /* Set by the thread that replies, read by the server's. */
-  _Atomic enum request_state state;
+  atomic_int state;
   char *method;
   char *path;
   GString *body;
@@ -143,7 +144,7 @@
     }
   if (*size > 0)
     return read_body (request, data, size);
-  switch (request->state)
+  switch ((enum request_state)atomic_load (&request->state))
     {
     case REQUEST_TOO_LARGE:
       return refuse_too_large (request);
