--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -908,7 +908,11 @@
     copies = 2;
   for (int i = 0; i < copies; i++)
     {
-      auto copy = std::make_shared<struct rst_message> ();
+      std::shared_ptr<struct rst_message> copy (
+          new struct rst_message (), [] (struct rst_message *owned) {
+            rst_message_clear (owned);
+            delete owned;
+          });
       ms delay = 1 + pick (3) + (i > 0 ? pick (200) : 0);
       ms due = now + delay;
 
@@ -923,16 +927,12 @@
         uint64_t here = link->id[to];
 
         if (!link->open)
-          {
-            rst_message_clear (copy.get ());
-            return;
-          }
+          return;
         deliver (node, link->life[to], [node, here, copy] {
           if (node->is_entry)
             rst_entry_message (node->entry, here, copy.get ());
           else
             rst_scheduler_message (node->scheduler, here, copy.get ());
-          rst_message_clear (copy.get ());
         });
       });
     }
