Move as much of a handed-over part as is held

When a part had shrunk below what still ran on an instance handed over, nothing of it was moved to the new owner, and the old one could use it again.

--- a/src/coordination/sched_limit.c
+++ b/src/coordination/sched_limit.c
@@ -226,9 +226,9 @@
 
       if (strcmp (away->instance, instance) == 0)
         {
-          uint32_t moved = MIN (away->count, count);
+          uint32_t moved = MIN (MIN (away->count, count), team->granted);
 
-          if (moved > 0 && team->granted >= moved)
+          if (moved > 0)
             {
               /* No longer usable here, from before the write is sent. */
               team->granted -= moved;
