Remove functions and a field that nothing used

Cause: reading the whole change again: sched_job_link_closed did nothing, sched_job_idle had no caller, a query's arrival was stored and never read.

--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -1065,14 +1065,6 @@
     task_found (sched, job, link, message);
 }
 
-void
-sched_job_link_closed (struct rst_scheduler *sched, uint64_t link)
-{
-  (void)sched;
-  (void)link;
-  /* Unanswered starts are asked for again under the same id. */
-}
-
 /* Asks again for starts that were not answered: the holder may have lost the
    request or its link, and runs one id once. */
 static void
@@ -1803,12 +1795,6 @@
   g_hash_table_remove (sched->job_forwards, &message->id);
 }
 
-bool
-sched_job_idle (const struct rst_scheduler *sched)
-{
-  return g_hash_table_size (sched->jobs) == 0;
-}
-
 void
 sched_job_status (struct rst_scheduler *sched, struct json_object *root)
 {
--- a/src/coordination/sched_query.c
+++ b/src/coordination/sched_query.c
@@ -757,7 +757,6 @@
   query->idempotent = asked->idempotent;
   query->urgent = asked->urgent;
   query->hops = asked->hops;
-  query->arrived_at = now;
   query->deadline
       = now + MIN ((rst_ms)MIN (asked->deadline_ms, INT32_MAX), bound);
   g_strlcpy (query->request_id, asked->request_id, sizeof query->request_id);
--- a/src/coordination/scheduler.c
+++ b/src/coordination/scheduler.c
@@ -365,7 +365,6 @@
   if (peer != NULL)
     {
       sched_query_link_closed (sched, link);
-      sched_job_link_closed (sched, link);
       g_hash_table_remove (sched->peers, &link);
     }
   run_local (sched);
--- a/src/coordination/scheduler_private.h
+++ b/src/coordination/scheduler_private.h
@@ -246,7 +246,6 @@
   bool urgent;
   uint64_t hops;
   rst_ms deadline;
-  rst_ms arrived_at;
   struct rst_blob body;
   int asked;
   rst_ms ask_until;
@@ -525,14 +524,12 @@
                       const struct rst_message *message);
 void sched_job_task_event (struct rst_scheduler *sched, uint64_t link,
                            const struct rst_message *message);
-void sched_job_link_closed (struct rst_scheduler *sched, uint64_t link);
 void sched_job_tenure_lost (struct rst_scheduler *sched);
 void sched_job_members_changed (struct rst_scheduler *sched);
 void sched_job_find_anew (struct job *job);
 void sched_job_remember_forward (struct rst_scheduler *sched, uint64_t id,
                                  uint64_t to, uint64_t link,
                                  uint64_t caller_id);
-bool sched_job_idle (const struct rst_scheduler *sched);
 void sched_job_status (struct rst_scheduler *sched, struct json_object *root);
 
 #endif
