--- /dev/null
+++ b/src/cell/agent.c
@@ -0,0 +1,452 @@
+#include "cell/agent.h"
+
+#include <string.h>
+
+#include "util/log.h"
+
+#define LOG_PREFIX "agent"
+
+/** How long a look waits for an end, in milliseconds. */
+#define LOOK_WAIT_MS 1000
+
+/** Pause after a look that failed, in milliseconds. */
+#define LOOK_AGAIN_MS 300
+
+/** Longest wait for the planner to store listed ends, in milliseconds. */
+#define ACK_WAIT_MS 800
+
+/** Longest time without anything due, in milliseconds. */
+#define IDLE_MS 1000
+
+struct held
+{
+  struct rst_agent *agent;
+  char id[RST_ID_SIZE];
+  char address[RST_ADDRESS_SIZE];
+  int64_t fence;
+  int64_t last_seen;
+  int64_t listed;
+  int64_t born;
+  int64_t clock_ms;
+  rst_ms clock_at;
+  rst_ms lease_until;
+  bool looking;
+  bool dropped;
+  rst_ms next_look;
+};
+
+struct rst_agent
+{
+  struct rst_agent_config config;
+  GHashTable *held;
+  rst_ms confirmed_at;
+};
+
+/* An order under way. */
+struct order
+{
+  struct rst_agent *agent;
+  int kind;
+  char id[RST_ID_SIZE];
+  char task[RST_TASK_NAME_SIZE];
+  int attempt;
+};
+
+/* A call for advice under way. */
+struct question
+{
+  struct rst_agent *agent;
+  int64_t handle;
+};
+
+struct rst_agent *
+rst_agent_create (const struct rst_agent_config *config)
+{
+  struct rst_agent *agent = g_new0 (struct rst_agent, 1);
+
+  agent->config = *config;
+  agent->held = g_hash_table_new (g_str_hash, g_str_equal);
+  return agent;
+}
+
+void
+rst_agent_destroy (struct rst_agent *agent)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (agent == NULL)
+    return;
+  g_hash_table_iter_init (&iter, agent->held);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_free (value);
+  g_hash_table_destroy (agent->held);
+  g_free (agent);
+}
+
+static void
+send_pack (struct rst_agent *agent, struct rst_pack *pack)
+{
+  agent->config.send (agent->config.userdata, pack->buffer.data,
+                      pack->buffer.size);
+  rst_pack_clear (pack);
+}
+
+/* End of the lease on the instance's clock, or 0 when it may not be
+   extended or its clock is not known. */
+static int64_t
+deadline (struct held *held, rst_ms now)
+{
+  struct rst_agent *agent = held->agent;
+
+  if (held->clock_ms == 0 || now - agent->confirmed_at > agent->config.keep_ms)
+    return 0;
+  held->lease_until = now + agent->config.lease_ms;
+  return held->clock_ms + (now - held->clock_at) + agent->config.lease_ms;
+}
+
+static void
+pack_run (struct rst_pack *pack, const struct rst_run *run)
+{
+  rst_pack_array (pack, 6);
+  rst_pack_int (pack, run->number);
+  rst_pack_text (pack, run->task);
+  rst_pack_int (pack, run->attempt);
+  rst_pack_int (pack, run->how);
+  rst_pack_text (pack, run->saved);
+  rst_pack_int (pack, run->percent);
+}
+
+static void
+report (struct held *held, const struct rst_instance_answer *answer,
+        rst_ms now)
+{
+  struct rst_pack pack;
+
+  rst_pack_init (&pack, 7);
+  rst_pack_int (&pack, RST_MSG_REPORT);
+  rst_pack_text (&pack, held->id);
+  rst_pack_int (&pack, answer->result);
+  rst_pack_int (&pack, answer->clock_ms);
+  rst_pack_int (&pack, answer->born);
+  rst_pack_int (&pack, MAX (held->lease_until - now, 0));
+  rst_pack_array (&pack, answer->runs->len);
+  for (guint i = 0; i < answer->runs->len; i++)
+    pack_run (&pack, &g_array_index (answer->runs, struct rst_run, i));
+  send_pack (held->agent, &pack);
+}
+
+static void
+take_clock (struct held *held, const struct rst_instance_answer *answer,
+            rst_ms now)
+{
+  if (answer->clock_ms == 0)
+    return;
+  held->clock_ms = answer->clock_ms;
+  held->clock_at = now;
+}
+
+static void look (struct held *held, rst_ms now);
+
+static void
+take_look (struct held *held, const struct rst_instance_answer *answer,
+           rst_ms now)
+{
+  if (answer->born != held->born)
+    {
+      held->born = answer->born;
+      held->last_seen = 0;
+      held->listed = 0;
+    }
+  take_clock (held, answer, now);
+  for (guint i = 0; i < answer->runs->len; i++)
+    held->listed = MAX (
+        held->listed, g_array_index (answer->runs, struct rst_run, i).number);
+}
+
+static void
+on_look (struct rst_instance_answer *answer, void *userdata)
+{
+  struct held *held = userdata;
+  rst_ms now = held->agent->config.now ();
+
+  held->looking = false;
+  if (held->dropped)
+    {
+      g_free (held);
+      rst_instance_answer_free (answer);
+      return;
+    }
+  if (answer->result == RST_RESULT_OK)
+    take_look (held, answer, now);
+  report (held, answer, now);
+  if (answer->result != RST_RESULT_OK)
+    held->next_look = now + LOOK_AGAIN_MS;
+  else if (held->listed > held->last_seen)
+    held->next_look = now + ACK_WAIT_MS;
+  else
+    look (held, now);
+  rst_instance_answer_free (answer);
+}
+
+static void
+look (struct held *held, rst_ms now)
+{
+  struct rst_instance_call call = { 0 };
+  const struct rst_backend *backend = held->agent->config.backend;
+
+  call.id = held->id;
+  call.address = held->address;
+  call.fence = held->fence;
+  call.last_seen = held->last_seen;
+  call.deadline_ms = deadline (held, now);
+  /* Ends that wait to be stored would end the wait at once. */
+  if (held->clock_ms != 0 && held->listed <= held->last_seen)
+    call.wait_ms = LOOK_WAIT_MS;
+  held->looking = true;
+  backend->hold (backend->userdata, &call, on_look, held);
+}
+
+static void
+drop (struct rst_agent *agent, const char *id)
+{
+  struct held *held = g_hash_table_lookup (agent->held, id);
+
+  if (held == NULL)
+    return;
+  g_hash_table_remove (agent->held, id);
+  held->dropped = true;
+  if (!held->looking)
+    g_free (held);
+}
+
+static void
+hold (struct rst_agent *agent, struct rst_reader *reader)
+{
+  char id[RST_ID_SIZE];
+  char address[RST_ADDRESS_SIZE];
+  struct held *held;
+  int64_t fence;
+  int64_t last_seen;
+
+  rst_reader_copy (reader, id, sizeof id);
+  rst_reader_copy (reader, address, sizeof address);
+  fence = rst_reader_int (reader);
+  last_seen = rst_reader_int (reader);
+  if (reader->bad)
+    return;
+  held = g_hash_table_lookup (agent->held, id);
+  if (held != NULL
+      && (held->fence != fence || strcmp (held->address, address) != 0))
+    {
+      /* A look under the earlier token must not be taken for a new one. */
+      drop (agent, id);
+      held = NULL;
+    }
+  if (held == NULL)
+    {
+      held = g_new0 (struct held, 1);
+      held->agent = agent;
+      g_strlcpy (held->id, id, sizeof held->id);
+      g_strlcpy (held->address, address, sizeof held->address);
+      g_hash_table_insert (agent->held, held->id, held);
+    }
+  held->fence = fence;
+  held->last_seen = MAX (held->last_seen, last_seen);
+  if (!held->looking)
+    look (held, agent->config.now ());
+}
+
+static void
+ack (struct rst_agent *agent, struct rst_reader *reader)
+{
+  char id[RST_ID_SIZE];
+  struct held *held;
+  int64_t number;
+
+  rst_reader_copy (reader, id, sizeof id);
+  number = rst_reader_int (reader);
+  held = g_hash_table_lookup (agent->held, id);
+  if (reader->bad || held == NULL || number > held->listed)
+    return;
+  held->last_seen = MAX (held->last_seen, number);
+  if (!held->looking)
+    look (held, agent->config.now ());
+}
+
+static void
+answer_order (const struct order *order, enum rst_result result,
+              int64_t clock_ms)
+{
+  struct rst_pack pack;
+
+  rst_pack_init (&pack, 6);
+  rst_pack_int (&pack, order->kind);
+  rst_pack_text (&pack, order->id);
+  rst_pack_text (&pack, order->task);
+  rst_pack_int (&pack, order->attempt);
+  rst_pack_int (&pack, result);
+  rst_pack_int (&pack, clock_ms);
+  send_pack (order->agent, &pack);
+}
+
+static void
+on_order (struct rst_instance_answer *answer, void *userdata)
+{
+  struct order *order = userdata;
+
+  answer_order (order, answer->result, answer->clock_ms);
+  rst_instance_answer_free (answer);
+  g_free (order);
+}
+
+static void
+carry (struct rst_agent *agent, int kind, struct rst_reader *reader)
+{
+  const struct rst_backend *backend = agent->config.backend;
+  struct order *order = g_new0 (struct order, 1);
+  struct rst_instance_call call = { 0 };
+  struct held *held;
+  char *spec = NULL;
+  char *saved = NULL;
+  char *ticket = NULL;
+
+  order->agent = agent;
+  order->kind = kind == RST_MSG_START ? RST_MSG_STARTED : RST_MSG_STOPPED;
+  rst_reader_copy (reader, order->id, sizeof order->id);
+  rst_reader_copy (reader, order->task, sizeof order->task);
+  order->attempt = (int)rst_reader_int (reader);
+  held = g_hash_table_lookup (agent->held, order->id);
+  if (held == NULL || reader->bad)
+    {
+      answer_order (order, RST_RESULT_NOT_SENT, 0);
+      g_free (order);
+      return;
+    }
+  call.id = held->id;
+  call.address = held->address;
+  call.fence = held->fence;
+  call.task = order->task;
+  call.attempt = order->attempt;
+  if (kind == RST_MSG_START)
+    {
+      call.spec = spec = rst_reader_text (reader);
+      call.checkpoint = saved = rst_reader_text (reader);
+      call.ticket = ticket = rst_reader_text (reader);
+      call.deadline_ms = deadline (held, agent->config.now ());
+      backend->start (backend->userdata, &call, on_order, order);
+    }
+  else
+    backend->stop (backend->userdata, &call, on_order, order);
+  g_free (spec);
+  g_free (saved);
+  g_free (ticket);
+}
+
+static void
+on_advice (struct rst_advice_answer *answer, void *userdata)
+{
+  struct question *question = userdata;
+  struct rst_pack pack;
+
+  rst_pack_init (&pack, 4);
+  rst_pack_int (&pack, RST_MSG_ADVICE);
+  rst_pack_int (&pack, question->handle);
+  rst_pack_int (&pack, answer->result);
+  rst_pack_array (&pack, answer->tickets->len);
+  for (guint i = 0; i < answer->tickets->len; i++)
+    {
+      const struct rst_ticket *ticket
+          = &g_array_index (answer->tickets, struct rst_ticket, i);
+
+      rst_pack_array (&pack, 2);
+      rst_pack_text (&pack, ticket->id);
+      rst_pack_text (&pack, ticket->ticket);
+    }
+  send_pack (question->agent, &pack);
+  rst_advice_answer_free (answer);
+  g_free (question);
+}
+
+static void
+ask (struct rst_agent *agent, struct rst_reader *reader)
+{
+  const struct rst_backend *backend = agent->config.backend;
+  struct question *question = g_new0 (struct question, 1);
+  GPtrArray *ids = g_ptr_array_new_with_free_func (g_free);
+  struct rst_reader rows;
+  char *step;
+
+  question->agent = agent;
+  question->handle = rst_reader_int (reader);
+  step = rst_reader_text (reader);
+  rows = rst_reader_array (reader);
+  for (uint32_t i = 0; i < rows.count; i++)
+    g_ptr_array_add (ids, rst_reader_text (&rows));
+  backend->advise (backend->userdata, step, (const char *const *)ids->pdata,
+                   (int)ids->len, on_advice, question);
+  g_ptr_array_free (ids, TRUE);
+  g_free (step);
+}
+
+void
+rst_agent_message (struct rst_agent *agent, int kind,
+                   struct rst_reader *reader)
+{
+  char id[RST_ID_SIZE];
+
+  switch (kind)
+    {
+    case RST_MSG_HOLD:
+      hold (agent, reader);
+      break;
+    case RST_MSG_DROP:
+      rst_reader_copy (reader, id, sizeof id);
+      drop (agent, id);
+      break;
+    case RST_MSG_START:
+    case RST_MSG_STOP:
+      carry (agent, kind, reader);
+      break;
+    case RST_MSG_ACK:
+      ack (agent, reader);
+      break;
+    case RST_MSG_ADVISE:
+      ask (agent, reader);
+      break;
+    default:
+      rst_warning (LOG_PREFIX, "Message of an unknown kind was ignored.");
+      break;
+    }
+}
+
+void
+rst_agent_alive (struct rst_agent *agent, rst_ms store_age_ms)
+{
+  rst_ms confirmed = agent->config.now () - store_age_ms;
+
+  agent->confirmed_at = MAX (agent->confirmed_at, confirmed);
+}
+
+rst_ms
+rst_agent_run (struct rst_agent *agent)
+{
+  rst_ms now = agent->config.now ();
+  rst_ms wake = now + IDLE_MS;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->held);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct held *held = value;
+
+      if (held->looking)
+        continue;
+      if (now >= held->next_look)
+        look (held, now);
+      else
+        wake = MIN (wake, held->next_look);
+    }
+  return wake;
+}
--- /dev/null
+++ b/src/cell/plan_advice.c
@@ -0,0 +1,344 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell/planner_private.h"
+
+/** Calls longer than this are kept off some agents, in milliseconds. */
+#define LONG_CALL_MS 60
+
+/** A short call may queue behind this many others at its agent. */
+#define SHORT_QUEUE_MAX 2
+
+/** Least and largest number of instances named in one call. */
+#define NAMED_MIN 3
+#define NAMED_MAX 48
+
+/** Places asked for, as a multiple of those needed. */
+#define PLACES_FACTOR 1.3
+
+/** Weight of a new answer in the learned share of approvals. */
+#define APPROVAL_WEIGHT 0.1
+
+/** Time left that a ticket must have to be used, in milliseconds. */
+#define TICKET_MARGIN_MS 60
+
+/** Pause before a step asks again after an answer brought it nothing. */
+#define ASK_AGAIN_MS 20
+
+/** Pause after a call that failed, in milliseconds. */
+#define ASK_FAILED_MS 100
+
+/** A call without an answer is given up after this, in milliseconds. */
+#define ASK_LOST_MS 5000
+
+void
+rst_plan_ask_free (gpointer data)
+{
+  struct ask *ask = data;
+
+  g_ptr_array_free (ask->ids, TRUE);
+  g_free (ask);
+}
+
+const char *
+rst_plan_ticket (const struct rst_planner *planner, const struct step *step,
+                 const struct instance *instance)
+{
+  struct leave *leave;
+
+  if (!step->occurrence->job->queue->set.advised)
+    return "";
+  leave = g_hash_table_lookup (step->leaves, instance->entry.id);
+  if (leave == NULL || leave->denied || leave->born != instance->born
+      || leave->expires <= planner->now)
+    return NULL;
+  return leave->ticket;
+}
+
+struct candidate
+{
+  struct instance *instance;
+  int slots;
+  double chance;
+  double score;
+};
+
+static gint
+by_score (gconstpointer a, gconstpointer b)
+{
+  double left = ((const struct candidate *)a)->score;
+  double right = ((const struct candidate *)b)->score;
+
+  return left < right ? -1 : left > right;
+}
+
+/* Instances with room now that the step might use and has no valid ticket
+   for. */
+static GArray *
+candidates (struct rst_planner *planner, const struct step *step)
+{
+  GArray *found = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  double approval = step->occurrence->job->queue->approval;
+  bool gang = step->spec->gang;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, planner->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct candidate candidate = { value, 0, approval, 0.0 };
+      struct instance *instance = value;
+      struct leave *leave
+          = g_hash_table_lookup (step->leaves, instance->entry.id);
+
+      if (!rst_plan_allowed (planner, instance, step)
+          || (leave != NULL && leave->denied))
+        continue;
+      candidate.slots = rst_plan_slots (instance, step);
+      if (candidate.slots == 0)
+        continue;
+      if (leave != NULL)
+        candidate.chance = 1.0;
+      /* A gang needs many places; single tasks take the tightest fit. */
+      candidate.score
+          = gang ? -candidate.slots * candidate.chance
+                 : (double)(instance->entry.room.cpu - instance->used.cpu)
+                       - 100000.0 * (candidate.chance >= 1.0);
+      candidate.score += 4000.0 * MIN (instance->failures, 4);
+      g_array_append_val (found, candidate);
+    }
+  g_array_sort (found, by_score);
+  return found;
+}
+
+/* How many of the first candidates to name, or 0 when there is no point. */
+static int
+count_named (const GArray *found, const struct step *step, int tasks)
+{
+  double expected = 0.0;
+  double wanted = tasks * PLACES_FACTOR;
+  int named = 0;
+
+  for (guint i = 0; i < found->len && named < NAMED_MAX; i++)
+    {
+      struct candidate candidate = g_array_index (found, struct candidate, i);
+
+      if (named >= NAMED_MIN && expected >= wanted)
+        break;
+      expected += candidate.slots * candidate.chance;
+      named++;
+    }
+  if (step->spec->gang && expected < tasks * 0.8)
+    return 0;
+  return named;
+}
+
+/* The agent that will answer first.  Long calls leave some agents free. */
+static struct agent *
+choose_agent (struct rst_planner *planner, int64_t cost_ms)
+{
+  struct agent *best = NULL;
+  guint long_calls = 0;
+
+  for (guint i = 0; i < planner->agents->len; i++)
+    {
+      struct agent *agent = g_ptr_array_index (planner->agents, i);
+
+      if (agent->asking > 0 && agent->busy_until - planner->now > LONG_CALL_MS)
+        long_calls++;
+      if (cost_ms > LONG_CALL_MS ? agent->asking > 0
+                                 : agent->asking > SHORT_QUEUE_MAX)
+        continue;
+      if (best == NULL
+          || MAX (agent->busy_until, planner->now)
+                 < MAX (best->busy_until, planner->now))
+        best = agent;
+    }
+  if (cost_ms > LONG_CALL_MS && planner->agents->len > 2
+      && long_calls + 1 + planner->agents->len / 4 > planner->agents->len)
+    return NULL;
+  return best;
+}
+
+static void
+send_ask (struct rst_planner *planner, struct ask *ask)
+{
+  struct rst_pack pack;
+  char name[RST_TASK_NAME_SIZE];
+
+  g_snprintf (name, sizeof name, "%s.%" PRId64 ".%d", ask->id, ask->occurrence,
+              ask->step);
+  rst_pack_init (&pack, 4);
+  rst_pack_int (&pack, RST_MSG_ADVISE);
+  rst_pack_int (&pack, (int64_t)ask->handle);
+  rst_pack_text (&pack, name);
+  rst_pack_array (&pack, ask->ids->len);
+  for (guint i = 0; i < ask->ids->len; i++)
+    rst_pack_text (&pack, g_ptr_array_index (ask->ids, i));
+  planner->ops.send (planner->ops.userdata, ask->link, pack.buffer.data,
+                     pack.buffer.size);
+  rst_pack_clear (&pack);
+}
+
+void
+rst_plan_ask (struct rst_planner *planner, struct step *step, int tasks)
+{
+  const struct job *job = step->occurrence->job;
+  GArray *found;
+  int named;
+  int64_t cost_ms;
+  struct agent *agent;
+  struct ask *ask;
+
+  if (step->asking || planner->now < step->ask_after
+      || !rst_plan_below_limit (step, step->spec->gang ? tasks : 1))
+    return;
+  found = candidates (planner, step);
+  named = count_named (found, step, tasks);
+  cost_ms = job->queue->set.advice_ms
+            + named * job->queue->set.advice_each_us / 1000;
+  agent = named > 0 ? choose_agent (planner, cost_ms) : NULL;
+  if (agent == NULL)
+    {
+      g_array_free (found, TRUE);
+      return;
+    }
+  ask = g_new0 (struct ask, 1);
+  ask->handle = planner->next_handle++;
+  g_strlcpy (ask->id, job->id, sizeof ask->id);
+  ask->occurrence = step->occurrence->number;
+  ask->step = step->index;
+  ask->link = agent->link;
+  ask->cost_ms = cost_ms;
+  ask->sent_at = planner->now;
+  ask->ids = g_ptr_array_new_with_free_func (g_free);
+  for (int i = 0; i < named; i++)
+    g_ptr_array_add (
+        ask->ids,
+        g_strdup (
+            g_array_index (found, struct candidate, i).instance->entry.id));
+  agent->asking++;
+  agent->busy_until = MAX (agent->busy_until, planner->now) + cost_ms;
+  step->asking = true;
+  g_hash_table_insert (planner->asks, &ask->handle, ask);
+  send_ask (planner, ask);
+  g_array_free (found, TRUE);
+}
+
+static struct step *
+find_step (struct rst_planner *planner, const struct ask *ask)
+{
+  struct job *job = g_hash_table_lookup (planner->jobs, ask->id);
+  struct occurrence *occurrence
+      = job != NULL ? rst_plan_occurrence (job, ask->occurrence) : NULL;
+
+  return occurrence != NULL ? &occurrence->steps[ask->step] : NULL;
+}
+
+static void
+end_ask (struct rst_planner *planner, struct ask *ask, rst_ms pause_ms)
+{
+  struct step *step = find_step (planner, ask);
+
+  if (step != NULL)
+    {
+      step->asking = false;
+      step->ask_after = planner->now + pause_ms;
+    }
+  for (guint i = 0; i < planner->agents->len; i++)
+    {
+      struct agent *agent = g_ptr_array_index (planner->agents, i);
+
+      if (agent->link == ask->link && --agent->asking <= 0)
+        {
+          agent->asking = 0;
+          agent->busy_until = planner->now;
+        }
+    }
+  g_hash_table_remove (planner->asks, &ask->handle);
+  planner->changed = true;
+}
+
+void
+rst_plan_asks_of_link_end (struct rst_planner *planner, uint64_t link)
+{
+  GList *asks = g_hash_table_get_values (planner->asks);
+
+  for (GList *item = asks; item != NULL; item = item->next)
+    {
+      struct ask *ask = item->data;
+
+      if (ask->link == link)
+        end_ask (planner, ask, 0);
+    }
+  g_list_free (asks);
+}
+
+static void
+take_answer (struct rst_planner *planner, const struct ask *ask,
+             struct step *step, struct rst_reader *rows)
+{
+  struct queue *queue = step->occurrence->job->queue;
+  GHashTable *approved
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+
+  for (uint32_t i = 0; i < rows->count; i++)
+    {
+      struct rst_reader row = rst_reader_array (rows);
+      char *id = rst_reader_text (&row);
+      char *ticket = rst_reader_text (&row);
+
+      g_hash_table_insert (approved, id, ticket);
+    }
+  for (guint i = 0; i < ask->ids->len; i++)
+    {
+      const char *id = g_ptr_array_index (ask->ids, i);
+      const char *ticket = g_hash_table_lookup (approved, id);
+      struct instance *instance = g_hash_table_lookup (planner->instances, id);
+      struct leave *leave = g_hash_table_lookup (step->leaves, id);
+
+      if (instance == NULL)
+        continue;
+      if (leave == NULL)
+        {
+          queue->approval
+              += APPROVAL_WEIGHT
+                 * ((ticket != NULL ? 1.0 : 0.0) - queue->approval);
+          leave = g_new0 (struct leave, 1);
+          g_hash_table_insert (step->leaves, g_strdup (id), leave);
+        }
+      leave->denied = ticket == NULL;
+      leave->born = instance->born;
+      /* Validity counts from the answer, which came a moment ago. */
+      leave->expires
+          = planner->now + queue->set.advice_valid_ms - TICKET_MARGIN_MS;
+      if (ticket != NULL)
+        g_strlcpy (leave->ticket, ticket, sizeof leave->ticket);
+    }
+  g_hash_table_destroy (approved);
+}
+
+void
+rst_plan_advice (struct rst_planner *planner, struct rst_reader *reader)
+{
+  uint64_t handle = (uint64_t)rst_reader_int (reader);
+  enum rst_result result = (enum rst_result)rst_reader_int (reader);
+  struct rst_reader rows = rst_reader_array (reader);
+  struct ask *ask = g_hash_table_lookup (planner->asks, &handle);
+  struct step *step;
+
+  if (reader->bad || ask == NULL)
+    return;
+  if (result != RST_RESULT_OK)
+    {
+      rst_info (RST_PLAN_LOG, "Call for advice failed.", "job", ask->id,
+                "result", rst_result_text (result));
+      end_ask (planner, ask, ASK_FAILED_MS);
+      return;
+    }
+  step = find_step (planner, ask);
+  if (step != NULL)
+    take_answer (planner, ask, step, &rows);
+  end_ask (planner, ask, ASK_AGAIN_MS);
+}
--- /dev/null
+++ b/src/cell/plan_jobs.c
@@ -0,0 +1,466 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell/planner_private.h"
+
+/** Seconds after which a caller that was turned away should come back. */
+#define RETRY_SECONDS 1
+
+/** Least time between two sweeps over ended jobs is that of the checks. */
+
+/** Jobs a second that a customer may hand in beyond its share, as a burst. */
+#define SHARE_BURST_S 2.0
+
+struct queue *
+rst_plan_queue (struct rst_planner *planner, const char *name)
+{
+  struct queue *queue = g_hash_table_lookup (planner->queues, name);
+
+  if (queue != NULL)
+    return queue;
+  queue = g_new0 (struct queue, 1);
+  queue->set.name = g_strdup (name);
+  queue->approval = 0.5;
+  g_hash_table_insert (planner->queues, queue->set.name, queue);
+  return queue;
+}
+
+struct customer *
+rst_plan_customer (struct rst_planner *planner, const char *name)
+{
+  struct customer *customer = g_hash_table_lookup (planner->customers, name);
+
+  if (customer != NULL)
+    return customer;
+  customer = g_new0 (struct customer, 1);
+  customer->set.name = g_strdup (name);
+  customer->set.weight = 1;
+  g_hash_table_insert (planner->customers, customer->set.name, customer);
+  return customer;
+}
+
+static void
+occurrence_free (gpointer data)
+{
+  struct occurrence *occurrence = data;
+  const struct rst_jobdesc *desc = occurrence->job->desc;
+
+  for (int i = 0; i < desc->step_count; i++)
+    {
+      g_free (occurrence->steps[i].tasks);
+      g_hash_table_destroy (occurrence->steps[i].leaves);
+    }
+  g_free (occurrence->steps);
+  g_free (occurrence);
+}
+
+void
+rst_plan_job_free (gpointer data)
+{
+  struct job *job = data;
+
+  g_ptr_array_free (job->occurrences, TRUE);
+  g_array_free (job->waiters, TRUE);
+  rst_jobdesc_destroy (job->desc);
+  g_free (job);
+}
+
+struct job *
+rst_plan_job_new (struct rst_planner *planner, const char *id,
+                  struct queue *queue, struct customer *customer,
+                  struct rst_jobdesc *desc)
+{
+  struct job *job = g_new0 (struct job, 1);
+
+  g_strlcpy (job->id, id, sizeof job->id);
+  job->queue = queue;
+  job->customer = customer;
+  job->desc = desc;
+  job->occurrences = g_ptr_array_new_with_free_func (occurrence_free);
+  job->occurrences_left = MAX (desc->repeats, 1);
+  job->submitted_ms = planner->unix_ms;
+  job->waiters = g_array_new (FALSE, TRUE, sizeof (struct waiter));
+  if (desc->repeats == 0)
+    queue->pending++;
+  else
+    g_ptr_array_add (planner->timed, job);
+  g_hash_table_insert (planner->jobs, job->id, job);
+  return job;
+}
+
+bool
+rst_plan_job_over (const struct job *job)
+{
+  return job->state == RST_JOB_COMPLETED || job->state == RST_JOB_FAILED
+         || job->state == RST_JOB_CANCELLED;
+}
+
+struct occurrence *
+rst_plan_occurrence (struct job *job, int64_t number)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      struct occurrence *occurrence = g_ptr_array_index (job->occurrences, i);
+
+      if (occurrence->number == number)
+        return occurrence;
+    }
+  return NULL;
+}
+
+static void
+init_step (struct occurrence *occurrence, int index)
+{
+  struct step *step = &occurrence->steps[index];
+
+  step->occurrence = occurrence;
+  step->spec = &occurrence->job->desc->steps[index];
+  step->index = index;
+  step->left = step->spec->count;
+  step->waiting = step->spec->count;
+  step->tasks = g_new0 (struct task, step->spec->count);
+  step->leaves
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  for (int i = 0; i < step->spec->count; i++)
+    {
+      step->tasks[i].step = step;
+      step->tasks[i].index = i;
+    }
+}
+
+struct occurrence *
+rst_plan_occurrence_new (struct rst_planner *planner, struct job *job,
+                         int64_t number)
+{
+  struct occurrence *occurrence = g_new0 (struct occurrence, 1);
+
+  occurrence->job = job;
+  occurrence->number = number;
+  occurrence->due_ms
+      = job->desc->repeats > 0
+            ? job->desc->start_at_ms + number * job->desc->period_ms
+            : job->submitted_ms;
+  occurrence->steps = g_new0 (struct step, job->desc->step_count);
+  occurrence->steps_left = job->desc->step_count;
+  for (int i = 0; i < job->desc->step_count; i++)
+    init_step (occurrence, i);
+  g_ptr_array_add (job->occurrences, occurrence);
+  job->next_occurrence = MAX (job->next_occurrence, number + 1);
+  (void)planner;
+  return occurrence;
+}
+
+static bool
+step_may_begin (const struct step *step)
+{
+  for (int i = 0; i < step->spec->after_count; i++)
+    if (step->occurrence->steps[step->spec->after[i]].left > 0)
+      return false;
+  return step->waiting > 0;
+}
+
+void
+rst_plan_step_ready (struct rst_planner *planner, struct step *step)
+{
+  planner->changed = true;
+  if (step->listed || !step_may_begin (step))
+    return;
+  step->listed = true;
+  if (step->ready_at == 0)
+    step->ready_at = planner->now;
+  g_ptr_array_add (planner->active, step);
+}
+
+void
+rst_plan_steps_ready (struct rst_planner *planner,
+                      struct occurrence *occurrence)
+{
+  for (int i = 0; i < occurrence->job->desc->step_count; i++)
+    rst_plan_step_ready (planner, &occurrence->steps[i]);
+}
+
+/* Begins the occurrences whose time has come; forgets ended jobs. */
+void
+rst_plan_timed (struct rst_planner *planner)
+{
+  for (guint i = planner->timed->len; i-- > 0;)
+    {
+      struct job *job = g_ptr_array_index (planner->timed, i);
+
+      while (!rst_plan_job_over (job)
+             && job->next_occurrence < job->desc->repeats
+             && job->desc->start_at_ms
+                        + job->next_occurrence * job->desc->period_ms
+                    <= planner->unix_ms)
+        rst_plan_steps_ready (
+            planner,
+            rst_plan_occurrence_new (planner, job, job->next_occurrence));
+      if (rst_plan_job_over (job)
+          || job->next_occurrence >= job->desc->repeats)
+        g_ptr_array_remove_index_fast (planner->timed, i);
+    }
+}
+
+static void
+unlist_steps (struct rst_planner *planner, struct job *job)
+{
+  for (guint k = 0; k < job->occurrences->len; k++)
+    {
+      struct occurrence *occurrence = g_ptr_array_index (job->occurrences, k);
+
+      for (int i = 0; i < job->desc->step_count; i++)
+        {
+          struct step *step = &occurrence->steps[i];
+
+          if (step->listed)
+            g_ptr_array_remove_fast (planner->active, step);
+          step->listed = false;
+          for (int t = 0; t < step->spec->count; t++)
+            if (step->tasks[t].run != NULL)
+              rst_plan_stop (planner, step->tasks[t].run);
+        }
+    }
+}
+
+void
+rst_plan_job_end (struct rst_planner *planner, struct job *job,
+                  enum rst_job_state state)
+{
+  if (rst_plan_job_over (job))
+    return;
+  job->state = state;
+  job->ended_at = planner->now;
+  if (!job->begun && job->desc->repeats == 0)
+    job->queue->pending--;
+  unlist_steps (planner, job);
+  rst_plan_mark (planner, job);
+  rst_info (RST_PLAN_LOG, "Job ended.", "job", job->id, "state",
+            state == RST_JOB_COMPLETED ? "completed"
+            : state == RST_JOB_FAILED  ? "failed"
+                                       : "cancelled");
+}
+
+void
+rst_plan_step_done (struct rst_planner *planner, struct step *step)
+{
+  struct occurrence *occurrence = step->occurrence;
+  struct job *job = occurrence->job;
+
+  occurrence->steps_left--;
+  if (occurrence->steps_left > 0)
+    {
+      rst_plan_steps_ready (planner, occurrence);
+      return;
+    }
+  job->occurrences_left--;
+  if (job->occurrences_left == 0)
+    rst_plan_job_end (planner, job, RST_JOB_COMPLETED);
+}
+
+/* A task's name is JOB.OCCURRENCE.STEP.INDEX. */
+struct task *
+rst_plan_find_task (struct rst_planner *planner, const char *name)
+{
+  char id[RST_JOB_ID_SIZE];
+  const char *dot = strchr (name, '.');
+  struct occurrence *occurrence;
+  struct job *job;
+  char *end;
+  long long number;
+  long step;
+  long index;
+
+  if (dot == NULL || dot - name != RST_JOB_ID_SIZE - 1)
+    return NULL;
+  g_strlcpy (id, name, sizeof id);
+  job = g_hash_table_lookup (planner->jobs, id);
+  if (job == NULL)
+    return NULL;
+  number = strtoll (dot + 1, &end, 10);
+  step = *end == '.' ? strtol (end + 1, &end, 10) : -1;
+  index = *end == '.' ? strtol (end + 1, &end, 10) : -1;
+  if (step < 0 || step >= job->desc->step_count || index < 0
+      || index >= job->desc->steps[step].count)
+    return NULL;
+  occurrence = rst_plan_occurrence (job, number);
+  return occurrence != NULL ? &occurrence->steps[step].tasks[index] : NULL;
+}
+
+static void
+reply (struct rst_planner *planner, const struct rst_planner_call *call,
+       enum rst_outcome outcome)
+{
+  struct rst_reply answer = { .outcome = outcome };
+
+  if (outcome == RST_OUTCOME_REFUSED)
+    answer.retry_s = RETRY_SECONDS;
+  planner->ops.reply (planner->ops.userdata, call->link, call->number,
+                      &answer);
+}
+
+static void
+wait_for_commit (struct job *job, const struct rst_planner_call *call)
+{
+  struct waiter waiter = { call->link, call->number, call->operation };
+
+  g_array_append_val (job->waiters, waiter);
+}
+
+/* Answers those who waited for what is now in the store. */
+void
+rst_plan_answer (struct rst_planner *planner, struct job *job)
+{
+  struct rst_reply answer = { .outcome = RST_OUTCOME_OK };
+
+  for (guint i = job->waiters->len; i-- > 0;)
+    {
+      struct waiter waiter = g_array_index (job->waiters, struct waiter, i);
+
+      if (waiter.operation == RST_OPERATION_CANCEL
+          && job->shown != RST_JOB_CANCELLED && job->shown != RST_JOB_COMPLETED
+          && job->shown != RST_JOB_FAILED)
+        continue;
+      planner->ops.reply (planner->ops.userdata, waiter.link, waiter.call,
+                          &answer);
+      g_array_remove_index_fast (job->waiters, i);
+    }
+}
+
+/* A customer's jobs beyond its weight a second are served after the rest. */
+static bool
+is_beyond_share (struct rst_planner *planner, struct customer *customer)
+{
+  double weight = (double)MAX (customer->set.weight, 1);
+  double passed = (double)(planner->now - customer->tokens_at) / 1000.0;
+
+  if (customer->tokens_at == 0)
+    customer->tokens = weight * SHARE_BURST_S;
+  else
+    customer->tokens
+        = MIN (customer->tokens + passed * weight, weight * SHARE_BURST_S);
+  customer->tokens_at = planner->now;
+  if (customer->tokens < 1.0)
+    return true;
+  customer->tokens -= 1.0;
+  return false;
+}
+
+static bool
+is_job_id (const char *text)
+{
+  return strlen (text) == RST_JOB_ID_SIZE - 1
+         && strspn (text, "0123456789abcdefABCDEF") == RST_JOB_ID_SIZE - 1;
+}
+
+static void
+submit (struct rst_planner *planner, const struct rst_planner_call *call,
+        const struct rst_queue *route, struct customer *customer,
+        const char *id)
+{
+  struct job *job = g_hash_table_lookup (planner->jobs, id);
+
+  if (job != NULL)
+    {
+      rst_jobdesc_destroy (call->desc);
+      if (job->stored)
+        reply (planner, call, RST_OUTCOME_OK);
+      else
+        wait_for_commit (job, call);
+      return;
+    }
+  job = rst_plan_job_new (planner, id, rst_plan_queue (planner, route->name),
+                          customer, call->desc);
+  job->beyond_share = is_beyond_share (planner, customer);
+  wait_for_commit (job, call);
+  rst_plan_mark (planner, job);
+  if (job->desc->repeats == 0)
+    rst_plan_steps_ready (planner, rst_plan_occurrence_new (planner, job, 0));
+  rst_info (RST_PLAN_LOG, "Job handed in.", "job", id, "queue", route->name,
+            "customer", customer->set.name);
+}
+
+static void
+read_state (struct rst_planner *planner, const struct rst_planner_call *call,
+            const struct queue *queue, const char *id)
+{
+  struct job *job = g_hash_table_lookup (planner->jobs, id);
+  struct rst_reply answer = { .outcome = RST_OUTCOME_STATE };
+
+  if (id[0] == '\0')
+    {
+      answer.outcome = RST_OUTCOME_COUNT;
+      answer.count = queue->pending;
+    }
+  else if (job == NULL)
+    answer.outcome = RST_OUTCOME_NO_JOB;
+  else if (rst_plan_job_over (job) && job->shown != job->state)
+    answer.state = RST_JOB_RUNNING;
+  else if (rst_plan_job_over (job))
+    answer.state = job->state;
+  else
+    answer.state = job->begun ? RST_JOB_RUNNING : RST_JOB_QUEUED;
+  planner->ops.reply (planner->ops.userdata, call->link, call->number,
+                      &answer);
+}
+
+static void
+cancel (struct rst_planner *planner, const struct rst_planner_call *call,
+        const char *id)
+{
+  struct job *job = g_hash_table_lookup (planner->jobs, id);
+
+  if (job == NULL)
+    {
+      reply (planner, call, RST_OUTCOME_NO_JOB);
+      return;
+    }
+  rst_plan_job_end (planner, job, RST_JOB_CANCELLED);
+  if (job->shown == job->state)
+    reply (planner, call, RST_OUTCOME_OK);
+  else
+    wait_for_commit (job, call);
+}
+
+/* Jobs of an open queue belong to a customer without a name. */
+static struct customer *
+caller (struct rst_planner *planner, const struct rst_queue *route,
+        const char *key)
+{
+  const struct rst_customer *customer
+      = g_hash_table_lookup (planner->config->keys, key);
+
+  if (customer != NULL)
+    return rst_plan_customer (planner, customer->name);
+  return route->is_open ? rst_plan_customer (planner, "") : NULL;
+}
+
+void
+rst_planner_call (struct rst_planner *planner,
+                  const struct rst_planner_call *call)
+{
+  const char *id = "";
+  const struct rst_queue *route
+      = rst_cellconfig_route (planner->config, call->host, call->path, &id);
+  struct customer *customer
+      = route != NULL ? caller (planner, route, call->key) : NULL;
+
+  planner->changed = true;
+  if (route == NULL)
+    reply (planner, call, RST_OUTCOME_NO_QUEUE);
+  else if (customer == NULL)
+    reply (planner, call, RST_OUTCOME_NO_KEY);
+  else if (id[0] != '\0' && !is_job_id (id))
+    reply (planner, call, RST_OUTCOME_BAD);
+  else if (call->operation == RST_OPERATION_READ)
+    read_state (planner, call, rst_plan_queue (planner, route->name), id);
+  else if (call->operation == RST_OPERATION_CANCEL)
+    cancel (planner, call, id);
+  else if (call->desc != NULL && id[0] != '\0')
+    {
+      submit (planner, call, route, customer, id);
+      return;
+    }
+  else
+    reply (planner, call, RST_OUTCOME_BAD);
+  rst_jobdesc_destroy (call->desc);
+}
--- /dev/null
+++ b/src/cell/plan_journal.c
@@ -0,0 +1,554 @@
+#include <string.h>
+
+#include "cell/planner_private.h"
+
+/* Each commit appends one segment, an array of records.  A later record
+   replaces earlier ones about the same thing.  A segment whose records have
+   all been replaced, or concern what may be forgotten, is removed. */
+
+/** Time in which changes gather for one commit, in milliseconds. */
+#define GATHER_MS 25
+
+/** Segments kept before the oldest are rewritten. */
+#define SEGMENTS_MAX 600
+
+/** Segments removed with one commit; bounded by the store's entries. */
+#define REMOVE_MAX 16
+
+enum record_kind
+{
+  RECORD_JOB = 1,
+  RECORD_PROGRESS,
+  RECORD_INSTANCE,
+  RECORD_QUEUE,
+};
+
+void
+rst_plan_mark (struct rst_planner *planner, struct job *job)
+{
+  if (job->dirty)
+    return;
+  job->dirty = true;
+  g_ptr_array_add (planner->dirty, job);
+}
+
+/* A task takes four bytes: done, failed runs, last counted attempt. */
+static void
+pack_tasks (struct rst_pack *pack, const struct step *step)
+{
+  guint8 *bytes = g_new0 (guint8, (gsize)step->spec->count * 4);
+
+  for (int i = 0; i < step->spec->count; i++)
+    {
+      const struct task *task = &step->tasks[i];
+
+      bytes[4 * i] = task->done ? 1 : 0;
+      bytes[4 * i + 1] = (guint8)MIN (task->failed, 255);
+      bytes[4 * i + 2] = (guint8)(task->ended_attempt >> 8);
+      bytes[4 * i + 3] = (guint8)(task->ended_attempt & 255);
+    }
+  rst_pack_bytes (pack, bytes, (size_t)step->spec->count * 4);
+  g_free (bytes);
+}
+
+static void
+pack_progress (struct rst_pack *pack, const struct job *job)
+{
+  bool over = rst_plan_job_over (job);
+
+  rst_pack_array (pack, 4);
+  rst_pack_int (pack, job->state);
+  rst_pack_int (pack, job->occurrences_left);
+  rst_pack_int (pack, job->next_occurrence);
+  rst_pack_array (pack, over ? 0 : job->occurrences->len);
+  for (guint k = 0; !over && k < job->occurrences->len; k++)
+    {
+      const struct occurrence *occurrence
+          = g_ptr_array_index (job->occurrences, k);
+
+      rst_pack_array (pack, 1 + (size_t)job->desc->step_count);
+      rst_pack_int (pack, occurrence->number);
+      for (int i = 0; i < job->desc->step_count; i++)
+        pack_tasks (pack, &occurrence->steps[i]);
+    }
+}
+
+static void
+pack_job (struct rst_pack *pack, const struct job *job)
+{
+  rst_pack_array (pack, 8);
+  rst_pack_int (pack, RECORD_JOB);
+  rst_pack_text (pack, job->id);
+  rst_pack_text (pack, job->queue->set.name);
+  rst_pack_text (pack, job->customer->set.name);
+  rst_pack_int (pack, job->submitted_ms);
+  rst_pack_int (pack, job->beyond_share ? 1 : 0);
+  rst_jobdesc_pack (pack, job->desc);
+  pack_progress (pack, job);
+}
+
+static void
+pack_instance (struct rst_pack *pack, const struct instance *instance)
+{
+  rst_pack_array (pack, 4);
+  rst_pack_int (pack, RECORD_INSTANCE);
+  rst_pack_text (pack, instance->entry.id);
+  rst_pack_text (pack, instance->entry.address);
+  rst_pack_text (pack, instance->entry.zone);
+}
+
+static void
+pack_queue (struct rst_pack *pack, const struct queue *queue)
+{
+  rst_pack_array (pack, 10);
+  rst_pack_int (pack, RECORD_QUEUE);
+  rst_pack_text (pack, queue->set.name);
+  rst_pack_text (pack, queue->set.pool);
+  rst_pack_int (pack, queue->set.priority);
+  rst_pack_int (pack, queue->set.attempts);
+  rst_pack_int (pack, queue->set.slack);
+  rst_pack_int (pack, queue->set.target_ms);
+  rst_pack_int (pack, queue->set.advised ? queue->set.advice_ms : -1);
+  rst_pack_int (pack, queue->set.advice_each_us);
+  rst_pack_int (pack, queue->set.advice_valid_ms);
+}
+
+static void
+count_segment (struct rst_planner *planner, int64_t segment)
+{
+  int64_t *key = g_new (int64_t, 1);
+
+  *key = segment;
+  g_hash_table_add (planner->segments, key);
+}
+
+static bool
+has_runs (const struct job *job)
+{
+  for (guint k = 0; k < job->occurrences->len; k++)
+    {
+      const struct occurrence *occurrence
+          = g_ptr_array_index (job->occurrences, k);
+
+      for (int i = 0; i < job->desc->step_count; i++)
+        for (int t = 0; t < job->desc->steps[i].count; t++)
+          if (occurrence->steps[i].tasks[t].run != NULL)
+            return true;
+    }
+  return false;
+}
+
+/* The oldest segments, whose jobs are written again with this commit. */
+static int
+choose_removed (struct rst_planner *planner, int64_t *remove)
+{
+  int64_t oldest = planner->next_segment;
+  int count = 0;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  if (g_hash_table_size (planner->segments) <= SEGMENTS_MAX)
+    return 0;
+  g_hash_table_iter_init (&iter, planner->segments);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    oldest = MIN (oldest, *(int64_t *)key);
+  for (int64_t at = oldest;
+       count < REMOVE_MAX && at < planner->next_segment - 1; at++)
+    if (g_hash_table_contains (planner->segments, &at))
+      remove[count++] = at;
+  g_hash_table_iter_init (&iter, planner->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct job *job = value;
+
+      if (!job->stored
+          || MIN (job->segment_full, job->segment_last) > remove[count - 1])
+        continue;
+      job->segment_full = 0;
+      if (!rst_plan_job_over (job) || has_runs (job)
+          || planner->now - job->ended_at < planner->bounds.status_ms)
+        rst_plan_mark (planner, job);
+      else
+        g_hash_table_iter_remove (&iter);
+    }
+  g_hash_table_iter_init (&iter, planner->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct instance *)value)->recorded = false;
+  g_hash_table_iter_init (&iter, planner->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct queue *)value)->recorded = false;
+  return count;
+}
+
+/* Writes the instances and queues that have no record yet. */
+static int
+pack_others (struct rst_planner *planner, struct rst_pack *pack)
+{
+  GHashTableIter iter;
+  gpointer value;
+  int count = 0;
+
+  g_hash_table_iter_init (&iter, planner->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct instance *instance = value;
+
+      if (instance->recorded || !instance->present)
+        continue;
+      if (pack != NULL)
+        pack_instance (pack, instance);
+      count++;
+    }
+  g_hash_table_iter_init (&iter, planner->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct queue *queue = value;
+
+      if (queue->recorded || queue->set.pool == NULL)
+        continue;
+      if (pack != NULL)
+        pack_queue (pack, queue);
+      count++;
+    }
+  return count;
+}
+
+static void
+mark_others (struct rst_planner *planner)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, planner->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct instance *instance = value;
+
+      instance->committing = instance->seen;
+      instance->recorded |= instance->present;
+    }
+  g_hash_table_iter_init (&iter, planner->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct queue *queue = value;
+
+      queue->recorded |= queue->set.pool != NULL;
+    }
+}
+
+static void
+pack_jobs (struct rst_planner *planner, struct rst_pack *pack)
+{
+  for (guint i = 0; i < planner->dirty->len; i++)
+    {
+      struct job *job = g_ptr_array_index (planner->dirty, i);
+
+      job->dirty = false;
+      job->in_commit = true;
+      job->committing = job->state;
+      job->segment_last = planner->next_segment;
+      if (job->segment_full == 0)
+        {
+          job->segment_full = planner->next_segment;
+          pack_job (pack, job);
+        }
+      else
+        {
+          rst_pack_array (pack, 3);
+          rst_pack_int (pack, RECORD_PROGRESS);
+          rst_pack_text (pack, job->id);
+          pack_progress (pack, job);
+        }
+      g_ptr_array_add (planner->committing, job);
+    }
+  g_ptr_array_set_size (planner->dirty, 0);
+}
+
+/* Commits what changed, when it has gathered for a moment. */
+void
+rst_plan_commit (struct rst_planner *planner)
+{
+  int64_t remove[REMOVE_MAX];
+  int removed;
+  int others;
+  struct rst_pack pack;
+
+  if (planner->commit_busy || planner->now - planner->last_commit < GATHER_MS)
+    return;
+  others = pack_others (planner, NULL);
+  if (planner->dirty->len == 0 && others == 0 && !planner->acks_wait)
+    return;
+  planner->last_commit = planner->now;
+  planner->acks_wait = false;
+  if (planner->dirty->len == 0 && others == 0)
+    {
+      /* Nothing of these ends has to last. */
+      mark_others (planner);
+      rst_plan_acks (planner);
+      return;
+    }
+  removed = choose_removed (planner, remove);
+  others = pack_others (planner, NULL);
+  rst_pack_init (&pack, planner->dirty->len + (size_t)others);
+  pack_others (planner, &pack);
+  pack_jobs (planner, &pack);
+  mark_others (planner);
+  for (int i = 0; i < removed; i++)
+    g_hash_table_remove (planner->segments, &remove[i]);
+  count_segment (planner, planner->next_segment);
+  planner->commit_busy = true;
+  planner->ops.commit (planner->ops.userdata, planner->next_segment,
+                       pack.buffer.data, pack.buffer.size, remove, removed);
+  planner->next_segment++;
+  rst_pack_clear (&pack);
+}
+
+void
+rst_planner_committed (struct rst_planner *planner)
+{
+  planner->commit_busy = false;
+  planner->changed = true;
+  for (guint i = 0; i < planner->committing->len; i++)
+    {
+      struct job *job = g_ptr_array_index (planner->committing, i);
+
+      job->in_commit = false;
+      job->stored = true;
+      job->shown = job->committing;
+      rst_plan_answer (planner, job);
+    }
+  g_ptr_array_set_size (planner->committing, 0);
+  rst_plan_acks (planner);
+}
+
+static void
+restore_tasks (struct step *step, const guint8 *bytes, size_t length)
+{
+  for (int i = 0; i < step->spec->count && (size_t)i * 4 + 3 < length; i++)
+    {
+      struct task *task = &step->tasks[i];
+
+      task->failed = bytes[4 * i + 1];
+      task->ended_attempt = bytes[4 * i + 2] << 8 | bytes[4 * i + 3];
+      task->attempt = task->ended_attempt;
+      step->gang_failed = MAX (step->gang_failed, task->ended_attempt);
+      if ((bytes[4 * i] & 1) && !task->done)
+        {
+          task->done = true;
+          step->left--;
+          step->waiting--;
+        }
+    }
+}
+
+static void
+restore_occurrence (struct rst_planner *planner, struct job *job,
+                    struct rst_reader *reader)
+{
+  struct rst_reader in = rst_reader_array (reader);
+  int64_t number = rst_reader_int (&in);
+  struct occurrence *occurrence = rst_plan_occurrence (job, number);
+
+  if (occurrence == NULL)
+    occurrence = rst_plan_occurrence_new (planner, job, number);
+  occurrence->steps_left = 0;
+  for (int i = 0; i < job->desc->step_count; i++)
+    {
+      size_t length;
+      const void *bytes = rst_reader_bytes (&in, &length);
+
+      restore_tasks (&occurrence->steps[i], bytes, length);
+      if (occurrence->steps[i].left > 0)
+        occurrence->steps_left++;
+      for (int t = 0; t < occurrence->steps[i].spec->count; t++)
+        occurrence->steps[i].tasks[t].unsure = true;
+    }
+  reader->bad |= in.bad;
+}
+
+static void
+restore_progress (struct rst_planner *planner, struct job *job,
+                  struct rst_reader *reader)
+{
+  struct rst_reader in = rst_reader_array (reader);
+  struct rst_reader occurrences;
+
+  job->state = (enum rst_job_state)rst_reader_int (&in);
+  job->shown = job->state;
+  job->occurrences_left = rst_reader_int (&in);
+  job->next_occurrence = rst_reader_int (&in);
+  occurrences = rst_reader_array (&in);
+  for (uint32_t i = 0; i < occurrences.count; i++)
+    restore_occurrence (planner, job, &occurrences);
+  if (rst_plan_job_over (job))
+    job->ended_at = planner->now;
+  reader->bad |= in.bad || occurrences.bad;
+}
+
+static void
+restore_job (struct rst_planner *planner, struct rst_reader *in,
+             int64_t segment)
+{
+  char id[RST_JOB_ID_SIZE];
+  char *queue;
+  char *customer;
+  int64_t submitted_ms;
+  bool beyond;
+  struct rst_jobdesc *desc;
+  struct job *job;
+
+  rst_reader_copy (in, id, sizeof id);
+  queue = rst_reader_text (in);
+  customer = rst_reader_text (in);
+  submitted_ms = rst_reader_int (in);
+  beyond = rst_reader_int (in) != 0;
+  desc = rst_jobdesc_read (in);
+  job = g_hash_table_lookup (planner->jobs, id);
+  if (desc != NULL && job == NULL)
+    job = rst_plan_job_new (planner, id, rst_plan_queue (planner, queue),
+                            rst_plan_customer (planner, customer), desc);
+  else
+    rst_jobdesc_destroy (desc);
+  if (desc != NULL)
+    {
+      job->submitted_ms = submitted_ms;
+      job->beyond_share = beyond;
+      job->stored = true;
+      job->segment_full = segment;
+      job->segment_last = segment;
+      restore_progress (planner, job, in);
+    }
+  g_free (queue);
+  g_free (customer);
+}
+
+static void
+restore_instance (struct rst_planner *planner, struct rst_reader *in)
+{
+  char id[RST_ID_SIZE];
+  struct instance *instance;
+
+  rst_reader_copy (in, id, sizeof id);
+  if (in->bad)
+    return;
+  instance = g_hash_table_lookup (planner->instances, id);
+  if (instance == NULL)
+    instance = rst_plan_instance_new (planner, id);
+  rst_reader_copy (in, instance->entry.address,
+                   sizeof instance->entry.address);
+  rst_reader_copy (in, instance->entry.zone, sizeof instance->entry.zone);
+  instance->recorded = true;
+  instance->inherited = true;
+  instance->gone_at = planner->now;
+  planner->unsure_left = true;
+}
+
+static void
+restore_queue (struct rst_planner *planner, struct rst_reader *in)
+{
+  char *name = rst_reader_text (in);
+  struct queue *queue = rst_plan_queue (planner, name);
+
+  g_free (queue->set.pool);
+  queue->set.pool = rst_reader_text (in);
+  queue->set.priority = (int)rst_reader_int (in);
+  queue->set.attempts = (int)rst_reader_int (in);
+  queue->set.slack = rst_reader_int (in);
+  queue->set.target_ms = rst_reader_int (in);
+  queue->set.advice_ms = rst_reader_int (in);
+  queue->set.advised = queue->set.advice_ms >= 0;
+  queue->set.advice_each_us = rst_reader_int (in);
+  queue->set.advice_valid_ms = rst_reader_int (in);
+  queue->recorded = true;
+  g_free (name);
+}
+
+static void
+restore_record (struct rst_planner *planner, struct rst_reader *reader,
+                int64_t segment)
+{
+  struct rst_reader in = rst_reader_array (reader);
+  int64_t kind = rst_reader_int (&in);
+  char id[RST_JOB_ID_SIZE];
+  struct job *job;
+
+  switch (kind)
+    {
+    case RECORD_JOB:
+      restore_job (planner, &in, segment);
+      break;
+    case RECORD_PROGRESS:
+      rst_reader_copy (&in, id, sizeof id);
+      job = g_hash_table_lookup (planner->jobs, id);
+      if (job != NULL)
+        {
+          job->segment_last = segment;
+          restore_progress (planner, job, &in);
+        }
+      break;
+    case RECORD_INSTANCE:
+      restore_instance (planner, &in);
+      break;
+    case RECORD_QUEUE:
+      restore_queue (planner, &in);
+      break;
+    default:
+      in.bad = true;
+      break;
+    }
+  reader->bad |= in.bad;
+}
+
+bool
+rst_planner_restore (struct rst_planner *planner, int64_t segment,
+                     const void *data, size_t length)
+{
+  msgpack_unpacked unpacked;
+  struct rst_reader reader;
+  bool good = rst_reader_open (&reader, &unpacked, data, length);
+
+  for (uint32_t i = 0; good && i < reader.count; i++)
+    {
+      restore_record (planner, &reader, segment);
+      good = !reader.bad;
+    }
+  msgpack_unpacked_destroy (&unpacked);
+  count_segment (planner, segment);
+  planner->next_segment = MAX (planner->next_segment, segment + 1);
+  return good;
+}
+
+static void
+settle_job (struct rst_planner *planner, struct job *job)
+{
+  bool over = rst_plan_job_over (job);
+
+  if (over && job->desc->repeats == 0)
+    job->queue->pending--;
+  if (over)
+    return;
+  for (guint k = 0; k < job->occurrences->len; k++)
+    rst_plan_steps_ready (planner, g_ptr_array_index (job->occurrences, k));
+}
+
+void
+rst_planner_restored (struct rst_planner *planner)
+{
+  GHashTableIter iter;
+  gpointer value;
+  char jobs[16];
+  char segments[16];
+
+  g_hash_table_iter_init (&iter, planner->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    settle_job (planner, value);
+  planner->restored = true;
+  planner->changed = true;
+  rst_plan_assign (planner);
+  g_snprintf (jobs, sizeof jobs, "%u", g_hash_table_size (planner->jobs));
+  g_snprintf (segments, sizeof segments, "%u",
+              g_hash_table_size (planner->segments));
+  rst_info (RST_PLAN_LOG, "Journal was read.", "jobs", jobs, "segments",
+            segments);
+}
--- /dev/null
+++ b/src/cell/plan_runs.c
@@ -0,0 +1,416 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "cell/planner_private.h"
+
+/** Time between two stop orders for one run, in milliseconds. */
+#define STOP_AGAIN_MS 300
+
+/** Failed runs in a row after which an instance gets no work for a while. */
+#define FAILURES_MAX 3
+
+/** How long it then gets none, in milliseconds, for each further failure. */
+#define FAILURE_PAUSE_MS 1500
+
+/** Pause after an instance turned an order away, in milliseconds. */
+#define REFUSAL_PAUSE_MS 400
+
+/** Longest pause of an instance, in milliseconds. */
+#define PAUSE_MAX_MS 6000
+
+/** A run whose progress stands still for this long is withdrawn. */
+#define STALL_MS 3500
+
+void
+rst_plan_task_name (const struct task *task, char *out, size_t size)
+{
+  const struct step *step = task->step;
+
+  g_snprintf (out, size, "%s.%" PRId64 ".%d.%d", step->occurrence->job->id,
+              step->occurrence->number, step->index, task->index);
+}
+
+static void
+add_need (struct rst_need *sum, const struct rst_need *need, int sign)
+{
+  sum->cpu += sign * need->cpu;
+  sum->memory += sign * need->memory;
+  sum->gpu += sign * need->gpu;
+}
+
+void
+rst_plan_run_free (gpointer data)
+{
+  g_free (data);
+}
+
+struct run *
+rst_plan_run_new (struct rst_planner *planner, struct task *task,
+                  struct instance *instance, int attempt)
+{
+  struct run *run = g_new0 (struct run, 1);
+  struct job *job = task->step->occurrence->job;
+
+  rst_plan_task_name (task, run->name, sizeof run->name);
+  run->task = task;
+  run->instance = instance;
+  run->need = task->step->spec->need;
+  if (task->step->spec->fills)
+    run->need.cpu = 0;
+  run->attempt = attempt;
+  run->ordered_at = planner->now;
+  run->moved_at = planner->now;
+  run->customer = job->customer;
+  task->run = run;
+  task->attempt = MAX (task->attempt, attempt);
+  task->unsure = false;
+  if (!task->done)
+    task->step->waiting--;
+  add_need (&instance->used, &run->need, 1);
+  add_need (&run->customer->used, &run->need, 1);
+  g_hash_table_replace (instance->runs, run->name, run);
+  if (!job->begun && job->desc->repeats == 0 && !rst_plan_job_over (job))
+    job->queue->pending--;
+  job->begun = true;
+  return run;
+}
+
+void
+rst_plan_run_drop (struct rst_planner *planner, struct run *run)
+{
+  struct task *task = run->task;
+
+  planner->changed = true;
+  add_need (&run->instance->used, &run->need, -1);
+  add_need (&run->customer->used, &run->need, -1);
+  task->run = NULL;
+  if (!task->done)
+    task->step->waiting++;
+  g_hash_table_remove (run->instance->runs, run->name);
+  if (!rst_plan_job_over (task->step->occurrence->job))
+    rst_plan_step_ready (planner, task->step);
+}
+
+static void
+send_stop (struct rst_planner *planner, struct run *run)
+{
+  struct rst_pack pack;
+
+  run->stop_at = planner->now;
+  if (run->instance->agent == NULL)
+    return;
+  rst_pack_init (&pack, 4);
+  rst_pack_int (&pack, RST_MSG_STOP);
+  rst_pack_text (&pack, run->instance->entry.id);
+  rst_pack_text (&pack, run->name);
+  rst_pack_int (&pack, run->attempt);
+  planner->ops.send (planner->ops.userdata, run->instance->agent->link,
+                     pack.buffer.data, pack.buffer.size);
+  rst_pack_clear (&pack);
+}
+
+void
+rst_plan_stop (struct rst_planner *planner, struct run *run)
+{
+  if (run->state == RUN_STOPPING)
+    return;
+  run->state = RUN_STOPPING;
+  run->stop_answered = false;
+  send_stop (planner, run);
+}
+
+static void
+stop_gang (struct rst_planner *planner, struct step *step)
+{
+  if (!step->spec->gang || step->gang_stopping)
+    return;
+  step->gang_stopping = true;
+  for (int i = 0; i < step->spec->count; i++)
+    if (step->tasks[i].run != NULL)
+      rst_plan_stop (planner, step->tasks[i].run);
+}
+
+void
+rst_plan_start (struct rst_planner *planner, struct task *task,
+                struct instance *instance, int attempt, const char *ticket)
+{
+  struct step *step = task->step;
+  const char *saved = step->spec->gang ? step->saved : task->saved;
+  struct run *run = rst_plan_run_new (planner, task, instance, attempt);
+  struct rst_pack pack;
+
+  rst_pack_init (&pack, 7);
+  rst_pack_int (&pack, RST_MSG_START);
+  rst_pack_text (&pack, instance->entry.id);
+  rst_pack_text (&pack, run->name);
+  rst_pack_int (&pack, attempt);
+  rst_pack_text (&pack, step->occurrence->job->desc->spec);
+  rst_pack_text (&pack, saved);
+  rst_pack_text (&pack, ticket);
+  planner->ops.send (planner->ops.userdata, instance->agent->link,
+                     pack.buffer.data, pack.buffer.size);
+  rst_pack_clear (&pack);
+  if (rst_log_enabled (G_LOG_LEVEL_INFO))
+    {
+      char number[16];
+
+      g_snprintf (number, sizeof number, "%d", attempt);
+      rst_info (RST_PLAN_LOG, "Task placed.", "task", run->name, "attempt",
+                number, "instance", instance->entry.id);
+    }
+}
+
+/* Nothing of the run is on its instance; the task may start elsewhere. */
+void
+rst_plan_run_lost (struct rst_planner *planner, struct run *run,
+                   const char *why)
+{
+  struct step *step = run->task->step;
+
+  rst_info (RST_PLAN_LOG, "Run is gone.", "task", run->name, "instance",
+            run->instance->entry.id, "why", why);
+  stop_gang (planner, step);
+  rst_plan_run_drop (planner, run);
+}
+
+static struct run *
+find_run (struct rst_planner *planner, struct rst_reader *reader,
+          enum rst_result *result, int64_t *clock_ms)
+{
+  char id[RST_ID_SIZE];
+  char name[RST_TASK_NAME_SIZE];
+  struct instance *instance;
+  struct run *run;
+  int attempt;
+
+  rst_reader_copy (reader, id, sizeof id);
+  rst_reader_copy (reader, name, sizeof name);
+  attempt = (int)rst_reader_int (reader);
+  *result = (enum rst_result)rst_reader_int (reader);
+  *clock_ms = rst_reader_int (reader);
+  if (reader->bad)
+    return NULL;
+  instance = g_hash_table_lookup (planner->instances, id);
+  run = instance != NULL ? g_hash_table_lookup (instance->runs, name) : NULL;
+  return run != NULL && run->attempt == attempt ? run : NULL;
+}
+
+static void
+pause_instance (struct rst_planner *planner, struct instance *instance)
+{
+  rst_ms pause;
+
+  instance->refusals = MIN (instance->refusals + 1, 4);
+  pause = MIN (REFUSAL_PAUSE_MS << instance->refusals, PAUSE_MAX_MS);
+  instance->avoid_until = MAX (instance->avoid_until, planner->now + pause);
+  rst_info (RST_PLAN_LOG, "Instance pauses.", "instance", instance->entry.id);
+}
+
+void
+rst_plan_started (struct rst_planner *planner, struct rst_reader *reader)
+{
+  enum rst_result result;
+  int64_t clock_ms;
+  struct run *run = find_run (planner, reader, &result, &clock_ms);
+  struct leave *leave;
+
+  if (run == NULL)
+    return;
+  run->clock_ms = MAX (run->clock_ms, clock_ms);
+  if (result == RST_RESULT_OK)
+    {
+      run->instance->refusals = 0;
+      if (run->state == RUN_STARTING)
+        run->state = RUN_RUNNING;
+      return;
+    }
+  rst_info (RST_PLAN_LOG, "Start did not succeed.", "task", run->name,
+            "instance", run->instance->entry.id, "result",
+            rst_result_text (result));
+  if (result == RST_RESULT_UNKNOWN || result == RST_RESULT_OTHER_LIFE)
+    {
+      pause_instance (planner, run->instance);
+      stop_gang (planner, run->task->step);
+      rst_plan_stop (planner, run);
+      return;
+    }
+  leave
+      = g_hash_table_lookup (run->task->step->leaves, run->instance->entry.id);
+  if (result == RST_RESULT_NO_TICKET && leave != NULL)
+    leave->expires = 0;
+  if (result == RST_RESULT_REFUSED || result == RST_RESULT_NO_ROOM
+      || result == RST_RESULT_NOT_SENT)
+    pause_instance (planner, run->instance);
+  rst_plan_run_lost (planner, run, rst_result_text (result));
+}
+
+void
+rst_plan_stopped (struct rst_planner *planner, struct rst_reader *reader)
+{
+  enum rst_result result;
+  int64_t clock_ms;
+  struct run *run = find_run (planner, reader, &result, &clock_ms);
+
+  (void)planner;
+  if (run == NULL || result != RST_RESULT_OK)
+    return;
+  run->stop_answered = true;
+  run->clock_ms = MAX (run->clock_ms, clock_ms);
+}
+
+static void
+set_task_done (struct rst_planner *planner, struct task *task)
+{
+  struct step *step = task->step;
+
+  if (task->done)
+    return;
+  task->done = true;
+  if (task->run == NULL)
+    step->waiting--;
+  step->left--;
+  if (step->left == 0)
+    rst_plan_step_done (planner, step);
+}
+
+static void
+task_done (struct rst_planner *planner, struct task *task)
+{
+  struct step *step = task->step;
+
+  rst_plan_mark (planner, step->occurrence->job);
+  if (!step->spec->gang)
+    {
+      set_task_done (planner, task);
+      return;
+    }
+  /* One such end stands for the whole gang. */
+  for (int i = 0; i < step->spec->count; i++)
+    set_task_done (planner, &step->tasks[i]);
+}
+
+static void
+note_instance_failure (struct rst_planner *planner, struct instance *instance)
+{
+  int beyond;
+
+  instance->failures++;
+  beyond = instance->failures - FAILURES_MAX + 1;
+  if (beyond <= 0)
+    return;
+  instance->avoid_until
+      = planner->now + MIN ((rst_ms)beyond * FAILURE_PAUSE_MS, PAUSE_MAX_MS);
+  rst_warning (RST_PLAN_LOG, "Instance fails what it runs; it pauses.",
+               "instance", instance->entry.id);
+}
+
+static void
+task_failed (struct rst_planner *planner, struct task *task,
+             struct instance *instance, int attempt)
+{
+  struct step *step = task->step;
+  struct job *job = step->occurrence->job;
+  int failed;
+
+  if (step->spec->gang)
+    {
+      if (attempt <= step->gang_failed)
+        return;
+      step->gang_failed = attempt;
+      for (int i = 0; i < step->spec->count; i++)
+        step->tasks[i].failed++;
+    }
+  else if (attempt <= task->ended_attempt)
+    return;
+  else
+    task->failed++;
+  task->ended_attempt = attempt;
+  task->bad = instance;
+  failed = task->failed;
+  rst_plan_mark (planner, job);
+  if (!step->spec->lasting && failed >= MAX (job->queue->set.attempts, 1))
+    rst_plan_job_end (planner, job, RST_JOB_FAILED);
+}
+
+/* Applies an end that an instance lists. */
+void
+rst_plan_end (struct rst_planner *planner, struct instance *instance,
+              const struct rst_run *end)
+{
+  struct task *task = rst_plan_find_task (planner, end->task);
+  struct run *run = g_hash_table_lookup (instance->runs, end->task);
+  struct step *step;
+
+  if (run != NULL && run->attempt != end->attempt)
+    run = NULL;
+  if (task == NULL)
+    return;
+  step = task->step;
+  if (end->saved[0] != '\0' && step->spec->saves)
+    {
+      g_strlcpy (task->saved, end->saved, sizeof task->saved);
+      g_strlcpy (step->saved, end->saved, sizeof step->saved);
+    }
+  task->attempt = MAX (task->attempt, end->attempt);
+  if (!rst_plan_job_over (step->occurrence->job))
+    {
+      if (end->how == RST_END_DONE && !step->spec->lasting)
+        {
+          instance->failures = 0;
+          task_done (planner, task);
+        }
+      else if (end->how == RST_END_FAILED)
+        {
+          note_instance_failure (planner, instance);
+          task_failed (planner, task, instance, end->attempt);
+        }
+      if (end->how != RST_END_DONE && run != NULL)
+        stop_gang (planner, step);
+    }
+  if (run != NULL)
+    rst_plan_run_drop (planner, run);
+  if (rst_log_enabled (G_LOG_LEVEL_INFO))
+    {
+      static const char *const names[]
+          = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+
+      rst_info (RST_PLAN_LOG, "Run ended.", "task", end->task, "instance",
+                instance->entry.id, "how", names[end->how]);
+    }
+}
+
+/* Repeats stops, withdraws starts without an answer and stalled runs. */
+void
+rst_plan_check_runs (struct rst_planner *planner, struct instance *instance)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, instance->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct run *run = value;
+      struct step *step = run->task->step;
+
+      if (run->state == RUN_STARTING
+          && planner->now - run->ordered_at > RST_START_ANSWER_MS)
+        {
+          stop_gang (planner, step);
+          rst_plan_stop (planner, run);
+        }
+      else if (run->state == RUN_STOPPING && !run->stop_answered
+               && planner->now - run->stop_at > STOP_AGAIN_MS)
+        send_stop (planner, run);
+      else if (run->state == RUN_RUNNING && !step->spec->lasting
+               && instance->known && planner->now - run->moved_at > STALL_MS
+               && planner->now - run->moved_at > step->spec->estimate_ms)
+        {
+          rst_info (RST_PLAN_LOG, "Run stands still and is stopped.", "task",
+                    run->name, "instance", instance->entry.id);
+          instance->avoid_until = planner->now + FAILURE_PAUSE_MS;
+          run->task->bad = instance;
+          stop_gang (planner, step);
+          rst_plan_stop (planner, run);
+        }
+    }
+}
--- /dev/null
+++ b/src/cell/planner_private.h
@@ -0,0 +1,316 @@
+/**
+ * DOC: planner_private - the planner's state, shared by its parts
+ *
+ * plan_jobs.c: callers' calls, jobs and their steps.  plan_instances.c:
+ * instances, agents and reports.  plan_runs.c: single runs, from order to end.
+ * plan_place.c: which waiting task goes where.  plan_advice.c: whom to ask
+ * for which step.  plan_journal.c: records in the store.
+ */
+#ifndef RST_PLANNER_PRIVATE_H
+#define RST_PLANNER_PRIVATE_H
+
+#include "cell/planner.h"
+#include "util/log.h"
+
+#define RST_PLAN_LOG "planner"
+
+/** Hexadecimal digits of a job's id, with the final NUL. */
+#define RST_JOB_ID_SIZE 17
+
+/** How long a start may stay unanswered before it is withdrawn, in ms. */
+#define RST_START_ANSWER_MS 1500
+
+struct agent
+{
+  uint64_t link;
+  char name[RST_ID_SIZE];
+  char zone[RST_ID_SIZE];
+  int asking;
+  rst_ms busy_until;
+  int held;
+};
+
+struct instance
+{
+  struct rst_instance_entry entry;
+  struct rst_need used;
+  /* Room that a blocked gang keeps during one pass. */
+  struct rst_need kept;
+  struct agent *agent;
+  GHashTable *runs;
+  int64_t born;
+  int64_t seen;
+  int64_t acked;
+  int64_t committing;
+  bool present;
+  bool recorded;
+  bool known;
+  bool inherited;
+  bool blocked;
+  rst_ms heard_at;
+  rst_ms lapse_at;
+  rst_ms avoid_until;
+  rst_ms gone_at;
+  rst_ms next_hold;
+  int failures;
+  int refusals;
+  double speed;
+};
+
+enum run_state
+{
+  RUN_STARTING,
+  RUN_RUNNING,
+  RUN_STOPPING,
+};
+
+struct task;
+
+/* One run of a task on an instance; holds the instance's room. */
+struct run
+{
+  char name[RST_TASK_NAME_SIZE];
+  struct task *task;
+  struct instance *instance;
+  struct rst_need need;
+  int attempt;
+  enum run_state state;
+  rst_ms ordered_at;
+  rst_ms stop_at;
+  /* The instance's clock when the last order was answered. */
+  int64_t clock_ms;
+  bool stop_answered;
+  int percent;
+  rst_ms moved_at;
+  struct customer *customer;
+};
+
+struct step;
+
+struct task
+{
+  struct step *step;
+  int index;
+  struct run *run;
+  bool done;
+  int failed;
+  int attempt;
+  int ended_attempt;
+  bool unsure;
+  char saved[RST_TOKEN_SIZE];
+  struct instance *bad;
+};
+
+/* A step's leave to use an instance. */
+struct leave
+{
+  bool denied;
+  char ticket[RST_TOKEN_SIZE];
+  int64_t born;
+  rst_ms expires;
+};
+
+struct step
+{
+  struct occurrence *occurrence;
+  const struct rst_step *spec;
+  int index;
+  struct task *tasks;
+  int left;
+  int waiting;
+  int gang_attempt;
+  int gang_failed;
+  bool gang_stopping;
+  char saved[RST_TOKEN_SIZE];
+  GHashTable *leaves;
+  bool asking;
+  rst_ms ask_after;
+  bool listed;
+  int64_t rank;
+  rst_ms ready_at;
+  int64_t done_ms;
+  int done_count;
+};
+
+struct occurrence
+{
+  struct job *job;
+  int64_t number;
+  int64_t due_ms;
+  struct step *steps;
+  int steps_left;
+};
+
+struct queue
+{
+  struct rst_queue set;
+  bool recorded;
+  int pending;
+  double approval;
+};
+
+struct customer
+{
+  struct rst_customer set;
+  struct rst_need used;
+  double tokens;
+  rst_ms tokens_at;
+};
+
+struct waiter
+{
+  uint64_t link;
+  uint64_t call;
+  enum rst_operation operation;
+};
+
+struct job
+{
+  char id[RST_JOB_ID_SIZE];
+  struct queue *queue;
+  struct customer *customer;
+  struct rst_jobdesc *desc;
+  GPtrArray *occurrences;
+  int64_t occurrences_left;
+  int64_t next_occurrence;
+  int64_t submitted_ms;
+  rst_ms ended_at;
+  enum rst_job_state state;
+  enum rst_job_state shown;
+  enum rst_job_state committing;
+  bool begun;
+  bool stored;
+  bool dirty;
+  bool in_commit;
+  bool beyond_share;
+  GArray *waiters;
+  int64_t segment_full;
+  int64_t segment_last;
+};
+
+struct ask
+{
+  uint64_t handle;
+  char id[RST_JOB_ID_SIZE];
+  int64_t occurrence;
+  int step;
+  uint64_t link;
+  bool urgent;
+  int64_t cost_ms;
+  rst_ms sent_at;
+  GPtrArray *ids;
+};
+
+struct rst_planner
+{
+  struct rst_planner_ops ops;
+  struct rst_planner_bounds bounds;
+  int64_t epoch;
+  rst_ms now;
+  int64_t unix_ms;
+  rst_ms created_at;
+  bool restored;
+  bool have_instances;
+  struct rst_cellconfig *config;
+  GHashTable *evacuated;
+  GHashTable *jobs;
+  GHashTable *queues;
+  GHashTable *customers;
+  GHashTable *instances;
+  GHashTable *asks;
+  GPtrArray *agents;
+  /* Steps with waiting tasks. */
+  GPtrArray *active;
+  /* Jobs with occurrences still to come. */
+  GPtrArray *timed;
+  GPtrArray *dirty;
+  GPtrArray *committing;
+  bool commit_busy;
+  rst_ms last_commit;
+  int64_t next_segment;
+  GHashTable *segments;
+  bool acks_wait;
+  bool unsure_left;
+  bool changed;
+  uint64_t next_handle;
+  rst_ms next_check;
+  rst_ms next_pass;
+};
+
+/* plan_jobs.c */
+struct job *rst_plan_job_new (struct rst_planner *planner, const char *id,
+                              struct queue *queue, struct customer *customer,
+                              struct rst_jobdesc *desc);
+void rst_plan_job_free (gpointer data);
+struct occurrence *rst_plan_occurrence (struct job *job, int64_t number);
+struct occurrence *rst_plan_occurrence_new (struct rst_planner *planner,
+                                            struct job *job, int64_t number);
+void rst_plan_step_ready (struct rst_planner *planner, struct step *step);
+void rst_plan_steps_ready (struct rst_planner *planner,
+                           struct occurrence *occurrence);
+void rst_plan_step_done (struct rst_planner *planner, struct step *step);
+void rst_plan_job_end (struct rst_planner *planner, struct job *job,
+                       enum rst_job_state state);
+void rst_plan_timed (struct rst_planner *planner);
+bool rst_plan_job_over (const struct job *job);
+struct queue *rst_plan_queue (struct rst_planner *planner, const char *name);
+struct customer *rst_plan_customer (struct rst_planner *planner,
+                                    const char *name);
+struct task *rst_plan_find_task (struct rst_planner *planner,
+                                 const char *name);
+void rst_plan_answer (struct rst_planner *planner, struct job *job);
+
+/* plan_instances.c */
+void rst_plan_instance_free (gpointer data);
+struct instance *rst_plan_instance_new (struct rst_planner *planner,
+                                        const char *id);
+void rst_plan_check_instances (struct rst_planner *planner);
+void rst_plan_report (struct rst_planner *planner, uint64_t link,
+                      struct rst_reader *reader);
+void rst_plan_assign (struct rst_planner *planner);
+void rst_plan_acks (struct rst_planner *planner);
+bool rst_plan_usable (const struct rst_planner *planner,
+                      const struct instance *instance);
+
+/* plan_runs.c */
+void rst_plan_run_free (gpointer data);
+struct run *rst_plan_run_new (struct rst_planner *planner, struct task *task,
+                              struct instance *instance, int attempt);
+void rst_plan_run_drop (struct rst_planner *planner, struct run *run);
+void rst_plan_start (struct rst_planner *planner, struct task *task,
+                     struct instance *instance, int attempt,
+                     const char *ticket);
+void rst_plan_stop (struct rst_planner *planner, struct run *run);
+void rst_plan_started (struct rst_planner *planner, struct rst_reader *reader);
+void rst_plan_stopped (struct rst_planner *planner, struct rst_reader *reader);
+void rst_plan_end (struct rst_planner *planner, struct instance *instance,
+                   const struct rst_run *end);
+void rst_plan_run_lost (struct rst_planner *planner, struct run *run,
+                        const char *why);
+void rst_plan_check_runs (struct rst_planner *planner,
+                          struct instance *instance);
+void rst_plan_task_name (const struct task *task, char *out, size_t size);
+
+/* plan_place.c */
+void rst_plan_place (struct rst_planner *planner);
+bool rst_plan_fits (const struct instance *instance, const struct step *step);
+bool rst_plan_allowed (const struct rst_planner *planner,
+                       const struct instance *instance,
+                       const struct step *step);
+int rst_plan_slots (const struct instance *instance, const struct step *step);
+bool rst_plan_below_limit (const struct step *step, int tasks);
+
+/* plan_advice.c */
+void rst_plan_ask (struct rst_planner *planner, struct step *step, int tasks);
+const char *rst_plan_ticket (const struct rst_planner *planner,
+                             const struct step *step,
+                             const struct instance *instance);
+void rst_plan_advice (struct rst_planner *planner, struct rst_reader *reader);
+void rst_plan_asks_of_link_end (struct rst_planner *planner, uint64_t link);
+void rst_plan_ask_free (gpointer data);
+
+/* plan_journal.c */
+void rst_plan_mark (struct rst_planner *planner, struct job *job);
+void rst_plan_commit (struct rst_planner *planner);
+
+#endif
--- /dev/null
+++ b/src/daemon/cell_loop.h
@@ -0,0 +1,75 @@
+/**
+ * DOC: cell_loop - one thread of decisions, fed by those of input and output
+ *
+ * Frames, answers of the backend and HTTP requests are posted into one
+ * mailbox and handled in turn on the loop's thread.
+ */
+#ifndef RST_CELL_LOOP_H
+#define RST_CELL_LOOP_H
+
+#include "cell/backend.h"
+#include "transport/net.h"
+#include "util/mailbox.h"
+
+struct rst_cell_loop;
+
+/**
+ * struct rst_cell_event - Something to be done on the loop's thread.
+ * @run: Does it and frees the event.
+ */
+struct rst_cell_event
+{
+  void (*run) (struct rst_cell_event *event);
+};
+
+/**
+ * struct rst_cell_loop_config - What a loop calls.
+ * @link: A link was opened or closed, or carried a frame.
+ * @tick: Called after each batch of events; returns when to call it again.
+ * @userdata: Passed to both.
+ */
+struct rst_cell_loop_config
+{
+  void (*link) (void *userdata, enum rst_net_event event, uint64_t link,
+                const void *data, size_t length);
+  rst_ms (*tick) (void *userdata);
+  void *userdata;
+};
+
+/** rst_cell_loop_create() - A loop without a net. */
+struct rst_cell_loop *
+rst_cell_loop_create (const struct rst_cell_loop_config *config);
+
+/** rst_cell_loop_destroy() - Frees a loop that nothing posts to any more. */
+void rst_cell_loop_destroy (struct rst_cell_loop *loop);
+
+/**
+ * rst_cell_loop_listen() - Starts the net.
+ * @address: Where to listen, or NULL.
+ *
+ * Return: RST_TRANSPORT_OK or RST_TRANSPORT_ADDRESS.
+ */
+int rst_cell_loop_listen (struct rst_cell_loop *loop, const char *address);
+
+/** rst_cell_loop_net() - The net. */
+struct rst_net *rst_cell_loop_net (struct rst_cell_loop *loop);
+
+/** rst_cell_loop_post() - Posts an event, from any thread. */
+void rst_cell_loop_post (struct rst_cell_loop *loop,
+                         struct rst_cell_event *event);
+
+/**
+ * rst_cell_loop_backend() - The same calls with callbacks on the loop.
+ * @backend: The calls; their callbacks may come on any thread.
+ */
+const struct rst_backend *
+rst_cell_loop_backend (struct rst_cell_loop *loop,
+                       const struct rst_backend *backend);
+
+/** rst_cell_loop_run() - Runs until rst_cell_loop_stop(). */
+void rst_cell_loop_run (struct rst_cell_loop *loop);
+
+/** rst_cell_loop_stop() - Ends the run, from any thread. */
+void rst_cell_loop_stop (struct rst_cell_loop *loop);
+
+#endif
--- /dev/null
+++ b/src/daemon/celld.c
@@ -0,0 +1,350 @@
+/**
+ * DOC: celld - plans a cell, or is one of the planner's agents
+ *
+ * Every entry instance runs one.  One at a time is the planner; all, the
+ * planner's own among them, are its agents.
+ */
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "adapter.h"
+#include "cell/agent.h"
+#include "cell/seeker.h"
+#include "daemon/cell_loop.h"
+#include "daemon/term.h"
+#include "transport/http_client.h"
+#include "transport/transport.h"
+#include "util/os.h"
+#include "util/program.h"
+
+#define LOG_PREFIX "celld"
+
+/** Bound on open connections to the store, the advice service, instances. */
+#define CONNECTIONS_MAX 1500
+
+/** How long leases are extended without the store's word for the planner. */
+#define KEEP_MS 14000
+
+/** A lease is asked for this much below the bound on its length. */
+#define LEASE_MARGIN_MS 100
+
+/** Largest share of the wait before taking over that is a process's own. */
+#define JITTER_MS 120
+
+/** Longest wait for the last commit at a planned stop. */
+#define RESIGN_MS 1000
+
+struct settings
+{
+  char name[RST_NAME_SIZE];
+  char zone[RST_NAME_SIZE];
+  char listen[RST_ADDRESS_SIZE];
+  char store[RST_ADDRESS_SIZE];
+  char advice[RST_ADDRESS_SIZE];
+  int64_t hold_max_ms;
+  int64_t status_s;
+  int64_t early_ms;
+  char log_level[16];
+};
+
+static const char *const log_levels[]
+    = { "error", "warning", "info", "debug", NULL };
+
+#define TEXT(path, type, required, member)                                    \
+  RST_CONF_TEXT (path, type, required, struct settings, member)
+#define INT(path, member, min, max)                                           \
+  RST_CONF_INT (path, false, struct settings, member, min, max)
+
+static const struct rst_conf_field fields[] = {
+  TEXT ("name", RST_CONF_NAME, true, name),
+  TEXT ("availability_zone", RST_CONF_NAME, true, zone),
+  TEXT ("listen", RST_CONF_ADDRESS, true, listen),
+  TEXT ("store", RST_CONF_ADDRESS, true, store),
+  TEXT ("advice", RST_CONF_STRING, false, advice),
+  INT ("lease_max_ms", hold_max_ms, 500, 600000),
+  INT ("status_s", status_s, 1, 86400),
+  INT ("early_ms", early_ms, 0, 60000),
+  { "log.level", RST_CONF_CHOICE, false, offsetof (struct settings, log_level),
+    16, 0, 0, log_levels },
+};
+
+struct celld
+{
+  struct settings settings;
+  struct rst_cell_loop *loop;
+  struct rst_http_client *client;
+  struct rst_adapter *adapter;
+  const struct rst_backend *backend;
+  struct rst_agent *agent;
+  struct rst_seeker *seeker;
+  struct rst_term *term;
+  bool term_over;
+  bool stopping;
+  rst_ms stop_by;
+};
+
+struct stop_event
+{
+  struct rst_cell_event event;
+  struct celld *celld;
+};
+
+static int64_t
+unix_now (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_REALTIME, &ts);
+  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static uint64_t
+open_link (void *userdata, const char *address)
+{
+  struct celld *celld = userdata;
+
+  return rst_net_connect (rst_cell_loop_net (celld->loop), address);
+}
+
+static void
+close_link (void *userdata, uint64_t link)
+{
+  struct celld *celld = userdata;
+
+  rst_net_close (rst_cell_loop_net (celld->loop), link);
+}
+
+static void
+send_frame (void *userdata, uint64_t link, const void *data, size_t length)
+{
+  struct celld *celld = userdata;
+
+  rst_net_send (rst_cell_loop_net (celld->loop), link, data, length);
+}
+
+static void
+agent_send (void *userdata, const void *data, size_t length)
+{
+  struct celld *celld = userdata;
+
+  rst_seeker_send (celld->seeker, data, length);
+}
+
+static void
+on_message (void *userdata, int kind, struct rst_reader *reader)
+{
+  struct celld *celld = userdata;
+
+  rst_agent_message (celld->agent, kind, reader);
+}
+
+static void
+on_linked (void *userdata, bool serving)
+{
+  struct celld *celld = userdata;
+
+  (void)serving;
+  rst_agent_alive (celld->agent, 0);
+}
+
+static void
+on_lost (void *userdata)
+{
+  (void)userdata;
+}
+
+static void
+on_alive (void *userdata, rst_ms store_age_ms)
+{
+  struct celld *celld = userdata;
+
+  rst_agent_alive (celld->agent, store_age_ms);
+}
+
+static void
+on_term_ended (void *userdata)
+{
+  struct celld *celld = userdata;
+
+  celld->term_over = true;
+}
+
+static void
+on_take (void *userdata, int64_t revision, const struct rst_seat *seat)
+{
+  struct celld *celld = userdata;
+  struct rst_term_config config = { 0 };
+
+  if (celld->term != NULL || celld->stopping)
+    return;
+  config.backend = celld->backend;
+  config.now = rst_os_now;
+  config.unix_now = unix_now;
+  config.send = send_frame;
+  config.close = close_link;
+  config.ended = on_term_ended;
+  config.userdata = celld;
+  config.bounds.keep_ms = KEEP_MS;
+  config.bounds.lease_ms = celld->settings.hold_max_ms;
+  config.bounds.status_ms = celld->settings.status_s * 1000;
+  config.bounds.early_ms = celld->settings.early_ms;
+  config.name = celld->settings.name;
+  config.address = celld->settings.listen;
+  celld->term = rst_term_create (&config, revision, seat);
+}
+
+static void
+on_link (void *userdata, enum rst_net_event event, uint64_t link,
+         const void *data, size_t length)
+{
+  struct celld *celld = userdata;
+  bool ours = rst_seeker_owns (celld->seeker, link);
+
+  if (event == RST_NET_OPENED && ours)
+    rst_seeker_opened (celld->seeker);
+  else if (event == RST_NET_FRAME && ours)
+    rst_seeker_frame (celld->seeker, data, length);
+  else if (event == RST_NET_CLOSED && ours)
+    rst_seeker_closed (celld->seeker);
+  else if (event == RST_NET_FRAME && celld->term != NULL)
+    rst_term_frame (celld->term, link, data, length);
+  else if (event == RST_NET_FRAME)
+    close_link (celld, link);
+  else if (event == RST_NET_CLOSED && celld->term != NULL)
+    rst_term_link_closed (celld->term, link);
+}
+
+static rst_ms
+on_tick (void *userdata)
+{
+  struct celld *celld = userdata;
+  rst_ms wake = rst_agent_run (celld->agent);
+
+  wake = MIN (wake, rst_seeker_run (celld->seeker));
+  if (celld->term != NULL && !celld->term_over)
+    wake = MIN (wake, rst_term_run (celld->term));
+  if (celld->term_over)
+    {
+      rst_term_destroy (celld->term);
+      celld->term = NULL;
+      celld->term_over = false;
+    }
+  if (celld->stopping
+      && (celld->term == NULL || rst_term_idle (celld->term)
+          || rst_os_now () >= celld->stop_by))
+    rst_cell_loop_stop (celld->loop);
+  return wake;
+}
+
+static void
+begin_stop (struct rst_cell_event *base)
+{
+  struct stop_event *event = (struct stop_event *)base;
+  struct celld *celld = event->celld;
+
+  rst_info (LOG_PREFIX, "Planned stop.");
+  celld->stopping = true;
+  celld->stop_by = rst_os_now () + RESIGN_MS;
+  if (celld->term != NULL)
+    rst_term_resign (celld->term);
+  g_free (event);
+}
+
+static void *
+wait_for_stop (void *userdata)
+{
+  struct stop_event *event = g_new0 (struct stop_event, 1);
+
+  rst_os_wait_stop ();
+  event->event.run = begin_stop;
+  event->celld = userdata;
+  rst_cell_loop_post (event->celld->loop, &event->event);
+  return NULL;
+}
+
+static void
+create_parts (struct celld *celld)
+{
+  struct rst_agent_config agent = { 0 };
+  struct rst_seeker_config seeker = { 0 };
+
+  agent.backend = celld->backend;
+  agent.send = agent_send;
+  agent.now = rst_os_now;
+  agent.userdata = celld;
+  agent.lease_ms = celld->settings.hold_max_ms - LEASE_MARGIN_MS;
+  agent.keep_ms = KEEP_MS;
+  celld->agent = rst_agent_create (&agent);
+  seeker.backend = celld->backend;
+  seeker.now = rst_os_now;
+  seeker.connect = open_link;
+  seeker.close = close_link;
+  seeker.send = send_frame;
+  seeker.message = on_message;
+  seeker.linked = on_linked;
+  seeker.lost = on_lost;
+  seeker.alive = on_alive;
+  seeker.take = on_take;
+  seeker.userdata = celld;
+  seeker.role = RST_ROLE_AGENT;
+  seeker.name = celld->settings.name;
+  seeker.zone = celld->settings.zone;
+  seeker.jitter_ms = (rst_ms)(rst_os_random () % JITTER_MS);
+  celld->seeker = rst_seeker_create (&seeker);
+}
+
+static const struct rst_program program
+    = { "rosemarystile-celld", "plans a cell and holds its instances", fields,
+        G_N_ELEMENTS (fields), NULL };
+
+int
+main (int argc, char **argv)
+{
+  struct celld celld = { 0 };
+  struct rst_cell_loop_config loop = { on_link, on_tick, &celld };
+  struct rst_log_config log = { false, "info" };
+  pthread_t stopper;
+  int status;
+
+  celld.settings.hold_max_ms = 6000;
+  celld.settings.status_s = 120;
+  g_strlcpy (celld.settings.log_level, "info",
+             sizeof celld.settings.log_level);
+  status = rst_program_start (&program, argc, argv, &celld.settings);
+  if (status >= 0)
+    return status;
+  rst_os_block_signals ();
+  g_strlcpy (log.level, celld.settings.log_level, sizeof log.level);
+  rst_log_init (program.name, &log);
+  status = EXIT_FAILURE;
+  celld.loop = rst_cell_loop_create (&loop);
+  celld.client = rst_http_client_create (CONNECTIONS_MAX, 0);
+  if (celld.loop == NULL || celld.client == NULL)
+    goto out;
+  celld.adapter = rst_adapter_create (celld.client, celld.settings.store,
+                                      celld.settings.advice);
+  celld.backend = rst_cell_loop_backend (celld.loop,
+                                         rst_adapter_backend (celld.adapter));
+  create_parts (&celld);
+  if (rst_cell_loop_listen (celld.loop, celld.settings.listen)
+      != RST_TRANSPORT_OK)
+    {
+      rst_warning (LOG_PREFIX, "listen: the address can't be used.");
+      goto out;
+    }
+  rst_info (LOG_PREFIX, "Started.", "name", celld.settings.name, "zone",
+            celld.settings.zone, "listen", celld.settings.listen);
+  pthread_create (&stopper, NULL, wait_for_stop, &celld);
+  rst_cell_loop_run (celld.loop);
+  rst_info (LOG_PREFIX, "Stopped.");
+  /* Threads may still post into the loop; the process's end frees all. */
+  _exit (EXIT_SUCCESS);
+
+out:
+  rst_cell_loop_destroy (celld.loop);
+  rst_http_client_destroy (celld.client);
+  return status;
+}
--- /dev/null
+++ b/src/daemon/term.c
@@ -0,0 +1,749 @@
+#include "daemon/term.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapter.h"
+#include "util/log.h"
+
+#define LOG_PREFIX "term"
+
+/** Prefix of the journal's segments. */
+#define SEGMENT_PREFIX "rosemarystile/log/"
+
+/** Wait of a watch; with its margin it finds a silent connection in time. */
+#define WATCH_WAIT_MS 1000
+
+/** Pause between two watches of the instances' entries, in milliseconds. */
+#define INSTANCES_EVERY_MS 200
+
+/** Pause after a call that failed, in milliseconds. */
+#define AGAIN_MS 100
+
+/** The planner's key is renewed when nothing was committed for this long. */
+#define RENEW_MS 400
+
+/** Time between two messages that the planner is alive. */
+#define ALIVE_MS 300
+
+/** Writes of one commit: the planner's key, a segment and those removed. */
+#define WRITES_MAX 20
+
+enum reading
+{
+  READING_JOURNAL,
+  READING_OPERATORS,
+  READING_INSTANCES,
+  READING_DONE,
+};
+
+/* A prefix that is read whole and then watched. */
+struct followed
+{
+  struct rst_term *term;
+  const char *prefix;
+  void (*apply) (struct rst_term *term, const struct rst_item *item);
+  GHashTable *known;
+  GHashTable *listed;
+  int64_t revision;
+  char after[256];
+  bool busy;
+  bool ranging;
+  rst_ms next;
+  rst_ms pause;
+};
+
+struct rst_term
+{
+  struct rst_term_config config;
+  struct rst_seat seat;
+  int64_t revision;
+  bool won;
+  bool ended;
+  bool resigning;
+  bool serving;
+  struct rst_planner *planner;
+  enum reading reading;
+  char after[256];
+  struct followed operators;
+  struct followed instances;
+  GHashTable *links;
+  int calls;
+  bool committing;
+  bool commit_sent;
+  rst_ms commit_next;
+  rst_ms committed_at;
+  char segment_key[64];
+  GByteArray *segment;
+  char removed[WRITES_MAX][64];
+  int removed_count;
+  rst_ms next_alive;
+  rst_ms next_run;
+};
+
+static void
+free_term (struct rst_term *term)
+{
+  rst_planner_destroy (term->planner);
+  g_hash_table_destroy (term->links);
+  g_hash_table_destroy (term->operators.known);
+  g_hash_table_destroy (term->instances.known);
+  if (term->segment != NULL)
+    g_byte_array_free (term->segment, TRUE);
+  g_free (term);
+}
+
+/* Counts an answered call; true when the term goes on. */
+static bool
+call_ended (struct rst_term *term)
+{
+  term->calls--;
+  if (!term->ended)
+    return true;
+  if (term->calls == 0)
+    free_term (term);
+  return false;
+}
+
+static void
+end_term (struct rst_term *term, const char *why)
+{
+  rst_info (LOG_PREFIX, "Term ended.", "why", why);
+  term->config.ended (term->config.userdata);
+}
+
+void
+rst_term_destroy (struct rst_term *term)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  if (term == NULL)
+    return;
+  g_hash_table_iter_init (&iter, term->links);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    term->config.close (term->config.userdata, *(uint64_t *)key);
+  term->ended = true;
+  if (term->calls == 0)
+    free_term (term);
+}
+
+static void
+segment_key (char *out, size_t size, int64_t segment)
+{
+  g_snprintf (out, size, SEGMENT_PREFIX "%016" PRIx64, segment);
+}
+
+static void on_commit (struct rst_store_answer *answer, void *userdata);
+
+/* Sends the change under way, again if need be; only one copy can win. */
+static void
+send_commit (struct rst_term *term)
+{
+  struct rst_store_write writes[WRITES_MAX] = { 0 };
+  struct rst_pack pack;
+  int count = 1;
+
+  rst_seat_pack (&pack, &term->seat);
+  writes[0].key = RST_SEEKER_KEY;
+  writes[0].value = pack.buffer.data;
+  writes[0].length = pack.buffer.size;
+  writes[0].expected = term->revision;
+  if (term->segment != NULL)
+    {
+      writes[count].key = term->segment_key;
+      writes[count].value = term->segment->data;
+      writes[count].length = term->segment->len;
+      writes[count].expected = -1;
+      count++;
+    }
+  for (int i = 0; i < term->removed_count; i++)
+    {
+      writes[count].key = term->removed[i];
+      writes[count].expected = -1;
+      writes[count].remove = true;
+      count++;
+    }
+  term->commit_sent = true;
+  term->calls++;
+  term->config.backend->store_commit (term->config.backend->userdata, writes,
+                                      count, on_commit, term);
+  rst_pack_clear (&pack);
+}
+
+static void
+begin_commit (struct rst_term *term)
+{
+  term->committing = true;
+  term->seat.counter++;
+  send_commit (term);
+}
+
+static void begin_reading (struct rst_term *term);
+
+static void
+commit_done (struct rst_term *term, int64_t revision)
+{
+  bool had_segment = term->segment != NULL;
+
+  term->revision = revision;
+  term->committing = false;
+  term->committed_at = term->config.now ();
+  term->removed_count = 0;
+  if (had_segment)
+    {
+      g_byte_array_free (term->segment, TRUE);
+      term->segment = NULL;
+      rst_planner_set_time (term->planner, term->config.now (),
+                            term->config.unix_now ());
+      rst_planner_committed (term->planner);
+    }
+  if (!term->won)
+    {
+      term->won = true;
+      begin_reading (term);
+    }
+}
+
+/* The condition failed: either an earlier copy won, or someone else has. */
+static void
+commit_conflict (struct rst_term *term, const struct rst_store_answer *answer)
+{
+  struct rst_seat seat = { 0 };
+  const struct rst_item *item = NULL;
+
+  for (guint i = 0; i < answer->items->len; i++)
+    {
+      const struct rst_item *at = g_ptr_array_index (answer->items, i);
+
+      if (strcmp (at->key, RST_SEEKER_KEY) == 0)
+        item = at;
+    }
+  if (item != NULL && item->value != NULL
+      && rst_seat_read (&seat, item->value, item->length)
+      && seat.epoch == term->seat.epoch && seat.counter == term->seat.counter
+      && strcmp (seat.name, term->seat.name) == 0)
+    commit_done (term, item->revision);
+  else
+    end_term (term, term->won ? "another planner" : "another was first");
+}
+
+static void
+on_commit (struct rst_store_answer *answer, void *userdata)
+{
+  struct rst_term *term = userdata;
+
+  if (call_ended (term))
+    {
+      term->commit_sent = false;
+      term->commit_next = term->config.now () + AGAIN_MS;
+      if (answer->result == RST_RESULT_OK)
+        commit_done (term, answer->revision);
+      else if (answer->result == RST_RESULT_CONFLICT)
+        commit_conflict (term, answer);
+      else if (!term->won)
+        end_term (term, "the store did not answer");
+      else
+        rst_info (LOG_PREFIX, "Commit is sent again.", "result",
+                  rst_result_text (answer->result));
+    }
+  rst_store_answer_free (answer);
+}
+
+/* The planner's commit. */
+static void
+commit (void *userdata, int64_t segment, const void *data, size_t length,
+        const int64_t *remove, int remove_count)
+{
+  struct rst_term *term = userdata;
+
+  segment_key (term->segment_key, sizeof term->segment_key, segment);
+  term->segment = g_byte_array_new ();
+  g_byte_array_append (term->segment, data, (guint)length);
+  term->removed_count = MIN (remove_count, WRITES_MAX - 2);
+  for (int i = 0; i < term->removed_count; i++)
+    segment_key (term->removed[i], sizeof term->removed[i], remove[i]);
+  if (!term->committing)
+    begin_commit (term);
+}
+
+static void
+send_to (void *userdata, uint64_t link, const void *data, size_t length)
+{
+  struct rst_term *term = userdata;
+
+  term->config.send (term->config.userdata, link, data, length);
+}
+
+static void
+send_reply (void *userdata, uint64_t link, uint64_t call,
+            const struct rst_reply *reply)
+{
+  struct rst_pack pack;
+
+  rst_pack_init (&pack, 6);
+  rst_pack_int (&pack, RST_MSG_REPLY);
+  rst_pack_int (&pack, (int64_t)call);
+  rst_pack_int (&pack, reply->outcome);
+  rst_pack_int (&pack, reply->state);
+  rst_pack_int (&pack, reply->count);
+  rst_pack_int (&pack, reply->retry_s);
+  send_to (userdata, link, pack.buffer.data, pack.buffer.size);
+  rst_pack_clear (&pack);
+}
+
+static void
+send_welcome (struct rst_term *term, uint64_t link)
+{
+  struct rst_pack pack;
+
+  rst_pack_init (&pack, 3);
+  rst_pack_int (&pack, RST_MSG_WELCOME);
+  rst_pack_int (&pack, term->seat.epoch);
+  rst_pack_int (&pack, term->serving ? 1 : 0);
+  send_to (term, link, pack.buffer.data, pack.buffer.size);
+  rst_pack_clear (&pack);
+}
+
+static void
+send_to_all (struct rst_term *term, const struct rst_pack *pack)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, term->links);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    send_to (term, *(uint64_t *)key, pack->buffer.data, pack->buffer.size);
+}
+
+static void
+send_alive (struct rst_term *term, rst_ms now)
+{
+  struct rst_pack pack;
+
+  rst_pack_init (&pack, 2);
+  rst_pack_int (&pack, RST_MSG_ALIVE);
+  rst_pack_int (&pack, now - term->committed_at);
+  send_to_all (term, &pack);
+  rst_pack_clear (&pack);
+}
+
+static void
+apply_config (struct rst_term *term, const struct rst_item *item)
+{
+  char *problem = NULL;
+  struct rst_cellconfig *config;
+  char version[24];
+
+  if (item->deleted || item->value == NULL)
+    return;
+  config = rst_adapter_read_config ((const char *)item->value, &problem);
+  if (config == NULL)
+    {
+      rst_warning (LOG_PREFIX,
+                   "Configuration can't be read; the last one "
+                   "stays.",
+                   "problem", problem);
+      g_free (problem);
+      return;
+    }
+  g_snprintf (version, sizeof version, "%" PRId64, config->version);
+  rst_info (LOG_PREFIX, "Configuration is in force.", "version", version);
+  rst_planner_configure (term->planner, config);
+}
+
+static void
+apply_operators (struct rst_term *term, const struct rst_item *item)
+{
+  size_t length = strlen (RST_PLATFORM_EVACUATE_PREFIX);
+
+  if (strcmp (item->key, RST_PLATFORM_CONFIG_KEY) == 0)
+    apply_config (term, item);
+  else if (strncmp (item->key, RST_PLATFORM_EVACUATE_PREFIX, length) == 0)
+    rst_planner_evacuate (term->planner, item->key + length, !item->deleted);
+}
+
+static void
+apply_instance (struct rst_term *term, const struct rst_item *item)
+{
+  const char *id = item->key + strlen (RST_PLATFORM_INSTANCE_PREFIX);
+  struct rst_instance_entry entry;
+
+  if (item->deleted)
+    rst_planner_instance_gone (term->planner, id);
+  else if (item->value != NULL
+           && rst_adapter_read_instance (id, (const char *)item->value,
+                                         &entry))
+    rst_planner_instance (term->planner, &entry);
+}
+
+static void
+apply_item (struct followed *followed, const struct rst_item *item)
+{
+  if (item->deleted)
+    g_hash_table_remove (followed->known, item->key);
+  else
+    g_hash_table_add (followed->known, g_strdup (item->key));
+  followed->apply (followed->term, item);
+}
+
+/* Keys known before that a whole reading did not show are gone. */
+static void
+apply_absent (struct followed *followed)
+{
+  GList *keys = g_hash_table_get_keys (followed->known);
+
+  for (GList *at = keys; at != NULL; at = at->next)
+    {
+      struct rst_item gone = { 0 };
+
+      if (g_hash_table_contains (followed->listed, at->data))
+        continue;
+      gone.key = g_strdup (at->data);
+      gone.deleted = true;
+      apply_item (followed, &gone);
+      g_free (gone.key);
+    }
+  g_list_free (keys);
+}
+
+static void
+begin_range (struct followed *followed)
+{
+  followed->ranging = true;
+  followed->after[0] = '\0';
+  followed->listed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+static void next_reading (struct rst_term *term);
+
+static void
+take_range (struct followed *followed, const struct rst_store_answer *answer)
+{
+  /* What changes while pages are read is seen by the watch. */
+  if (followed->after[0] == '\0')
+    followed->revision = answer->revision;
+  for (guint i = 0; i < answer->items->len; i++)
+    {
+      const struct rst_item *item = g_ptr_array_index (answer->items, i);
+
+      g_hash_table_add (followed->listed, g_strdup (item->key));
+      g_strlcpy (followed->after, item->key, sizeof followed->after);
+      apply_item (followed, item);
+    }
+  if (answer->more)
+    return;
+  apply_absent (followed);
+  g_hash_table_destroy (followed->listed);
+  followed->listed = NULL;
+  followed->ranging = false;
+  if (followed->term->reading != READING_DONE)
+    next_reading (followed->term);
+}
+
+static void
+on_followed (struct rst_store_answer *answer, void *userdata)
+{
+  struct followed *followed = userdata;
+  struct rst_term *term = followed->term;
+  rst_ms now = term->config.now ();
+
+  if (!call_ended (term))
+    {
+      rst_store_answer_free (answer);
+      return;
+    }
+  followed->busy = false;
+  followed->next = now + followed->pause;
+  rst_planner_set_time (term->planner, now, term->config.unix_now ());
+  if (answer->result == RST_RESULT_OK && followed->ranging)
+    {
+      followed->next = now;
+      take_range (followed, answer);
+    }
+  else if (answer->result == RST_RESULT_OK)
+    {
+      for (guint i = 0; i < answer->items->len; i++)
+        apply_item (followed, g_ptr_array_index (answer->items, i));
+      followed->revision = MAX (followed->revision, answer->revision);
+    }
+  else if (answer->result == RST_RESULT_COMPACTED && !followed->ranging)
+    begin_range (followed);
+  else
+    followed->next = now + AGAIN_MS;
+  rst_store_answer_free (answer);
+}
+
+static void
+follow (struct followed *followed, rst_ms now)
+{
+  struct rst_term *term = followed->term;
+  const struct rst_backend *backend = term->config.backend;
+
+  if (followed->busy || now < followed->next)
+    return;
+  followed->busy = true;
+  term->calls++;
+  if (followed->ranging)
+    backend->store_range (backend->userdata, followed->prefix, followed->after,
+                          on_followed, followed);
+  else
+    backend->store_watch (backend->userdata, followed->prefix,
+                          followed->revision, WATCH_WAIT_MS, on_followed,
+                          followed);
+}
+
+static void read_journal (struct rst_term *term);
+
+static void
+on_journal (struct rst_store_answer *answer, void *userdata)
+{
+  struct rst_term *term = userdata;
+
+  if (!call_ended (term))
+    {
+      rst_store_answer_free (answer);
+      return;
+    }
+  rst_planner_set_time (term->planner, term->config.now (),
+                        term->config.unix_now ());
+  for (guint i = 0; answer->result == RST_RESULT_OK && i < answer->items->len;
+       i++)
+    {
+      const struct rst_item *item = g_ptr_array_index (answer->items, i);
+      int64_t segment
+          = (int64_t)strtoull (item->key + strlen (SEGMENT_PREFIX), NULL, 16);
+
+      g_strlcpy (term->after, item->key, sizeof term->after);
+      if (!rst_planner_restore (term->planner, segment, item->value,
+                                item->length))
+        rst_warning (LOG_PREFIX, "Segment can't be read whole.", "key",
+                     item->key);
+    }
+  if (answer->result != RST_RESULT_OK || answer->more)
+    read_journal (term);
+  else
+    next_reading (term);
+  rst_store_answer_free (answer);
+}
+
+static void
+read_journal (struct rst_term *term)
+{
+  const struct rst_backend *backend = term->config.backend;
+
+  term->calls++;
+  backend->store_range (backend->userdata, SEGMENT_PREFIX, term->after,
+                        on_journal, term);
+}
+
+static void
+next_reading (struct rst_term *term)
+{
+  term->reading++;
+  if (term->reading == READING_OPERATORS)
+    begin_range (&term->operators);
+  else if (term->reading == READING_INSTANCES)
+    begin_range (&term->instances);
+  else
+    rst_planner_restored (term->planner);
+}
+
+static void
+begin_reading (struct rst_term *term)
+{
+  struct rst_planner_ops ops = { send_to, send_reply, commit, term };
+  char epoch[24];
+
+  g_snprintf (epoch, sizeof epoch, "%" PRId64, term->seat.epoch);
+  rst_info (LOG_PREFIX, "This process is the planner.", "epoch", epoch);
+  term->planner
+      = rst_planner_create (&ops, &term->config.bounds, term->seat.epoch);
+  term->reading = READING_JOURNAL;
+  read_journal (term);
+}
+
+static void
+init_followed (struct rst_term *term, struct followed *followed,
+               const char *prefix,
+               void (*apply) (struct rst_term *, const struct rst_item *),
+               rst_ms pause)
+{
+  followed->term = term;
+  followed->prefix = prefix;
+  followed->apply = apply;
+  followed->pause = pause;
+  followed->known
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+struct rst_term *
+rst_term_create (const struct rst_term_config *config, int64_t revision,
+                 const struct rst_seat *seat)
+{
+  struct rst_term *term = g_new0 (struct rst_term, 1);
+
+  term->config = *config;
+  term->revision = revision;
+  term->seat.epoch = seat->epoch + 1;
+  g_strlcpy (term->seat.name, config->name, sizeof term->seat.name);
+  g_strlcpy (term->seat.address, config->address, sizeof term->seat.address);
+  term->links
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  init_followed (term, &term->operators, RST_PLATFORM_OPERATOR_PREFIX,
+                 apply_operators, 0);
+  init_followed (term, &term->instances, RST_PLATFORM_INSTANCE_PREFIX,
+                 apply_instance, INSTANCES_EVERY_MS);
+  begin_commit (term);
+  return term;
+}
+
+static void
+take_hello (struct rst_term *term, uint64_t link, struct rst_reader *reader)
+{
+  enum rst_role role = (enum rst_role)rst_reader_int (reader);
+  char *name = rst_reader_text (reader);
+  char *zone = rst_reader_text (reader);
+  uint64_t *key = g_new (uint64_t, 1);
+
+  *key = link;
+  g_hash_table_add (term->links, key);
+  send_welcome (term, link);
+  if (role == RST_ROLE_AGENT)
+    rst_planner_agent (term->planner, link, name, zone);
+  g_free (name);
+  g_free (zone);
+}
+
+static void
+take_call (struct rst_term *term, uint64_t link, struct rst_reader *reader)
+{
+  struct rst_planner_call call = { 0 };
+  struct rst_reader inner;
+  char *host;
+  char *path;
+  char *key;
+
+  call.link = link;
+  call.number = (uint64_t)rst_reader_int (reader);
+  call.operation = (enum rst_operation)rst_reader_int (reader);
+  host = rst_reader_text (reader);
+  path = rst_reader_text (reader);
+  key = rst_reader_text (reader);
+  inner = *reader;
+  if (call.operation == RST_OPERATION_SUBMIT && !reader->bad)
+    call.desc = rst_jobdesc_read (&inner);
+  call.host = host;
+  call.path = path;
+  call.key = key;
+  rst_planner_call (term->planner, &call);
+  g_free (host);
+  g_free (path);
+  g_free (key);
+}
+
+void
+rst_term_frame (struct rst_term *term, uint64_t link, const void *data,
+                size_t length)
+{
+  msgpack_unpacked unpacked;
+  struct rst_reader reader;
+  int kind;
+
+  if (term->planner == NULL
+      || !rst_reader_open (&reader, &unpacked, data, length))
+    {
+      term->config.close (term->config.userdata, link);
+      return;
+    }
+  kind = (int)rst_reader_int (&reader);
+  rst_planner_set_time (term->planner, term->config.now (),
+                        term->config.unix_now ());
+  if (kind == RST_MSG_HELLO)
+    take_hello (term, link, &reader);
+  else if (kind != RST_MSG_CALL)
+    rst_planner_message (term->planner, link, kind, &reader);
+  else if (term->serving)
+    take_call (term, link, &reader);
+  msgpack_unpacked_destroy (&unpacked);
+}
+
+void
+rst_term_link_closed (struct rst_term *term, uint64_t link)
+{
+  if (!g_hash_table_remove (term->links, &link) || term->planner == NULL)
+    return;
+  rst_planner_set_time (term->planner, term->config.now (),
+                        term->config.unix_now ());
+  rst_planner_link_closed (term->planner, link);
+}
+
+static void
+begin_serving (struct rst_term *term)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  term->serving = true;
+  rst_info (LOG_PREFIX, "Callers are served.");
+  g_hash_table_iter_init (&iter, term->links);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    send_welcome (term, *(uint64_t *)key);
+}
+
+rst_ms
+rst_term_run (struct rst_term *term)
+{
+  rst_ms now = term->config.now ();
+  rst_ms wake = now + ALIVE_MS;
+
+  if (term->committing && !term->commit_sent && now >= term->commit_next)
+    send_commit (term);
+  if (!term->won)
+    return wake;
+  if (!term->committing && now - term->committed_at >= RENEW_MS)
+    begin_commit (term);
+  if (term->reading >= READING_OPERATORS && term->resigning == false)
+    follow (&term->operators, now);
+  if (term->reading >= READING_INSTANCES && term->resigning == false)
+    follow (&term->instances, now);
+  rst_planner_set_time (term->planner, now, term->config.unix_now ());
+  if (!term->serving && rst_planner_ready (term->planner))
+    begin_serving (term);
+  if (now >= term->next_alive)
+    {
+      term->next_alive = now + ALIVE_MS;
+      send_alive (term, now);
+    }
+  wake = MIN (wake, rst_planner_run (term->planner));
+  if (!term->operators.busy)
+    wake = MIN (wake, MAX (term->operators.next, now + 1));
+  if (!term->instances.busy)
+    wake = MIN (wake, MAX (term->instances.next, now + 1));
+  if (term->committing && !term->commit_sent)
+    wake = MIN (wake, term->commit_next);
+  return wake;
+}
+
+void
+rst_term_resign (struct rst_term *term)
+{
+  term->resigning = true;
+  term->seat.address[0] = '\0';
+  if (!term->committing)
+    begin_commit (term);
+}
+
+bool
+rst_term_idle (const struct rst_term *term)
+{
+  return !term->committing;
+}
+
+int64_t
+rst_term_epoch (const struct rst_term *term)
+{
+  return term->seat.epoch;
+}
--- /dev/null
+++ b/src/daemon/term.h
@@ -0,0 +1,81 @@
+/**
+ * DOC: term - the time in which this process is the planner
+ *
+ * Begins when the planner's key was won with one conditional change, reads
+ * the journal, follows the operators' and the instances' keys, and commits.
+ * Each commit changes the planner's key under the condition that nobody else
+ * has, so commits form one sequence and a late copy of one changes nothing.
+ */
+#ifndef RST_TERM_H
+#define RST_TERM_H
+
+#include "cell/planner.h"
+#include "cell/seeker.h"
+
+struct rst_term;
+
+/**
+ * struct rst_term_config - How a term is set up.
+ * @backend: The store; callbacks arrive on the term's thread.
+ * @now: Steady time.
+ * @unix_now: Time of day in milliseconds.
+ * @send: Sends a frame over a link.
+ * @close: Closes a link.
+ * @ended: Another process is the planner; the term is to be destroyed, but
+ *   not within the call.
+ * @userdata: Passed to each.
+ * @bounds: Times for the planner.
+ * @name: Name of this process.
+ * @address: Where this process listens.
+ */
+struct rst_term_config
+{
+  const struct rst_backend *backend;
+  rst_ms (*now) (void);
+  int64_t (*unix_now) (void);
+  void (*send) (void *userdata, uint64_t link, const void *data,
+                size_t length);
+  void (*close) (void *userdata, uint64_t link);
+  void (*ended) (void *userdata);
+  void *userdata;
+  struct rst_planner_bounds bounds;
+  const char *name;
+  const char *address;
+};
+
+/**
+ * rst_term_create() - Tries to win the planner's key.
+ * @revision: Revision at which the key was seen; 0 when it was absent.
+ * @seat: What it held.
+ */
+struct rst_term *rst_term_create (const struct rst_term_config *config,
+                                  int64_t revision,
+                                  const struct rst_seat *seat);
+
+/**
+ * rst_term_destroy() - Ends a term.
+ *
+ * It is freed when its last call to the store has been answered.
+ */
+void rst_term_destroy (struct rst_term *term);
+
+/** rst_term_frame() - A frame came over a link that is not to a planner. */
+void rst_term_frame (struct rst_term *term, uint64_t link, const void *data,
+                     size_t length);
+
+/** rst_term_link_closed() - A link is gone. */
+void rst_term_link_closed (struct rst_term *term, uint64_t link);
+
+/** rst_term_run() - Does what is due; returns when to be called again. */
+rst_ms rst_term_run (struct rst_term *term);
+
+/** rst_term_resign() - Gives the planner's key up at a planned stop. */
+void rst_term_resign (struct rst_term *term);
+
+/** rst_term_idle() - Whether no change of the store is under way. */
+bool rst_term_idle (const struct rst_term *term);
+
+/** rst_term_epoch() - The epoch of the term. */
+int64_t rst_term_epoch (const struct rst_term *term);
+
+#endif
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -41,6 +41,7 @@
   struct MHD_Daemon *daemon;
   struct rst_http_server_config config;
   char address[RST_ADDRESS_SIZE];
+  atomic_bool closing;
   pthread_mutex_t lock;
   CK_LIST_HEAD (request_list, rst_http_request) waiting;
 };
@@ -248,6 +249,12 @@
   g_free (server);
 }
 
+void
+rst_http_server_close_idle (struct rst_http_server *server)
+{
+  atomic_store (&server->closing, true);
+}
+
 const char *
 rst_http_method (const struct rst_http_request *request)
 {
@@ -301,6 +308,9 @@
 {
   request->response
       = make_response (content_type, body, length, retry_after_s);
+  if (atomic_load (&request->server->closing))
+    MHD_add_response_header (request->response, MHD_HTTP_HEADER_CONNECTION,
+                             "close");
   request->status = status;
   finish (request);
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -67,6 +67,14 @@
  */
 void rst_http_server_destroy (struct rst_http_server *server);
 
+/**
+ * rst_http_server_close_idle() - Lets connections end at a planned stop.
+ * @server: The server.
+ *
+ * Each answer from now on tells its caller that the connection closes.
+ */
+void rst_http_server_close_idle (struct rst_http_server *server);
+
 /** rst_http_method() - The request's method, such as "GET". */
 const char *rst_http_method (const struct rst_http_request *request);
 
