--- a/src/cell/agent.c
+++ b/src/cell/agent.c
@@ -317,7 +317,9 @@
   rst_reader_copy (reader, order->task, sizeof order->task);
   order->attempt = (int)rst_reader_int (reader);
   held = g_hash_table_lookup (agent->held, order->id);
-  if (held == NULL || reader->bad)
+  /* Without the instance's clock a start could carry no lease. */
+  if (held == NULL || reader->bad
+      || (kind == RST_MSG_START && held->clock_ms == 0))
     {
       answer_order (order, RST_RESULT_NOT_SENT, 0);
       g_free (order);
--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -14,6 +14,15 @@
 #define NAMED_MIN 3
 #define NAMED_MAX 48
 
+/** Largest number of instances named in the first call of a gang. */
+#define FIRST_MAX 36
+
+/** Calls up to this long keep room on the instances that they name. */
+#define KEEP_CALL_MS 200
+
+/** Share of the agents that may make long calls at once, in hundredths. */
+#define LONG_SHARE 70
+
 /** Places asked for, as a multiple of those needed. */
 #define PLACES_FACTOR 1.3
 
@@ -29,9 +38,6 @@
 /** Pause after a call that failed, in milliseconds. */
 #define ASK_FAILED_MS 100
 
-/** A call without an answer is given up after this, in milliseconds. */
-#define ASK_LOST_MS 5000
-
 void
 rst_plan_ask_free (gpointer data)
 {
@@ -73,22 +79,20 @@
   return left < right ? -1 : left > right;
 }
 
-/* Instances with room now that the step might use and has no valid ticket
-   for. */
+/* Instances that the step might use and has no valid ticket for: those with
+   room now, and for the first call of a gang all, since what may run where
+   doesn't change and its room may come later. */
 static GArray *
 candidates (struct rst_planner *planner, const struct step *step)
 {
   GArray *found = g_array_new (FALSE, FALSE, sizeof (struct candidate));
   double approval = step->occurrence->job->queue->approval;
   bool gang = step->spec->gang;
-  GHashTableIter iter;
-  gpointer value;
 
-  g_hash_table_iter_init (&iter, planner->instances);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < planner->usable->len; i++)
     {
-      struct candidate candidate = { value, 0, approval, 0.0 };
-      struct instance *instance = value;
+      struct instance *instance = g_ptr_array_index (planner->usable, i);
+      struct candidate candidate = { instance, 0, approval, 0.0 };
       struct leave *leave
           = g_hash_table_lookup (step->leaves, instance->entry.id);
 
@@ -96,7 +100,7 @@
           || (leave != NULL && leave->denied))
         continue;
       candidate.slots = rst_plan_slots (instance, step);
-      if (candidate.slots == 0)
+      if (candidate.slots == 0 && (!gang || step->asked))
         continue;
       if (leave != NULL)
         candidate.chance = 1.0;
@@ -119,8 +123,9 @@
   double expected = 0.0;
   double wanted = tasks * PLACES_FACTOR;
   int named = 0;
+  int named_max = step->spec->gang && !step->asked ? FIRST_MAX : NAMED_MAX;
 
-  for (guint i = 0; i < found->len && named < NAMED_MAX; i++)
+  for (guint i = 0; i < found->len && named < named_max; i++)
     {
       struct candidate candidate = g_array_index (found, struct candidate, i);
 
@@ -129,7 +134,7 @@
       expected += candidate.slots * candidate.chance;
       named++;
     }
-  if (step->spec->gang && expected < tasks * 0.8)
+  if (step->spec->gang && step->asked && expected < tasks)
     return 0;
   return named;
 }
@@ -155,8 +160,8 @@
                  < MAX (best->busy_until, planner->now))
         best = agent;
     }
-  if (cost_ms > LONG_CALL_MS && planner->agents->len > 2
-      && long_calls + 1 + planner->agents->len / 4 > planner->agents->len)
+  if (cost_ms > LONG_CALL_MS
+      && (long_calls + 1) * 100 > MAX (planner->agents->len * LONG_SHARE, 100))
     return NULL;
   return best;
 }
@@ -191,7 +196,7 @@
   struct agent *agent;
   struct ask *ask;
 
-  if (step->asking || planner->now < step->ask_after
+  if (planner->now < step->ask_after
       || !rst_plan_below_limit (step, step->spec->gang ? tasks : 1))
     return;
   found = candidates (planner, step);
@@ -220,12 +225,39 @@
             g_array_index (found, struct candidate, i).instance->entry.id));
   agent->asking++;
   agent->busy_until = MAX (agent->busy_until, planner->now) + cost_ms;
-  step->asking = true;
+  ask->keeps = cost_ms <= KEEP_CALL_MS || (step->spec->gang && step->asked);
+  step->ask = ask;
+  step->asked = true;
   g_hash_table_insert (planner->asks, &ask->handle, ask);
   send_ask (planner, ask);
   g_array_free (found, TRUE);
 }
 
+/* Keeps room for the tasks that a call under way asks about. */
+void
+rst_plan_keep_asked (struct rst_planner *planner, struct step *step, int tasks)
+{
+  const struct ask *ask = step->ask;
+  double wanted = tasks;
+
+  for (guint i = 0; ask->keeps && wanted > 0.0 && i < ask->ids->len; i++)
+    {
+      struct instance *instance = g_hash_table_lookup (
+          planner->instances, g_ptr_array_index (ask->ids, i));
+      struct leave *leave = g_hash_table_lookup (
+          step->leaves, g_ptr_array_index (ask->ids, i));
+      double chance
+          = leave != NULL ? 1.0 : step->occurrence->job->queue->approval;
+      int slots;
+
+      if (instance == NULL)
+        continue;
+      slots = MIN (rst_plan_slots (instance, step), tasks);
+      rst_plan_keep (instance, step, slots);
+      wanted -= slots * chance;
+    }
+}
+
 static struct step *
 find_step (struct rst_planner *planner, const struct ask *ask)
 {
@@ -243,7 +275,7 @@
 
   if (step != NULL)
     {
-      step->asking = false;
+      step->ask = NULL;
       step->ask_after = planner->now + pause_ms;
     }
   for (guint i = 0; i < planner->agents->len; i++)
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -108,6 +108,17 @@
   rst_pack_clear (&pack);
 }
 
+/* Nobody reports on the instance; its lease may be extended for a while. */
+static void
+set_unknown (struct rst_planner *planner, struct instance *instance)
+{
+  if (instance->known)
+    instance->lapse_at = planner->now + planner->bounds.keep_ms
+                         + planner->bounds.lease_ms * 102 / 100
+                         + LAPSE_MARGIN_MS;
+  instance->known = false;
+}
+
 static void
 give_to (struct rst_planner *planner, struct instance *instance,
          struct agent *agent)
@@ -118,6 +129,7 @@
     {
       instance->agent->held--;
       send_id (planner, instance, RST_MSG_DROP, 0);
+      set_unknown (planner, instance);
     }
   instance->agent = agent;
   if (agent == NULL)
@@ -215,11 +227,7 @@
       if (instance->agent != agent)
         continue;
       instance->agent = NULL;
-      if (instance->known)
-        instance->lapse_at = planner->now + planner->bounds.keep_ms
-                             + planner->bounds.lease_ms * 102 / 100
-                             + LAPSE_MARGIN_MS;
-      instance->known = false;
+      set_unknown (planner, instance);
       hasten_starts (planner, instance);
     }
   rst_plan_asks_of_link_end (planner, link);
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -166,8 +166,7 @@
   if (step->listed || !step_may_begin (step))
     return;
   step->listed = true;
-  if (step->ready_at == 0)
-    step->ready_at = planner->now;
+  rst_plan_objective (planner, step);
   g_ptr_array_add (planner->active, step);
 }
 
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -32,23 +32,34 @@
   g_ptr_array_add (planner->dirty, job);
 }
 
-/* A task takes four bytes: done, failed runs, last counted attempt. */
+static void
+add_number (GByteArray *bytes, int number)
+{
+  guint8 pair[2] = { (guint8)(number >> 8), (guint8)(number & 255) };
+
+  g_byte_array_append (bytes, pair, sizeof pair);
+}
+
+/* A task is its done flag and count of failed runs, its last attempt and
+   the attempts that failed. */
 static void
 pack_tasks (struct rst_pack *pack, const struct step *step)
 {
-  guint8 *bytes = g_new0 (guint8, (gsize)step->spec->count * 4);
+  GByteArray *bytes = g_byte_array_new ();
 
   for (int i = 0; i < step->spec->count; i++)
     {
       const struct task *task = &step->tasks[i];
+      int failed = MIN (task->failed, RST_FAILED_MAX);
+      guint8 head[2] = { task->done ? 1 : 0, (guint8)failed };
 
-      bytes[4 * i] = task->done ? 1 : 0;
-      bytes[4 * i + 1] = (guint8)MIN (task->failed, 255);
-      bytes[4 * i + 2] = (guint8)(task->ended_attempt >> 8);
-      bytes[4 * i + 3] = (guint8)(task->ended_attempt & 255);
+      g_byte_array_append (bytes, head, sizeof head);
+      add_number (bytes, task->attempt);
+      for (int k = 0; k < failed; k++)
+        add_number (bytes, task->failed_attempts[k]);
     }
-  rst_pack_bytes (pack, bytes, (size_t)step->spec->count * 4);
-  g_free (bytes);
+  rst_pack_bytes (pack, bytes->data, bytes->len);
+  g_byte_array_free (bytes, TRUE);
 }
 
 static void
@@ -322,23 +333,37 @@
   rst_plan_acks (planner);
 }
 
+static int
+read_number (const guint8 *bytes, size_t length, size_t *at)
+{
+  int number = 0;
+
+  if (*at + 2 <= length)
+    number = bytes[*at] << 8 | bytes[*at + 1];
+  *at += 2;
+  return number;
+}
+
 static void
 restore_tasks (struct step *step, const guint8 *bytes, size_t length)
 {
-  for (int i = 0; i < step->spec->count && (size_t)i * 4 + 3 < length; i++)
+  size_t at = 0;
+
+  for (int i = 0; i < step->spec->count && at + 4 <= length; i++)
     {
       struct task *task = &step->tasks[i];
-
-      task->failed = bytes[4 * i + 1];
-      task->ended_attempt = bytes[4 * i + 2] << 8 | bytes[4 * i + 3];
-      task->attempt = task->ended_attempt;
-      step->gang_failed = MAX (step->gang_failed, task->ended_attempt);
-      if ((bytes[4 * i] & 1) && !task->done)
-        {
-          task->done = true;
-          step->left--;
-          step->waiting--;
-        }
+      bool done = bytes[at] & 1;
+
+      task->failed = MIN (bytes[at + 1], RST_FAILED_MAX);
+      at += 2;
+      task->attempt = read_number (bytes, length, &at);
+      for (int k = 0; k < task->failed; k++)
+        task->failed_attempts[k] = (uint16_t)read_number (bytes, length, &at);
+      if (!done || task->done)
+        continue;
+      task->done = true;
+      step->left--;
+      step->waiting--;
     }
 }
 
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -6,6 +6,10 @@
 /** Gangs that may keep room free for themselves at once. */
 #define KEEPING_GANGS_MAX 3
 
+/** A start this much after its latest moment still counts as in time, since
+    that moment is an estimate. */
+#define START_MARGIN_MS 0
+
 /** A job is given up as late after this multiple of its objective. */
 #define LATE_FACTOR 3
 
@@ -59,15 +63,15 @@
          || tasks_on (instance, step) < step->spec->per_instance;
 }
 
-/* Whether a step's tasks may run there at all, room aside. */
+/* Whether a step's tasks may run there at all, room aside.  The instance is
+   one that takes starts. */
 bool
 rst_plan_allowed (const struct rst_planner *planner,
                   const struct instance *instance, const struct step *step)
 {
   const struct queue *queue = step->occurrence->job->queue;
 
-  if (!rst_plan_usable (planner, instance))
-    return false;
+  (void)planner;
   if (queue->set.pool == NULL
       || strcmp (queue->set.pool, instance->entry.pool) != 0)
     return false;
@@ -90,18 +94,60 @@
              || customer->used.gpu + need->gpu * tasks <= limit->gpu);
 }
 
-/* Time that the work behind a step still takes at the least. */
-static int64_t
+/* Estimates are rough; the queue's own run times say as much. */
+static double
+expected_ms (const struct job *job, int index)
+{
+  double said = (double)job->desc->steps[index].estimate_ms;
+
+  return job->queue->run_ms > 0.0 ? (said + job->queue->run_ms) / 2.0 : said;
+}
+
+/* Time that a step and those behind it still take at the least. */
+static double
 remaining_ms (const struct step *step)
 {
   const struct job *job = step->occurrence->job;
-  int64_t longest = 0;
+  double longest = expected_ms (job, step->index);
 
   for (int i = step->index + 1; i < job->desc->step_count; i++)
     for (int k = 0; k < job->desc->steps[i].after_count; k++)
       if (job->desc->steps[i].after[k] >= step->index)
-        longest += job->desc->steps[i].estimate_ms;
-  return longest + step->spec->estimate_ms;
+        longest += expected_ms (job, i);
+  return longest;
+}
+
+static double
+chain_ms (const struct job *job)
+{
+  double ends[RST_STEPS_MAX] = { 0 };
+  double longest = 0.0;
+
+  for (int i = 0; i < job->desc->step_count; i++)
+    {
+      const struct rst_step *step = &job->desc->steps[i];
+
+      for (int k = 0; k < step->after_count; k++)
+        ends[i] = MAX (ends[i], ends[step->after[k]]);
+      ends[i] += expected_ms (job, i);
+      longest = MAX (longest, ends[i]);
+    }
+  return longest;
+}
+
+/* Sets when a step has to start for its job to be on time. */
+void
+rst_plan_objective (const struct rst_planner *planner, struct step *step)
+{
+  const struct job *job = step->occurrence->job;
+  const struct rst_queue *queue = &job->queue->set;
+
+  (void)planner;
+  step->objective_ms
+      = (int64_t)(chain_ms (job) * (double)queue->slack / 1000.0)
+        + queue->target_ms;
+  step->start_by_ms = step->occurrence->due_ms + step->objective_ms
+                      - (int64_t)remaining_ms (step);
 }
 
 /* What can still be on time comes first, by priority and the latest moment
@@ -111,20 +157,17 @@
 {
   const struct job *job = step->occurrence->job;
   const struct rst_queue *queue = &job->queue->set;
-  int64_t since = step->occurrence->due_ms;
-  int64_t objective = rst_jobdesc_chain_ms (job->desc) * queue->slack / 1000
-                      + queue->target_ms;
-  int64_t start_by = since + objective - remaining_ms (step);
-  int64_t value = start_by - planner->unix_ms + BAND_PRIORITY / 2;
+  int64_t value = step->start_by_ms - planner->unix_ms + BAND_PRIORITY / 2;
   int64_t urgent = queue->priority == 0 ? 0 : BAND_PRIORITY;
 
   if (step->spec->lasting)
     return 0;
-  if (planner->unix_ms > since + LATE_FACTOR * objective)
+  if (planner->unix_ms
+      > step->occurrence->due_ms + LATE_FACTOR * step->objective_ms)
     return BAND_LOST + value;
   if (job->beyond_share)
     return BAND_BEYOND + value;
-  if (planner->unix_ms > start_by)
+  if (planner->unix_ms > step->start_by_ms + START_MARGIN_MS)
     return BAND_LATE + urgent + value;
   return urgent + value;
 }
@@ -164,13 +207,10 @@
 {
   struct instance *best = NULL;
   double best_score = 0.0;
-  GHashTableIter iter;
-  gpointer value;
 
-  g_hash_table_iter_init (&iter, planner->instances);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < planner->usable->len; i++)
     {
-      struct instance *instance = value;
+      struct instance *instance = g_ptr_array_index (planner->usable, i);
       double now;
 
       if (!rst_plan_allowed (planner, instance, step)
@@ -230,14 +270,11 @@
 gang_shares (struct rst_planner *planner, const struct step *step, int *total)
 {
   GArray *shares = g_array_new (FALSE, FALSE, sizeof (struct share));
-  GHashTableIter iter;
-  gpointer value;
 
   *total = 0;
-  g_hash_table_iter_init (&iter, planner->instances);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < planner->usable->len; i++)
     {
-      struct share share = { value, 0 };
+      struct share share = { g_ptr_array_index (planner->usable, i), 0 };
 
       if (!rst_plan_allowed (planner, share.instance, step)
           || rst_plan_ticket (planner, step, share.instance) == NULL)
@@ -292,19 +329,25 @@
     }
 }
 
+void
+rst_plan_keep (struct instance *instance, const struct step *step, int slots)
+{
+  if (!step->spec->fills)
+    instance->kept.cpu += step->spec->need.cpu * slots;
+  instance->kept.memory += step->spec->need.memory * slots;
+  instance->kept.gpu += step->spec->need.gpu * slots;
+}
+
 /* Holds free room back for a gang that comes next but doesn't fit yet. */
 static void
 keep_room (struct rst_planner *planner, const struct step *step)
 {
   const struct queue *queue = step->occurrence->job->queue;
   int wanted = step->spec->count;
-  GHashTableIter iter;
-  gpointer value;
 
-  g_hash_table_iter_init (&iter, planner->instances);
-  while (wanted > 0 && g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; wanted > 0 && i < planner->usable->len; i++)
     {
-      struct instance *instance = value;
+      struct instance *instance = g_ptr_array_index (planner->usable, i);
       struct leave *leave
           = g_hash_table_lookup (step->leaves, instance->entry.id);
       int slots;
@@ -314,9 +357,7 @@
         continue;
       slots = MIN (rst_plan_slots (instance, step), wanted);
       wanted -= slots;
-      instance->kept.cpu += step->spec->need.cpu * slots;
-      instance->kept.memory += step->spec->need.memory * slots;
-      instance->kept.gpu += step->spec->need.gpu * slots;
+      rst_plan_keep (instance, step, slots);
     }
 }
 
@@ -350,31 +391,80 @@
   return left;
 }
 
+/* Lists the instances that take starts, with nothing kept on them. */
 static void
-clear_kept (struct rst_planner *planner)
+begin_pass (struct rst_planner *planner)
 {
   static const struct rst_need none;
   GHashTableIter iter;
   gpointer value;
 
+  g_ptr_array_set_size (planner->usable, 0);
+  g_array_set_size (planner->full, 0);
   g_hash_table_iter_init (&iter, planner->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((struct instance *)value)->kept = none;
+    {
+      struct instance *instance = value;
+
+      instance->kept = none;
+      if (rst_plan_usable (planner, instance))
+        g_ptr_array_add (planner->usable, instance);
+    }
+}
+
+/* Whether as small a need found no room earlier in this pass. */
+static bool
+is_known_full (const struct rst_planner *planner, const struct step *step)
+{
+  const struct rst_need *need = &step->spec->need;
+
+  for (guint i = 0; i < planner->full->len; i++)
+    {
+      const struct rst_need *full
+          = &g_array_index (planner->full, struct rst_need, i);
+
+      if (need->cpu >= full->cpu && need->memory >= full->memory
+          && need->gpu >= full->gpu)
+        return true;
+    }
+  return false;
+}
+
+static bool
+has_room (struct rst_planner *planner, const struct step *step)
+{
+  if (step->spec->fills)
+    return true;
+  if (is_known_full (planner, step))
+    return false;
+  for (guint i = 0; i < planner->usable->len; i++)
+    if (rst_plan_slots (g_ptr_array_index (planner->usable, i), step) > 0)
+      return true;
+  if (step->spec->per_instance == 0)
+    g_array_append_val (planner->full, step->spec->need);
+  return false;
 }
 
 static void
 place_step (struct rst_planner *planner, struct step *step, int *keeping)
 {
   const struct job *job = step->occurrence->job;
+  bool learns = step->spec->gang && !step->asked && job->queue->set.advised;
   int left;
 
+  if (!learns && !has_room (planner, step))
+    return;
   if (!job->stored)
     left = step->waiting;
   else if (step->spec->gang)
     left = place_gang (planner, step, keeping);
   else
     left = place_tasks (planner, step);
-  if (left > 0 && job->queue->set.advised)
+  if (left == 0 || !job->queue->set.advised)
+    return;
+  if (step->ask != NULL)
+    rst_plan_keep_asked (planner, step, left);
+  else
     rst_plan_ask (planner, step, left);
 }
 
@@ -394,7 +484,7 @@
       g_ptr_array_remove_index_fast (planner->active, i);
     }
   g_ptr_array_sort (planner->active, by_rank);
-  clear_kept (planner);
+  begin_pass (planner);
   for (guint i = 0; i < planner->active->len; i++)
     place_step (planner, g_ptr_array_index (planner->active, i), &keeping);
 }
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -21,6 +21,9 @@
 /** A run whose progress stands still for this long is withdrawn. */
 #define STALL_MS 3500
 
+/** Weight of a run in its queue's learned run time. */
+#define RUN_TIME_WEIGHT 0.02
+
 void
 rst_plan_task_name (const struct task *task, char *out, size_t size)
 {
@@ -304,34 +307,47 @@
                "instance", instance->entry.id);
 }
 
+/* Counts a failed run; false when it was counted before. */
+static bool
+count_failure (struct task *task, int attempt)
+{
+  for (int i = 0; i < MIN (task->failed, RST_FAILED_MAX); i++)
+    if (task->failed_attempts[i] == attempt)
+      return false;
+  if (task->failed < RST_FAILED_MAX)
+    task->failed_attempts[task->failed] = (uint16_t)attempt;
+  task->failed++;
+  return true;
+}
+
 static void
 task_failed (struct rst_planner *planner, struct task *task,
              struct instance *instance, int attempt)
 {
   struct step *step = task->step;
   struct job *job = step->occurrence->job;
-  int failed;
+  /* The first task keeps the count of its gang. */
+  struct task *counter = step->spec->gang ? &step->tasks[0] : task;
 
-  if (step->spec->gang)
-    {
-      if (attempt <= step->gang_failed)
-        return;
-      step->gang_failed = attempt;
-      for (int i = 0; i < step->spec->count; i++)
-        step->tasks[i].failed++;
-    }
-  else if (attempt <= task->ended_attempt)
-    return;
-  else
-    task->failed++;
-  task->ended_attempt = attempt;
   task->bad = instance;
-  failed = task->failed;
+  if (step->spec->lasting || !count_failure (counter, attempt))
+    return;
   rst_plan_mark (planner, job);
-  if (!step->spec->lasting && failed >= MAX (job->queue->set.attempts, 1))
+  if (counter->failed >= MAX (job->queue->set.attempts, 1))
     rst_plan_job_end (planner, job, RST_JOB_FAILED);
 }
 
+static void
+learn_run_time (const struct rst_planner *planner, const struct run *run)
+{
+  struct queue *queue = run->task->step->occurrence->job->queue;
+  double took = (double)(planner->now - run->ordered_at);
+
+  if (queue->run_ms <= 0.0)
+    queue->run_ms = took;
+  queue->run_ms += RUN_TIME_WEIGHT * (took - queue->run_ms);
+}
+
 /* Applies an end that an instance lists. */
 void
 rst_plan_end (struct rst_planner *planner, struct instance *instance,
@@ -357,6 +373,8 @@
       if (end->how == RST_END_DONE && !step->spec->lasting)
         {
           instance->failures = 0;
+          if (run != NULL)
+            learn_run_time (planner, run);
           task_done (planner, task);
         }
       else if (end->how == RST_END_FAILED)
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -10,6 +10,10 @@
 /** Least time between two placements, so that events gather; milliseconds. */
 #define PASS_EVERY_MS 4
 
+/** Waiting steps that add a millisecond to the time between placements, so
+    that a backlog does not take all of the processor. */
+#define STEPS_PER_MS 16
+
 static void
 queue_free (gpointer data)
 {
@@ -59,6 +63,8 @@
   planner->timed = g_ptr_array_new ();
   planner->dirty = g_ptr_array_new ();
   planner->committing = g_ptr_array_new ();
+  planner->usable = g_ptr_array_new ();
+  planner->full = g_array_new (FALSE, FALSE, sizeof (struct rst_need));
   return planner;
 }
 
@@ -79,6 +85,8 @@
   g_ptr_array_free (planner->timed, TRUE);
   g_ptr_array_free (planner->dirty, TRUE);
   g_ptr_array_free (planner->committing, TRUE);
+  g_ptr_array_free (planner->usable, TRUE);
+  g_array_free (planner->full, TRUE);
   rst_cellconfig_destroy (planner->config);
   g_free (planner);
 }
@@ -197,7 +205,8 @@
   if (planner->changed && planner->now >= planner->next_pass)
     {
       planner->changed = false;
-      planner->next_pass = planner->now + PASS_EVERY_MS;
+      planner->next_pass
+          = planner->now + PASS_EVERY_MS + planner->active->len / STEPS_PER_MS;
       rst_plan_place (planner);
     }
   else if (planner->changed)
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -20,6 +20,9 @@
 /** How long a start may stay unanswered before it is withdrawn, in ms. */
 #define RST_START_ANSWER_MS 1500
 
+/** Bound on the failed runs of a task that are told apart. */
+#define RST_FAILED_MAX 16
+
 struct agent
 {
   uint64_t link;
@@ -93,9 +96,10 @@
   int index;
   struct run *run;
   bool done;
+  /* Failed runs; each counts once, in whatever order instances list them. */
   int failed;
+  uint16_t failed_attempts[RST_FAILED_MAX];
   int attempt;
-  int ended_attempt;
   bool unsure;
   char saved[RST_TOKEN_SIZE];
   struct instance *bad;
@@ -119,17 +123,17 @@
   int left;
   int waiting;
   int gang_attempt;
-  int gang_failed;
   bool gang_stopping;
   char saved[RST_TOKEN_SIZE];
   GHashTable *leaves;
-  bool asking;
   rst_ms ask_after;
   bool listed;
   int64_t rank;
-  rst_ms ready_at;
-  int64_t done_ms;
-  int done_count;
+  /* Unix time until which a start is likely to be in time. */
+  int64_t start_by_ms;
+  int64_t objective_ms;
+  struct ask *ask;
+  bool asked;
 };
 
 struct occurrence
@@ -147,6 +151,8 @@
   bool recorded;
   int pending;
   double approval;
+  /* Learned run time of a task; 0 until one has ended. */
+  double run_ms;
 };
 
 struct customer
@@ -198,6 +204,8 @@
   bool urgent;
   int64_t cost_ms;
   rst_ms sent_at;
+  /* Whether room is kept on the instances named while it is under way. */
+  bool keeps;
   GPtrArray *ids;
 };
 
@@ -235,6 +243,10 @@
   uint64_t next_handle;
   rst_ms next_check;
   rst_ms next_pass;
+  /* Instances that take starts, and needs that found no room; both of the
+     present pass. */
+  GPtrArray *usable;
+  GArray *full;
 };
 
 /* plan_jobs.c */
@@ -299,6 +311,9 @@
                        const struct step *step);
 int rst_plan_slots (const struct instance *instance, const struct step *step);
 bool rst_plan_below_limit (const struct step *step, int tasks);
+void rst_plan_keep (struct instance *instance, const struct step *step,
+                    int slots);
+void rst_plan_objective (const struct rst_planner *planner, struct step *step);
 
 /* plan_advice.c */
 void rst_plan_ask (struct rst_planner *planner, struct step *step, int tasks);
@@ -306,6 +321,8 @@
                              const struct step *step,
                              const struct instance *instance);
 void rst_plan_advice (struct rst_planner *planner, struct rst_reader *reader);
+void rst_plan_keep_asked (struct rst_planner *planner, struct step *step,
+                          int tasks);
 void rst_plan_asks_of_link_end (struct rst_planner *planner, uint64_t link);
 void rst_plan_ask_free (gpointer data);
 
--- a/src/cell/seeker.c
+++ b/src/cell/seeker.c
@@ -10,15 +10,18 @@
 /** Time between two readings of the planner's key, in milliseconds. */
 #define READ_EVERY_MS 150
 
+/** Pause after a link that was refused, in milliseconds. */
+#define RECONNECT_MS 60
+
 /** The key stood still this long after the link was closed by the peer. */
 #define STILL_CLOSED_MS 250
 
 /** The same when the planner is silent. */
-#define STILL_SILENT_MS 800
+#define STILL_SILENT_MS 700
 
 /** Age of the store's last word to the planner from which on others look
     whether they reach the store. */
-#define STORE_AGE_MAX_MS 1500
+#define STORE_AGE_MAX_MS 600
 
 /** A link that was not answered for this long is closed. */
 #define WELCOME_WAIT_MS 700
@@ -108,7 +111,8 @@
   seeker->link = 0;
   seeker->open = false;
   seeker->welcomed = false;
-  seeker->next_read = 0;
+  /* A link that never worked must not make this a busy loop. */
+  seeker->next_read = was ? 0 : seeker->config.now () + RECONNECT_MS;
   if (was)
     seeker->config.lost (seeker->config.userdata);
 }
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -25,6 +25,9 @@
 /** Bound on open connections to the store, the advice service, instances. */
 #define CONNECTIONS_MAX 1500
 
+/** Bound on connections to one address, well below an instance's own. */
+#define PER_HOST_MAX 8
+
 /** How long leases are extended without the store's word for the planner. */
 #define KEEP_MS 14000
 
@@ -82,6 +85,8 @@
   struct rst_seeker *seeker;
   struct rst_term *term;
   bool term_over;
+  char former[RST_ADDRESS_SIZE];
+  uint64_t former_link;
   bool stopping;
   rst_ms stop_by;
 };
@@ -172,6 +177,32 @@
   celld->term_over = true;
 }
 
+/* The former planner may not reach the store, but its peers. */
+static void
+on_term_won (void *userdata)
+{
+  struct celld *celld = userdata;
+
+  if (celld->former[0] != '\0'
+      && strcmp (celld->former, celld->settings.listen) != 0)
+    celld->former_link = open_link (celld, celld->former);
+}
+
+static void
+tell_former (struct celld *celld)
+{
+  struct rst_pack pack;
+
+  if (celld->term == NULL)
+    return;
+  rst_pack_init (&pack, 3);
+  rst_pack_int (&pack, RST_MSG_MOVED);
+  rst_pack_int (&pack, rst_term_epoch (celld->term));
+  rst_pack_text (&pack, celld->settings.listen);
+  send_frame (celld, celld->former_link, pack.buffer.data, pack.buffer.size);
+  rst_pack_clear (&pack);
+}
+
 static void
 on_take (void *userdata, int64_t revision, const struct rst_seat *seat)
 {
@@ -185,6 +216,7 @@
   config.unix_now = unix_now;
   config.send = send_frame;
   config.close = close_link;
+  config.won = on_term_won;
   config.ended = on_term_ended;
   config.userdata = celld;
   config.bounds.keep_ms = KEEP_MS;
@@ -193,6 +225,7 @@
   config.bounds.early_ms = celld->settings.early_ms;
   config.name = celld->settings.name;
   config.address = celld->settings.listen;
+  g_strlcpy (celld->former, seat->address, sizeof celld->former);
   celld->term = rst_term_create (&config, revision, seat);
 }
 
@@ -209,6 +242,8 @@
     rst_seeker_frame (celld->seeker, data, length);
   else if (event == RST_NET_CLOSED && ours)
     rst_seeker_closed (celld->seeker);
+  else if (event == RST_NET_OPENED && link == celld->former_link)
+    tell_former (celld);
   else if (event == RST_NET_FRAME && celld->term != NULL)
     rst_term_frame (celld->term, link, data, length);
   else if (event == RST_NET_FRAME)
@@ -321,7 +356,7 @@
   rst_log_init (program.name, &log);
   status = EXIT_FAILURE;
   celld.loop = rst_cell_loop_create (&loop);
-  celld.client = rst_http_client_create (CONNECTIONS_MAX, 0);
+  celld.client = rst_http_client_create (CONNECTIONS_MAX, PER_HOST_MAX);
   if (celld.loop == NULL || celld.client == NULL)
     goto out;
   celld.adapter = rst_adapter_create (celld.client, celld.settings.store,
--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -22,10 +22,13 @@
 #define AGAIN_MS 100
 
 /** The planner's key is renewed when nothing was committed for this long. */
-#define RENEW_MS 400
+#define RENEW_MS 250
 
 /** Time between two messages that the planner is alive. */
-#define ALIVE_MS 300
+#define ALIVE_MS 250
+
+/** Age said of the store's last word when a commit failed. */
+#define TROUBLED_AGE_MS 1000
 
 /** Writes of one commit: the planner's key, a segment and those removed. */
 #define WRITES_MAX 20
@@ -61,6 +64,7 @@
   int64_t revision;
   bool won;
   bool ended;
+  bool over;
   bool resigning;
   bool serving;
   struct rst_planner *planner;
@@ -109,6 +113,9 @@
 static void
 end_term (struct rst_term *term, const char *why)
 {
+  if (term->over)
+    return;
+  term->over = true;
   rst_info (LOG_PREFIX, "Term ended.", "why", why);
   term->config.ended (term->config.userdata);
 }
@@ -135,6 +142,37 @@
   g_snprintf (out, size, SEGMENT_PREFIX "%016" PRIx64, segment);
 }
 
+static void
+send_to (void *userdata, uint64_t link, const void *data, size_t length)
+{
+  struct rst_term *term = userdata;
+
+  term->config.send (term->config.userdata, link, data, length);
+}
+
+static void
+send_to_all (struct rst_term *term, const struct rst_pack *pack)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, term->links);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    send_to (term, *(uint64_t *)key, pack->buffer.data, pack->buffer.size);
+}
+
+static void
+send_alive (struct rst_term *term, rst_ms age)
+{
+  struct rst_pack pack;
+
+  rst_pack_init (&pack, 2);
+  rst_pack_int (&pack, RST_MSG_ALIVE);
+  rst_pack_int (&pack, age);
+  send_to_all (term, &pack);
+  rst_pack_clear (&pack);
+}
+
 static void on_commit (struct rst_store_answer *answer, void *userdata);
 
 /* Sends the change under way, again if need be; only one copy can win. */
@@ -225,10 +263,41 @@
       && seat.epoch == term->seat.epoch && seat.counter == term->seat.counter
       && strcmp (seat.name, term->seat.name) == 0)
     commit_done (term, item->revision);
+  else if (item != NULL && term->won && seat.epoch > term->seat.epoch
+           && seat.address[0] != '\0')
+    rst_term_moved (term, seat.epoch, seat.address);
   else
     end_term (term, term->won ? "another planner" : "another was first");
 }
 
+void
+rst_term_moved (struct rst_term *term, int64_t epoch, const char *address)
+{
+  struct rst_pack pack;
+
+  if (epoch <= term->seat.epoch)
+    return;
+  rst_pack_init (&pack, 3);
+  rst_pack_int (&pack, RST_MSG_MOVED);
+  rst_pack_int (&pack, epoch);
+  rst_pack_text (&pack, address);
+  send_to_all (term, &pack);
+  rst_pack_clear (&pack);
+  end_term (term, "another planner");
+}
+
+/* Others look at once whether they reach the store. */
+static void
+commit_failed (struct rst_term *term, enum rst_result result)
+{
+  rst_ms now = term->config.now ();
+
+  rst_info (LOG_PREFIX, "Commit is sent again.", "result",
+            rst_result_text (result));
+  send_alive (term, MAX (now - term->committed_at, TROUBLED_AGE_MS));
+  term->next_alive = now + ALIVE_MS;
+}
+
 static void
 on_commit (struct rst_store_answer *answer, void *userdata)
 {
@@ -245,8 +314,7 @@
       else if (!term->won)
         end_term (term, "the store did not answer");
       else
-        rst_info (LOG_PREFIX, "Commit is sent again.", "result",
-                  rst_result_text (answer->result));
+        commit_failed (term, answer->result);
     }
   rst_store_answer_free (answer);
 }
@@ -268,14 +336,6 @@
     begin_commit (term);
 }
 
-static void
-send_to (void *userdata, uint64_t link, const void *data, size_t length)
-{
-  struct rst_term *term = userdata;
-
-  term->config.send (term->config.userdata, link, data, length);
-}
-
 static void
 send_reply (void *userdata, uint64_t link, uint64_t call,
             const struct rst_reply *reply)
@@ -306,29 +366,6 @@
   rst_pack_clear (&pack);
 }
 
-static void
-send_to_all (struct rst_term *term, const struct rst_pack *pack)
-{
-  GHashTableIter iter;
-  gpointer key;
-
-  g_hash_table_iter_init (&iter, term->links);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    send_to (term, *(uint64_t *)key, pack->buffer.data, pack->buffer.size);
-}
-
-static void
-send_alive (struct rst_term *term, rst_ms now)
-{
-  struct rst_pack pack;
-
-  rst_pack_init (&pack, 2);
-  rst_pack_int (&pack, RST_MSG_ALIVE);
-  rst_pack_int (&pack, now - term->committed_at);
-  send_to_all (term, &pack);
-  rst_pack_clear (&pack);
-}
-
 static void
 apply_config (struct rst_term *term, const struct rst_item *item)
 {
@@ -559,6 +596,7 @@
 
   g_snprintf (epoch, sizeof epoch, "%" PRId64, term->seat.epoch);
   rst_info (LOG_PREFIX, "This process is the planner.", "epoch", epoch);
+  term->config.won (term->config.userdata);
   term->planner
       = rst_planner_create (&ops, &term->config.bounds, term->seat.epoch);
   term->reading = READING_JOURNAL;
@@ -644,6 +682,17 @@
   g_free (key);
 }
 
+static void
+take_moved (struct rst_term *term, struct rst_reader *reader)
+{
+  char address[RST_ADDRESS_SIZE];
+  int64_t epoch = rst_reader_int (reader);
+
+  rst_reader_copy (reader, address, sizeof address);
+  if (!reader->bad)
+    rst_term_moved (term, epoch, address);
+}
+
 void
 rst_term_frame (struct rst_term *term, uint64_t link, const void *data,
                 size_t length)
@@ -652,6 +701,8 @@
   struct rst_reader reader;
   int kind;
 
+  if (term->over)
+    return;
   if (term->planner == NULL
       || !rst_reader_open (&reader, &unpacked, data, length))
     {
@@ -663,6 +714,8 @@
                         term->config.unix_now ());
   if (kind == RST_MSG_HELLO)
     take_hello (term, link, &reader);
+  else if (kind == RST_MSG_MOVED)
+    take_moved (term, &reader);
   else if (kind != RST_MSG_CALL)
     rst_planner_message (term->planner, link, kind, &reader);
   else if (term->serving)
@@ -715,7 +768,7 @@
   if (now >= term->next_alive)
     {
       term->next_alive = now + ALIVE_MS;
-      send_alive (term, now);
+      send_alive (term, now - term->committed_at);
     }
   wake = MIN (wake, rst_planner_run (term->planner));
   if (!term->operators.busy)
--- a/src/daemon/term.h
+++ b/src/daemon/term.h
@@ -21,6 +21,7 @@
  * @unix_now: Time of day in milliseconds.
  * @send: Sends a frame over a link.
  * @close: Closes a link.
+ * @won: This process is the planner now.
  * @ended: Another process is the planner; the term is to be destroyed, but
  *   not within the call.
  * @userdata: Passed to each.
@@ -36,6 +37,7 @@
   void (*send) (void *userdata, uint64_t link, const void *data,
                 size_t length);
   void (*close) (void *userdata, uint64_t link);
+  void (*won) (void *userdata);
   void (*ended) (void *userdata);
   void *userdata;
   struct rst_planner_bounds bounds;
@@ -69,6 +71,10 @@
 /** rst_term_run() - Does what is due; returns when to be called again. */
 rst_ms rst_term_run (struct rst_term *term);
 
+/** rst_term_moved() - Another process says that it is the planner. */
+void rst_term_moved (struct rst_term *term, int64_t epoch,
+                     const char *address);
+
 /** rst_term_resign() - Gives the planner's key up at a planned stop. */
 void rst_term_resign (struct rst_term *term);
 
--- a/src/util/os.c
+++ b/src/util/os.c
@@ -74,6 +74,8 @@
   stop_set (&set);
   pthread_sigmask (SIG_BLOCK, &set, NULL);
   signal (SIGPIPE, SIG_IGN);
+  /* Tells of changed settings; what a running process uses of them stays. */
+  signal (SIGHUP, SIG_IGN);
 }
 
 int
