--- /dev/null
+++ b/src/daemon/cell_node.c
@@ -0,0 +1,267 @@
+#include "daemon/cell_node.h"
+
+#include <string.h>
+
+#include "cell/agent.h"
+#include "cell/seeker.h"
+#include "daemon/term.h"
+#include "util/log.h"
+
+#define LOG_PREFIX "node"
+
+/** A lease is asked for this much below the bound on its length. */
+#define LEASE_MARGIN_MS 100
+
+/** Longest wait for the last commit at a planned stop. */
+#define RESIGN_MS 1000
+
+struct rst_cell_node
+{
+  struct rst_cell_node_config config;
+  struct rst_agent *agent;
+  struct rst_seeker *seeker;
+  struct rst_term *term;
+  bool term_over;
+  char former[RST_ADDRESS_SIZE];
+  uint64_t former_link;
+  bool stopping;
+  rst_ms stop_by;
+};
+
+static uint64_t
+open_link (void *userdata, const char *address)
+{
+  struct rst_cell_node *node = userdata;
+
+  return node->config.connect (node->config.userdata, address);
+}
+
+static void
+close_link (void *userdata, uint64_t link)
+{
+  struct rst_cell_node *node = userdata;
+
+  node->config.close (node->config.userdata, link);
+}
+
+static void
+send_frame (void *userdata, uint64_t link, const void *data, size_t length)
+{
+  struct rst_cell_node *node = userdata;
+
+  node->config.send (node->config.userdata, link, data, length);
+}
+
+static void
+agent_send (void *userdata, const void *data, size_t length)
+{
+  struct rst_cell_node *node = userdata;
+
+  rst_seeker_send (node->seeker, data, length);
+}
+
+static void
+on_message (void *userdata, int kind, struct rst_reader *reader)
+{
+  struct rst_cell_node *node = userdata;
+
+  rst_agent_message (node->agent, kind, reader);
+}
+
+static void
+on_linked (void *userdata, bool serving)
+{
+  struct rst_cell_node *node = userdata;
+
+  (void)serving;
+  rst_agent_alive (node->agent, 0);
+}
+
+static void
+on_lost (void *userdata)
+{
+  (void)userdata;
+}
+
+static void
+on_alive (void *userdata, rst_ms store_age_ms)
+{
+  struct rst_cell_node *node = userdata;
+
+  rst_agent_alive (node->agent, store_age_ms);
+}
+
+static void
+on_term_ended (void *userdata)
+{
+  struct rst_cell_node *node = userdata;
+
+  node->term_over = true;
+}
+
+/* The former planner may not reach the store, but its peers. */
+static void
+on_term_won (void *userdata)
+{
+  struct rst_cell_node *node = userdata;
+
+  if (node->former[0] != '\0'
+      && strcmp (node->former, node->config.address) != 0)
+    node->former_link = open_link (node, node->former);
+}
+
+static void
+tell_former (struct rst_cell_node *node)
+{
+  struct rst_pack pack;
+
+  if (node->term == NULL)
+    return;
+  rst_pack_init (&pack, 3);
+  rst_pack_int (&pack, RST_MSG_MOVED);
+  rst_pack_int (&pack, rst_term_epoch (node->term));
+  rst_pack_text (&pack, node->config.address);
+  send_frame (node, node->former_link, pack.buffer.data, pack.buffer.size);
+  rst_pack_clear (&pack);
+}
+
+static void
+on_take (void *userdata, int64_t revision, const struct rst_seat *seat)
+{
+  struct rst_cell_node *node = userdata;
+  struct rst_term_config config = { 0 };
+
+  if (node->term != NULL || node->stopping)
+    return;
+  config.backend = node->config.backend;
+  config.now = node->config.now;
+  config.unix_now = node->config.unix_now;
+  config.send = send_frame;
+  config.close = close_link;
+  config.won = on_term_won;
+  config.ended = on_term_ended;
+  config.userdata = node;
+  config.bounds = node->config.bounds;
+  config.name = node->config.name;
+  config.address = node->config.address;
+  g_strlcpy (node->former, seat->address, sizeof node->former);
+  node->term = rst_term_create (&config, revision, seat);
+}
+
+void
+rst_cell_node_link (struct rst_cell_node *node, enum rst_net_event event,
+                    uint64_t link, const void *data, size_t length)
+{
+  bool ours = rst_seeker_owns (node->seeker, link);
+
+  if (event == RST_NET_OPENED && ours)
+    rst_seeker_opened (node->seeker);
+  else if (event == RST_NET_FRAME && ours)
+    rst_seeker_frame (node->seeker, data, length);
+  else if (event == RST_NET_CLOSED && ours)
+    rst_seeker_closed (node->seeker);
+  else if (event == RST_NET_OPENED && link == node->former_link)
+    tell_former (node);
+  else if (event == RST_NET_FRAME && node->term != NULL)
+    rst_term_frame (node->term, link, data, length);
+  else if (event == RST_NET_FRAME)
+    close_link (node, link);
+  else if (event == RST_NET_CLOSED && node->term != NULL)
+    rst_term_link_closed (node->term, link);
+}
+
+static void
+end_term (struct rst_cell_node *node)
+{
+  rst_term_destroy (node->term);
+  node->term = NULL;
+  node->term_over = false;
+}
+
+rst_ms
+rst_cell_node_run (struct rst_cell_node *node)
+{
+  rst_ms wake = rst_agent_run (node->agent);
+
+  wake = MIN (wake, rst_seeker_run (node->seeker));
+  if (node->term != NULL && !node->term_over)
+    wake = MIN (wake, rst_term_run (node->term));
+  if (node->term_over)
+    end_term (node);
+  return wake;
+}
+
+void
+rst_cell_node_stop (struct rst_cell_node *node)
+{
+  rst_info (LOG_PREFIX, "Planned stop.");
+  node->stopping = true;
+  node->stop_by = node->config.now () + RESIGN_MS;
+  if (node->term != NULL)
+    rst_term_resign (node->term);
+}
+
+bool
+rst_cell_node_stopped (const struct rst_cell_node *node)
+{
+  return node->stopping
+         && (node->term == NULL || rst_term_idle (node->term)
+             || node->config.now () >= node->stop_by);
+}
+
+bool
+rst_cell_node_plans (const struct rst_cell_node *node)
+{
+  return node->term != NULL && !node->term_over;
+}
+
+struct rst_cell_node *
+rst_cell_node_create (const struct rst_cell_node_config *config)
+{
+  struct rst_cell_node *node = g_new0 (struct rst_cell_node, 1);
+  struct rst_agent_config agent = { 0 };
+  struct rst_seeker_config seeker = { 0 };
+
+  node->config = *config;
+  node->config.name = g_strdup (config->name);
+  node->config.zone = g_strdup (config->zone);
+  node->config.address = g_strdup (config->address);
+  agent.backend = config->backend;
+  agent.send = agent_send;
+  agent.now = config->now;
+  agent.userdata = node;
+  agent.lease_ms = config->bounds.lease_ms - LEASE_MARGIN_MS;
+  agent.keep_ms = config->bounds.keep_ms;
+  node->agent = rst_agent_create (&agent);
+  seeker.backend = config->backend;
+  seeker.now = config->now;
+  seeker.connect = open_link;
+  seeker.close = close_link;
+  seeker.send = send_frame;
+  seeker.message = on_message;
+  seeker.linked = on_linked;
+  seeker.lost = on_lost;
+  seeker.alive = on_alive;
+  seeker.take = on_take;
+  seeker.userdata = node;
+  seeker.role = RST_ROLE_AGENT;
+  seeker.name = node->config.name;
+  seeker.zone = node->config.zone;
+  seeker.jitter_ms = config->jitter_ms;
+  node->seeker = rst_seeker_create (&seeker);
+  return node;
+}
+
+void
+rst_cell_node_destroy (struct rst_cell_node *node)
+{
+  if (node == NULL)
+    return;
+  rst_term_destroy (node->term);
+  rst_agent_destroy (node->agent);
+  rst_seeker_destroy (node->seeker);
+  g_free ((char *)node->config.name);
+  g_free ((char *)node->config.zone);
+  g_free ((char *)node->config.address);
+  g_free (node);
+}
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -11,10 +11,8 @@
 #include <unistd.h>
 
 #include "adapter.h"
-#include "cell/agent.h"
-#include "cell/seeker.h"
 #include "daemon/cell_loop.h"
-#include "daemon/term.h"
+#include "daemon/cell_node.h"
 #include "transport/http_client.h"
 #include "transport/transport.h"
 #include "util/os.h"
@@ -31,15 +29,9 @@
 /** How long leases are extended without the store's word for the planner. */
 #define KEEP_MS 14000
 
-/** A lease is asked for this much below the bound on its length. */
-#define LEASE_MARGIN_MS 100
-
 /** Largest share of the wait before taking over that is a process's own. */
 #define JITTER_MS 120
 
-/** Longest wait for the last commit at a planned stop. */
-#define RESIGN_MS 1000
-
 struct settings
 {
   char name[RST_NAME_SIZE];
@@ -80,15 +72,7 @@
   struct rst_cell_loop *loop;
   struct rst_http_client *client;
   struct rst_adapter *adapter;
-  const struct rst_backend *backend;
-  struct rst_agent *agent;
-  struct rst_seeker *seeker;
-  struct rst_term *term;
-  bool term_over;
-  char former[RST_ADDRESS_SIZE];
-  uint64_t former_link;
-  bool stopping;
-  rst_ms stop_by;
+  struct rst_cell_node *node;
 };
 
 struct stop_event
@@ -130,146 +114,22 @@
   rst_net_send (rst_cell_loop_net (celld->loop), link, data, length);
 }
 
-static void
-agent_send (void *userdata, const void *data, size_t length)
-{
-  struct celld *celld = userdata;
-
-  rst_seeker_send (celld->seeker, data, length);
-}
-
-static void
-on_message (void *userdata, int kind, struct rst_reader *reader)
-{
-  struct celld *celld = userdata;
-
-  rst_agent_message (celld->agent, kind, reader);
-}
-
-static void
-on_linked (void *userdata, bool serving)
-{
-  struct celld *celld = userdata;
-
-  (void)serving;
-  rst_agent_alive (celld->agent, 0);
-}
-
-static void
-on_lost (void *userdata)
-{
-  (void)userdata;
-}
-
-static void
-on_alive (void *userdata, rst_ms store_age_ms)
-{
-  struct celld *celld = userdata;
-
-  rst_agent_alive (celld->agent, store_age_ms);
-}
-
-static void
-on_term_ended (void *userdata)
-{
-  struct celld *celld = userdata;
-
-  celld->term_over = true;
-}
-
-/* The former planner may not reach the store, but its peers. */
-static void
-on_term_won (void *userdata)
-{
-  struct celld *celld = userdata;
-
-  if (celld->former[0] != '\0'
-      && strcmp (celld->former, celld->settings.listen) != 0)
-    celld->former_link = open_link (celld, celld->former);
-}
-
-static void
-tell_former (struct celld *celld)
-{
-  struct rst_pack pack;
-
-  if (celld->term == NULL)
-    return;
-  rst_pack_init (&pack, 3);
-  rst_pack_int (&pack, RST_MSG_MOVED);
-  rst_pack_int (&pack, rst_term_epoch (celld->term));
-  rst_pack_text (&pack, celld->settings.listen);
-  send_frame (celld, celld->former_link, pack.buffer.data, pack.buffer.size);
-  rst_pack_clear (&pack);
-}
-
-static void
-on_take (void *userdata, int64_t revision, const struct rst_seat *seat)
-{
-  struct celld *celld = userdata;
-  struct rst_term_config config = { 0 };
-
-  if (celld->term != NULL || celld->stopping)
-    return;
-  config.backend = celld->backend;
-  config.now = rst_os_now;
-  config.unix_now = unix_now;
-  config.send = send_frame;
-  config.close = close_link;
-  config.won = on_term_won;
-  config.ended = on_term_ended;
-  config.userdata = celld;
-  config.bounds.keep_ms = KEEP_MS;
-  config.bounds.lease_ms = celld->settings.hold_max_ms;
-  config.bounds.status_ms = celld->settings.status_s * 1000;
-  config.bounds.early_ms = celld->settings.early_ms;
-  config.name = celld->settings.name;
-  config.address = celld->settings.listen;
-  g_strlcpy (celld->former, seat->address, sizeof celld->former);
-  celld->term = rst_term_create (&config, revision, seat);
-}
-
 static void
 on_link (void *userdata, enum rst_net_event event, uint64_t link,
          const void *data, size_t length)
 {
   struct celld *celld = userdata;
-  bool ours = rst_seeker_owns (celld->seeker, link);
-
-  if (event == RST_NET_OPENED && ours)
-    rst_seeker_opened (celld->seeker);
-  else if (event == RST_NET_FRAME && ours)
-    rst_seeker_frame (celld->seeker, data, length);
-  else if (event == RST_NET_CLOSED && ours)
-    rst_seeker_closed (celld->seeker);
-  else if (event == RST_NET_OPENED && link == celld->former_link)
-    tell_former (celld);
-  else if (event == RST_NET_FRAME && celld->term != NULL)
-    rst_term_frame (celld->term, link, data, length);
-  else if (event == RST_NET_FRAME)
-    close_link (celld, link);
-  else if (event == RST_NET_CLOSED && celld->term != NULL)
-    rst_term_link_closed (celld->term, link);
+
+  rst_cell_node_link (celld->node, event, link, data, length);
 }
 
 static rst_ms
 on_tick (void *userdata)
 {
   struct celld *celld = userdata;
-  rst_ms wake = rst_agent_run (celld->agent);
+  rst_ms wake = rst_cell_node_run (celld->node);
 
-  wake = MIN (wake, rst_seeker_run (celld->seeker));
-  if (celld->term != NULL && !celld->term_over)
-    wake = MIN (wake, rst_term_run (celld->term));
-  if (celld->term_over)
-    {
-      rst_term_destroy (celld->term);
-      celld->term = NULL;
-      celld->term_over = false;
-    }
-  if (celld->stopping
-      && (celld->term == NULL || rst_term_idle (celld->term)
-          || rst_os_now () >= celld->stop_by))
+  if (rst_cell_node_stopped (celld->node))
     rst_cell_loop_stop (celld->loop);
   return wake;
 }
@@ -278,13 +138,8 @@
 begin_stop (struct rst_cell_event *base)
 {
   struct stop_event *event = (struct stop_event *)base;
-  struct celld *celld = event->celld;
 
-  rst_info (LOG_PREFIX, "Planned stop.");
-  celld->stopping = true;
-  celld->stop_by = rst_os_now () + RESIGN_MS;
-  if (celld->term != NULL)
-    rst_term_resign (celld->term);
+  rst_cell_node_stop (event->celld->node);
   g_free (event);
 }
 
@@ -301,34 +156,28 @@
 }
 
 static void
-create_parts (struct celld *celld)
+create_node (struct celld *celld)
 {
-  struct rst_agent_config agent = { 0 };
-  struct rst_seeker_config seeker = { 0 };
-
-  agent.backend = celld->backend;
-  agent.send = agent_send;
-  agent.now = rst_os_now;
-  agent.userdata = celld;
-  agent.lease_ms = celld->settings.hold_max_ms - LEASE_MARGIN_MS;
-  agent.keep_ms = KEEP_MS;
-  celld->agent = rst_agent_create (&agent);
-  seeker.backend = celld->backend;
-  seeker.now = rst_os_now;
-  seeker.connect = open_link;
-  seeker.close = close_link;
-  seeker.send = send_frame;
-  seeker.message = on_message;
-  seeker.linked = on_linked;
-  seeker.lost = on_lost;
-  seeker.alive = on_alive;
-  seeker.take = on_take;
-  seeker.userdata = celld;
-  seeker.role = RST_ROLE_AGENT;
-  seeker.name = celld->settings.name;
-  seeker.zone = celld->settings.zone;
-  seeker.jitter_ms = (rst_ms)(rst_os_random () % JITTER_MS);
-  celld->seeker = rst_seeker_create (&seeker);
+  const struct settings *settings = &celld->settings;
+  struct rst_cell_node_config config = { 0 };
+
+  config.backend = rst_cell_loop_backend (
+      celld->loop, rst_adapter_backend (celld->adapter));
+  config.now = rst_os_now;
+  config.unix_now = unix_now;
+  config.connect = open_link;
+  config.close = close_link;
+  config.send = send_frame;
+  config.userdata = celld;
+  config.name = settings->name;
+  config.zone = settings->zone;
+  config.address = settings->listen;
+  config.bounds.keep_ms = KEEP_MS;
+  config.bounds.lease_ms = settings->hold_max_ms;
+  config.bounds.status_ms = settings->status_s * 1000;
+  config.bounds.early_ms = settings->early_ms;
+  config.jitter_ms = (rst_ms)(rst_os_random () % JITTER_MS);
+  celld->node = rst_cell_node_create (&config);
 }
 
 static const struct rst_program program
@@ -361,9 +210,7 @@
     goto out;
   celld.adapter = rst_adapter_create (celld.client, celld.settings.store,
                                       celld.settings.advice);
-  celld.backend = rst_cell_loop_backend (celld.loop,
-                                         rst_adapter_backend (celld.adapter));
-  create_parts (&celld);
+  create_node (&celld);
   if (rst_cell_loop_listen (celld.loop, celld.settings.listen)
       != RST_TRANSPORT_OK)
     {
--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -57,6 +57,15 @@
   rst_ms pause;
 };
 
+/* What a commit changes beside the planner's key. */
+struct change
+{
+  char key[64];
+  GByteArray *segment;
+  char removed[WRITES_MAX][64];
+  int removed_count;
+};
+
 struct rst_term
 {
   struct rst_term_config config;
@@ -66,9 +75,12 @@
   bool ended;
   bool over;
   bool resigning;
+  bool resigned;
   bool serving;
   struct rst_planner *planner;
   enum reading reading;
+  /* When to read the journal's next page again; 0 for not. */
+  rst_ms read_at;
   char after[256];
   struct followed operators;
   struct followed instances;
@@ -78,10 +90,8 @@
   bool commit_sent;
   rst_ms commit_next;
   rst_ms committed_at;
-  char segment_key[64];
-  GByteArray *segment;
-  char removed[WRITES_MAX][64];
-  int removed_count;
+  struct change waiting;
+  struct change sent;
   rst_ms next_alive;
   rst_ms next_run;
 };
@@ -93,8 +103,10 @@
   g_hash_table_destroy (term->links);
   g_hash_table_destroy (term->operators.known);
   g_hash_table_destroy (term->instances.known);
-  if (term->segment != NULL)
-    g_byte_array_free (term->segment, TRUE);
+  if (term->waiting.segment != NULL)
+    g_byte_array_free (term->waiting.segment, TRUE);
+  if (term->sent.segment != NULL)
+    g_byte_array_free (term->sent.segment, TRUE);
   g_free (term);
 }
 
@@ -188,17 +200,17 @@
   writes[0].value = pack.buffer.data;
   writes[0].length = pack.buffer.size;
   writes[0].expected = term->revision;
-  if (term->segment != NULL)
+  if (term->sent.segment != NULL)
     {
-      writes[count].key = term->segment_key;
-      writes[count].value = term->segment->data;
-      writes[count].length = term->segment->len;
+      writes[count].key = term->sent.key;
+      writes[count].value = term->sent.segment->data;
+      writes[count].length = term->sent.segment->len;
       writes[count].expected = -1;
       count++;
     }
-  for (int i = 0; i < term->removed_count; i++)
+  for (int i = 0; i < term->sent.removed_count; i++)
     {
-      writes[count].key = term->removed[i];
+      writes[count].key = term->sent.removed[i];
       writes[count].expected = -1;
       writes[count].remove = true;
       count++;
@@ -210,10 +222,16 @@
   rst_pack_clear (&pack);
 }
 
+/* A change that comes while a commit is under way waits for the next. */
 static void
 begin_commit (struct rst_term *term)
 {
+  static const struct change none;
+
   term->committing = true;
+  term->resigned = term->resigning;
+  term->sent = term->waiting;
+  term->waiting = none;
   term->seat.counter++;
   send_commit (term);
 }
@@ -223,16 +241,15 @@
 static void
 commit_done (struct rst_term *term, int64_t revision)
 {
-  bool had_segment = term->segment != NULL;
+  bool had_segment = term->sent.segment != NULL;
 
   term->revision = revision;
   term->committing = false;
   term->committed_at = term->config.now ();
-  term->removed_count = 0;
   if (had_segment)
     {
-      g_byte_array_free (term->segment, TRUE);
-      term->segment = NULL;
+      g_byte_array_free (term->sent.segment, TRUE);
+      term->sent.segment = NULL;
       rst_planner_set_time (term->planner, term->config.now (),
                             term->config.unix_now ());
       rst_planner_committed (term->planner);
@@ -242,6 +259,9 @@
       term->won = true;
       begin_reading (term);
     }
+  if (!term->committing
+      && (term->waiting.segment != NULL || term->resigning != term->resigned))
+    begin_commit (term);
 }
 
 /* The condition failed: either an earlier copy won, or someone else has. */
@@ -326,12 +346,14 @@
 {
   struct rst_term *term = userdata;
 
-  segment_key (term->segment_key, sizeof term->segment_key, segment);
-  term->segment = g_byte_array_new ();
-  g_byte_array_append (term->segment, data, (guint)length);
-  term->removed_count = MIN (remove_count, WRITES_MAX - 2);
-  for (int i = 0; i < term->removed_count; i++)
-    segment_key (term->removed[i], sizeof term->removed[i], remove[i]);
+  struct change *change = &term->waiting;
+
+  segment_key (change->key, sizeof change->key, segment);
+  change->segment = g_byte_array_new ();
+  g_byte_array_append (change->segment, data, (guint)length);
+  change->removed_count = MIN (remove_count, WRITES_MAX - 2);
+  for (int i = 0; i < change->removed_count; i++)
+    segment_key (change->removed[i], sizeof change->removed[i], remove[i]);
   if (!term->committing)
     begin_commit (term);
 }
@@ -559,7 +581,9 @@
         rst_warning (LOG_PREFIX, "Segment can't be read whole.", "key",
                      item->key);
     }
-  if (answer->result != RST_RESULT_OK || answer->more)
+  if (answer->result != RST_RESULT_OK)
+    term->read_at = term->config.now () + AGAIN_MS;
+  else if (answer->more)
     read_journal (term);
   else
     next_reading (term);
@@ -758,6 +782,11 @@
     return wake;
   if (!term->committing && now - term->committed_at >= RENEW_MS)
     begin_commit (term);
+  if (term->read_at != 0 && now >= term->read_at)
+    {
+      term->read_at = 0;
+      read_journal (term);
+    }
   if (term->reading >= READING_OPERATORS && term->resigning == false)
     follow (&term->operators, now);
   if (term->reading >= READING_INSTANCES && term->resigning == false)
@@ -792,7 +821,7 @@
 bool
 rst_term_idle (const struct rst_term *term)
 {
-  return !term->committing;
+  return !term->committing && term->resigning == term->resigned;
 }
 
 int64_t
