--- a/src/cell/agent.c
+++ b/src/cell/agent.c
@@ -15,6 +15,9 @@
 /** Longest wait for the planner to store listed ends, in milliseconds. */
 #define ACK_WAIT_MS 800
 
+/** Answers of one life may cross by this much, in milliseconds. */
+#define CLOCK_MARGIN_MS 3000
+
 /** Longest time without anything due, in milliseconds. */
 #define IDLE_MS 1000
 
@@ -32,6 +35,9 @@
   rst_ms lease_until;
   bool looking;
   bool dropped;
+  /* Whether the last answer came from the life that the numbers belong to.
+     An instance may start again under its id and count its ends anew. */
+  bool same_life;
   rst_ms next_look;
 };
 
@@ -158,6 +164,7 @@
       held->last_seen = 0;
       held->listed = 0;
     }
+  held->same_life = true;
   take_clock (held, answer, now);
   for (guint i = 0; i < answer->runs->len; i++)
     held->listed = MAX (
@@ -179,6 +186,8 @@
     }
   if (answer->result == RST_RESULT_OK)
     take_look (held, answer, now);
+  else
+    held->same_life = false;
   report (held, answer, now);
   if (answer->result != RST_RESULT_OK)
     held->next_look = now + LOOK_AGAIN_MS;
@@ -198,10 +207,10 @@
   call.id = held->id;
   call.address = held->address;
   call.fence = held->fence;
-  call.last_seen = held->last_seen;
+  call.last_seen = held->same_life ? held->last_seen : 0;
   call.deadline_ms = deadline (held, now);
   /* Ends that wait to be stored would end the wait at once. */
-  if (held->clock_ms != 0 && held->listed <= held->last_seen)
+  if (held->same_life && held->listed <= held->last_seen)
     call.wait_ms = LOOK_WAIT_MS;
   held->looking = true;
   backend->hold (backend->userdata, &call, on_look, held);
@@ -290,10 +299,29 @@
   send_pack (order->agent, &pack);
 }
 
+/* A failed order, or a clock that went back, may mean another life. */
+static void
+judge_life (struct held *held, const struct rst_instance_answer *answer)
+{
+  bool answered = answer->clock_ms != 0;
+
+  if (answered && answer->clock_ms >= held->clock_ms - CLOCK_MARGIN_MS)
+    return;
+  held->same_life = false;
+  if (answered)
+    held->clock_ms = 0;
+  if (!held->looking)
+    look (held, held->agent->config.now ());
+}
+
 static void
 on_order (struct rst_instance_answer *answer, void *userdata)
 {
   struct order *order = userdata;
+  struct held *held = g_hash_table_lookup (order->agent->held, order->id);
+
+  if (held != NULL)
+    judge_life (held, answer);
 
   answer_order (order, answer->result, answer->clock_ms);
   rst_instance_answer_free (answer);
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -11,6 +11,14 @@
 /** Wait for the answer of a start whose agent is gone, in milliseconds. */
 #define HASTE_MS 200
 
+/** Age of the store's word from which on instances born since get no work;
+    above the time between two renewals. */
+#define CONFIRM_MAX_MS 400
+
+/** Age of the store's word from which on nothing is started; well below the
+    time for which leases are extended without it. */
+#define STARTS_MAX_MS 8000
+
 /** Time between attempts to hold an instance that has no agent's report. */
 #define HOLD_AGAIN_MS 700
 
@@ -145,6 +153,9 @@
   GHashTableIter iter;
   gpointer value;
 
+  /* What instances list can only be judged when all jobs are known. */
+  if (!planner->restored)
+    return;
   g_hash_table_iter_init (&iter, planner->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -188,8 +199,6 @@
   g_strlcpy (agent->zone, zone, sizeof agent->zone);
   g_ptr_array_add (planner->agents, agent);
   rst_info (RST_PLAN_LOG, "Agent joined.", "agent", name, "zone", zone);
-  if (!planner->restored)
-    return;
   rst_plan_assign (planner);
   balance (planner, agent);
   planner->changed = true;
@@ -265,8 +274,6 @@
   instance->present = true;
   instance->gone_at = 0;
   planner->changed = true;
-  if (!planner->restored)
-    return;
   if (instance->agent == NULL)
     rst_plan_assign (planner);
   else if (moved || (entry->born > instance->born && instance->born > 0))
@@ -287,13 +294,29 @@
             id);
 }
 
+/* A planner that the store has not confirmed for a while may have a
+   successor.  The successor's token guards all instances that it has held,
+   but not those that were born since; and it waits for those that it can't
+   reach no longer than until their leases have run out. */
+static bool
+may_be_replaced (const struct rst_planner *planner,
+                 const struct instance *instance)
+{
+  rst_ms age = planner->now - planner->confirmed_at;
+
+  return age > STARTS_MAX_MS
+         || (age > CONFIRM_MAX_MS
+             && instance->life_at > planner->confirmed_at);
+}
+
 bool
 rst_plan_usable (const struct rst_planner *planner,
                  const struct instance *instance)
 {
   return instance->present && instance->known && instance->recorded
          && !instance->blocked && instance->agent != NULL
-         && !instance->entry.draining && planner->now >= instance->avoid_until
+         && !instance->entry.draining && !may_be_replaced (planner, instance)
+         && planner->now >= instance->avoid_until
          && !g_hash_table_contains (planner->evacuated, instance->entry.zone);
 }
 
@@ -445,6 +468,7 @@
       lose_runs (planner, instance, "born anew");
     }
   instance->born = born;
+  instance->life_at = planner->now;
   instance->seen = 0;
   instance->acked = 0;
   instance->committing = 0;
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -181,6 +181,12 @@
     }
 }
 
+void
+rst_planner_confirmed (struct rst_planner *planner, rst_ms at)
+{
+  planner->confirmed_at = MAX (planner->confirmed_at, at);
+}
+
 bool
 rst_planner_ready (const struct rst_planner *planner)
 {
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -155,6 +155,12 @@
 /** rst_planner_committed() - The last commit is in the store. */
 void rst_planner_committed (struct rst_planner *planner);
 
+/**
+ * rst_planner_confirmed() - The store confirmed that this is the planner.
+ * @at: When the confirmed call was sent.
+ */
+void rst_planner_confirmed (struct rst_planner *planner, rst_ms at);
+
 /**
  * rst_planner_run() - Places what can start, commits what changed.
  *
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -51,6 +51,8 @@
   bool inherited;
   bool blocked;
   rst_ms heard_at;
+  /* When its present life was learned of. */
+  rst_ms life_at;
   rst_ms lapse_at;
   rst_ms avoid_until;
   rst_ms gone_at;
@@ -217,6 +219,7 @@
   rst_ms now;
   int64_t unix_ms;
   rst_ms created_at;
+  rst_ms confirmed_at;
   bool restored;
   bool have_instances;
   struct rst_cellconfig *config;
--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -89,6 +89,7 @@
   bool committing;
   bool commit_sent;
   rst_ms commit_next;
+  rst_ms sent_at;
   rst_ms committed_at;
   struct change waiting;
   struct change sent;
@@ -216,6 +217,7 @@
       count++;
     }
   term->commit_sent = true;
+  term->sent_at = term->config.now ();
   term->calls++;
   term->config.backend->store_commit (term->config.backend->userdata, writes,
                                       count, on_commit, term);
@@ -259,6 +261,7 @@
       term->won = true;
       begin_reading (term);
     }
+  rst_planner_confirmed (term->planner, term->sent_at);
   if (!term->committing
       && (term->waiting.segment != NULL || term->resigning != term->resigned))
     begin_commit (term);
--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -1,12 +1,17 @@
 // Runs a cell under faults drawn from a seed; the oracle judges.
 //
-//   cell-fuzz --seed N [--seconds N] [--seeds COUNT]
+//   cell-fuzz --seed N [--seconds N] [--seeds COUNT] [--log info]
 #include "world.h"
 
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
 
+extern "C"
+{
+#include "util/log.h"
+}
+
 using namespace cell;
 
 // Time in which faults come, and then to get everything done, in ms.
@@ -195,6 +200,7 @@
   int seconds = 60;
   int seeds = 1;
   int failed = 0;
+  rst_log_config log = { false, "error" };
 
   for (int i = 1; i + 1 < argc; i += 2)
     {
@@ -204,7 +210,10 @@
         seconds = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--seeds") == 0)
         seeds = atoi (argv[i + 1]);
+      else if (strcmp (argv[i], "--log") == 0)
+        g_strlcpy (log.level, argv[i + 1], sizeof log.level);
     }
+  rst_log_init ("cell-fuzz", &log);
   for (int i = 0; i < seeds; i++)
     if (!play (seed + (uint64_t)i, seconds))
       failed++;
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -544,7 +544,10 @@
       link.to = node.get ();
   if (link.to != link.from && link.to != nullptr
       && (link.to->cut || (link.from != nullptr && link.from->cut)))
-    return;
+    {
+      at (world_now + silent_after, [this, end] { close (end, false); });
+      return;
+    }
   if (link.to == nullptr || link.to->node == nullptr)
     {
       close (end, false);
