--- a/src/cell/pack.c
+++ b/src/cell/pack.c
@@ -106,7 +106,8 @@
       reader->bad = true;
       return;
     }
-  memcpy (out, item->via.str.ptr, item->via.str.size);
+  if (item->via.str.size > 0)
+    memcpy (out, item->via.str.ptr, item->via.str.size);
   out[item->via.str.size] = '\0';
 }
 
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -172,8 +172,8 @@
 
   rst_info (RST_PLAN_LOG, "Run is gone.", "task", run->name, "instance",
             run->instance->entry.id, "why", why);
-  stop_gang (planner, step);
   rst_plan_run_drop (planner, run);
+  stop_gang (planner, step);
 }
 
 static struct run *
--- /dev/null
+++ b/test/unit/adapter_test.cc
@@ -0,0 +1,183 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C"
+{
+#include "adapter.h"
+#include "adapter_private.h"
+}
+
+TEST (Adapter, WritesATransactionWithConditionsWritesAndRemovals)
+{
+  rst_store_write writes[3] = {};
+
+  writes[0].key = "a";
+  writes[0].value = "x";
+  writes[0].length = 1;
+  writes[0].expected = 7;
+  writes[1].key = "b";
+  writes[1].value = "y";
+  writes[1].length = 1;
+  writes[1].expected = -1;
+  writes[2].key = "c";
+  writes[2].expected = -1;
+  writes[2].remove = true;
+  char *body = rst_platform_txn_body (writes, 3);
+
+  EXPECT_STREQ (body, "{\"expected_rev\":[{\"key\":\"a\",\"revision\":7}],"
+                      "\"writes\":[{\"key\":\"a\",\"value\":\"eA==\"},"
+                      "{\"key\":\"b\",\"value\":\"eQ==\"}],"
+                      "\"remove\":[\"c\"]}");
+  free (body);
+}
+
+TEST (Adapter, WritesAStartWithWhatItNeedsOnly)
+{
+  rst_instance_call call = {};
+
+  call.fence = 3;
+  call.task = "t";
+  call.attempt = 2;
+  call.spec = "s";
+  call.checkpoint = "";
+  call.ticket = "k";
+  call.deadline_ms = 90;
+  char *body = rst_platform_order_body (&call);
+
+  EXPECT_STREQ (body, "{\"fencing_token\":3,\"deadline_ms\":90,\"task\":\"t\","
+                      "\"attempt\":2,\"spec\":\"s\",\"ticket\":\"k\"}");
+  free (body);
+}
+
+TEST (Adapter, ReadsListsOfRuns)
+{
+  rst_instance_answer *answer = rst_instance_answer_new ();
+
+  ASSERT_TRUE (rst_platform_read_runs (
+      "{\"clock_ms\":9,\"born\":4,\"running\":[[\"t1\",2,\"c\",41,7]],"
+      "\"finished\":[[58,\"t2\",1,\"failed\",\"d\"],[59,\"t3\",1,\"alone\","
+      "\"\"],5]}",
+      answer));
+  ASSERT_EQ (answer->runs->len, 3u);
+  const rst_run &first = g_array_index (answer->runs, rst_run, 0);
+  const rst_run &second = g_array_index (answer->runs, rst_run, 1);
+  const rst_run &third = g_array_index (answer->runs, rst_run, 2);
+
+  EXPECT_EQ (answer->clock_ms, 9);
+  EXPECT_EQ (answer->born, 4);
+  EXPECT_STREQ (first.task, "t1");
+  EXPECT_EQ (first.number, 0);
+  EXPECT_EQ (first.percent, 41);
+  EXPECT_EQ (second.number, 58);
+  EXPECT_EQ (second.how, RST_END_FAILED);
+  EXPECT_STREQ (second.saved, "d");
+  EXPECT_EQ (third.how, RST_END_ALONE);
+  rst_instance_answer_free (answer);
+}
+
+TEST (Adapter, TellsReasonsApart)
+{
+  EXPECT_EQ (rst_platform_read_reason ("{\"reason\":\"fence\"}"),
+             RST_RESULT_FENCED);
+  EXPECT_EQ (rst_platform_read_reason ("{\"reason\":\"ticket\"}"),
+             RST_RESULT_NO_TICKET);
+  EXPECT_EQ (rst_platform_read_reason ("{\"reason\":\"new\"}"),
+             RST_RESULT_UNKNOWN);
+  EXPECT_EQ (rst_platform_read_reason ("{"), RST_RESULT_UNKNOWN);
+}
+
+TEST (Adapter, ReadsTheConfiguration)
+{
+  char *problem = nullptr;
+  const char *rest = nullptr;
+  rst_cellconfig *config = rst_adapter_read_config (
+      "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
+      "\"prefix\":\"/a/\",\"service\":\"s\",\"attempts\":4,"
+      "\"slack_factor\":2.2,\"advice\":{\"decision_ms\":560.0,"
+      "\"interval_ms\":7.9,\"validity_ms\":2000}},{\"name\":\"longer\","
+      "\"host\":\"h.example\",\"prefix\":\"/a/b/\",\"service\":\"s\"}],"
+      "\"tenants\":[{\"name\":\"c\",\"api_keys\":[\"k\",5],\"weight\":3,"
+      "\"cap\":{\"cpu\":10,\"mem_mb\":20,\"gpu\":0}}],\"later\":1}",
+      &problem);
+
+  ASSERT_NE (config, nullptr);
+  const rst_queue *queue
+      = rst_cellconfig_route (config, "h.example:80", "/a/x", &rest);
+
+  ASSERT_NE (queue, nullptr);
+  EXPECT_STREQ (queue->name, "r");
+  EXPECT_STREQ (rest, "x");
+  EXPECT_EQ (queue->slack, 2200);
+  EXPECT_EQ (queue->advice_each_us, 7900);
+  EXPECT_STREQ (
+      rst_cellconfig_route (config, "h.example", "/a/b/x", &rest)->name,
+      "longer");
+  EXPECT_EQ (rst_cellconfig_route (config, "other", "/a/x", &rest), nullptr);
+  EXPECT_EQ (g_hash_table_size (config->keys), 1u);
+  rst_cellconfig_destroy (config);
+}
+
+TEST (Adapter, NamesWhatIsWrongWithAConfiguration)
+{
+  char *problem = nullptr;
+
+  EXPECT_EQ (rst_adapter_read_config ("{\"version\":7}", &problem), nullptr);
+  EXPECT_EQ (std::string (problem).substr (0, 7), "routes:");
+  g_free (problem);
+}
+
+TEST (Adapter, IgnoresEntriesThatNameNoInstance)
+{
+  rst_instance_entry entry;
+  static const char *const bad[]
+      = { "",
+          "{",
+          "[]",
+          "{\"service\":\"s\",\"addr\":\"a:1\"}",
+          "{\"service\":\"s\",\"addr\":\"a:1\",\"zone\":\"z\","
+          "\"state\":\"resting\",\"capacity\":{\"cpu\":5}}",
+          "{\"service\":4,\"addr\":\"a:1\",\"zone\":\"z\","
+          "\"state\":\"ready\",\"capacity\":{\"cpu\":5}}",
+          "{\"service\":\"s\",\"addr\":\"a:1\",\"zone\":\"z\","
+          "\"state\":\"ready\"}" };
+
+  for (const char *text : bad)
+    EXPECT_FALSE (rst_adapter_read_instance ("i", text, &entry)) << text;
+  ASSERT_TRUE (rst_adapter_read_instance (
+      "i",
+      "{\"service\":\"s\",\"addr\":\"a:1\",\"zone\":\"z\",\"state\":"
+      "\"draining\",\"capacity\":{\"cpu\":5,\"mem_mb\":6},\"labels\":"
+      "[\"a\",\"r1-3\"]}",
+      &entry));
+  EXPECT_TRUE (entry.draining);
+  EXPECT_STREQ (entry.rack, "r1-3");
+  EXPECT_TRUE (rst_instance_entry_has_label (&entry, "a"));
+  EXPECT_FALSE (rst_instance_entry_has_label (&entry, "r1"));
+}
+
+TEST (Adapter, ReadsAJobAndNamesTheBadField)
+{
+  const char *problem = nullptr;
+  rst_jobdesc *desc = rst_adapter_read_job (
+      "{\"spec\":\"x\",\"phases\":[{\"count\":4,\"cpu\":500},{\"count\":2,"
+      "\"after\":[0],\"gang\":true,\"constraints\":\"a\"}]}",
+      &problem);
+
+  ASSERT_NE (desc, nullptr);
+  EXPECT_EQ (desc->step_count, 2);
+  EXPECT_TRUE (desc->steps[1].gang);
+  EXPECT_STREQ (desc->steps[1].label, "a");
+  rst_jobdesc_destroy (desc);
+  EXPECT_EQ (rst_adapter_read_job ("{\"spec\":\"x\"}", &problem), nullptr);
+  EXPECT_EQ (std::string (problem).substr (0, 7), "phases:");
+  EXPECT_EQ (rst_adapter_read_job (
+                 "{\"spec\":\"x\",\"phases\":[{\"count\":0}]}", &problem),
+             nullptr);
+  EXPECT_EQ (std::string (problem).substr (0, 6), "count:");
+  EXPECT_EQ (rst_adapter_read_job (
+                 "{\"spec\":\"x\",\"phases\":[{\"count\":1,\"after\":[0]}]}",
+                 &problem),
+             nullptr);
+  EXPECT_EQ (std::string (problem).substr (0, 6), "after:");
+}
--- /dev/null
+++ b/test/unit/agent_test.cc
@@ -0,0 +1,189 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "cell/agent.h"
+}
+
+// A look or an order that the agent made and that waits for its answer.
+struct AgentCall
+{
+  bool look;
+  int64_t deadline;
+  int64_t last_seen;
+  int64_t wait;
+  rst_instance_done done;
+  void *data;
+};
+
+static rst_ms agent_now;
+
+class Agent : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    rst_agent_config config = {};
+
+    agent_now = 1000;
+    backend.userdata = this;
+    backend.hold = [] (void *userdata, const rst_instance_call *call,
+                       rst_instance_done done, void *data) {
+      static_cast<Agent *> (userdata)->calls.push_back (
+          AgentCall{ true, call->deadline_ms, call->last_seen, call->wait_ms,
+                     done, data });
+    };
+    backend.start = [] (void *userdata, const rst_instance_call *call,
+                        rst_instance_done done, void *data) {
+      static_cast<Agent *> (userdata)->calls.push_back (
+          AgentCall{ false, call->deadline_ms, 0, 0, done, data });
+    };
+    config.backend = &backend;
+    config.now = [] { return agent_now; };
+    config.send = [] (void *userdata, const void *data, size_t length) {
+      msgpack_unpacked unpacked;
+      rst_reader reader;
+
+      rst_reader_open (&reader, &unpacked, data, length);
+      static_cast<Agent *> (userdata)->kinds.push_back (
+          (int)rst_reader_int (&reader));
+      msgpack_unpacked_destroy (&unpacked);
+    };
+    config.userdata = this;
+    config.lease_ms = 5900;
+    config.keep_ms = 14000;
+    agent = rst_agent_create (&config);
+    rst_agent_alive (agent, 0);
+  }
+
+  void
+  TearDown () override
+  {
+    message (RST_MSG_DROP, { "i" }, {});
+    while (!calls.empty ())
+      answer (RST_RESULT_UNKNOWN);
+    rst_agent_destroy (agent);
+  }
+
+  void
+  message (int kind, const std::vector<std::string> &texts,
+           const std::vector<int64_t> &numbers)
+  {
+    rst_pack pack;
+    msgpack_unpacked unpacked;
+    rst_reader reader;
+
+    rst_pack_init (&pack, texts.size () + numbers.size ());
+    for (const std::string &text : texts)
+      rst_pack_text (&pack, text.c_str ());
+    for (int64_t number : numbers)
+      rst_pack_int (&pack, number);
+    rst_reader_open (&reader, &unpacked, pack.buffer.data, pack.buffer.size);
+    rst_agent_message (agent, kind, &reader);
+    msgpack_unpacked_destroy (&unpacked);
+    rst_pack_clear (&pack);
+  }
+
+  // Answers the oldest call; a number above 0 adds an end.
+  void
+  answer (rst_result result, int64_t clock = 0, int64_t born = 0,
+          int64_t end = 0)
+  {
+    AgentCall call = calls.front ();
+    rst_instance_answer *answer = rst_instance_answer_new ();
+    rst_run run = {};
+
+    calls.erase (calls.begin ());
+    answer->result = result;
+    answer->clock_ms = clock;
+    answer->born = born;
+    run.number = end;
+    if (end > 0)
+      g_array_append_val (answer->runs, run);
+    call.done (answer, call.data);
+  }
+
+  void
+  hold ()
+  {
+    message (RST_MSG_HOLD, { "i", "10.0.0.1:80" }, { 1, 0 });
+  }
+
+  rst_backend backend = {};
+  rst_agent *agent = nullptr;
+  std::vector<AgentCall> calls;
+  std::vector<int> kinds;
+};
+
+TEST_F (Agent, LooksAtOnceThenWaitsWithALease)
+{
+  hold ();
+  ASSERT_EQ (calls.size (), 1u);
+  EXPECT_EQ (calls[0].wait, 0);
+  EXPECT_EQ (calls[0].deadline, 0);
+  answer (RST_RESULT_OK, 5000, 1);
+  ASSERT_EQ (calls.size (), 1u);
+  EXPECT_GT (calls[0].wait, 0);
+  EXPECT_EQ (calls[0].deadline, 5000 + 5900);
+}
+
+TEST_F (Agent, WaitsForTheStoreBeforeItLooksAgain)
+{
+  hold ();
+  answer (RST_RESULT_OK, 5000, 1, 3);
+  EXPECT_TRUE (calls.empty ());
+  message (RST_MSG_ACK, { "i" }, { 3 });
+  ASSERT_EQ (calls.size (), 1u);
+  EXPECT_EQ (calls[0].last_seen, 3);
+  EXPECT_GT (calls[0].wait, 0);
+}
+
+TEST_F (Agent, NamesNoEndToALifeThatMayBeAnother)
+{
+  hold ();
+  answer (RST_RESULT_OK, 5000, 1, 3);
+  message (RST_MSG_ACK, { "i" }, { 3 });
+  answer (RST_RESULT_UNKNOWN);
+  agent_now += 400;
+  rst_agent_run (agent);
+  ASSERT_EQ (calls.size (), 1u);
+  EXPECT_EQ (calls[0].last_seen, 0);
+  EXPECT_EQ (calls[0].wait, 0);
+}
+
+TEST_F (Agent, ExtendsNoLeaseLongAfterTheStoresLastWord)
+{
+  hold ();
+  answer (RST_RESULT_OK, 5000, 1);
+  agent_now += 14001;
+  answer (RST_RESULT_OK, 19001, 1);
+  ASSERT_EQ (calls.size (), 1u);
+  EXPECT_EQ (calls[0].deadline, 0);
+  rst_agent_alive (agent, 0);
+  answer (RST_RESULT_OK, 19002, 1);
+  EXPECT_GT (calls[0].deadline, 0);
+}
+
+TEST_F (Agent, StartsNothingBeforeItKnowsTheInstancesClock)
+{
+  hold ();
+  message (RST_MSG_START, { "i", "t" }, { 1 });
+  ASSERT_EQ (kinds.size (), 1u);
+  EXPECT_EQ (kinds[0], RST_MSG_STARTED);
+  EXPECT_EQ (calls.size (), 1u);
+}
+
+TEST_F (Agent, IgnoresLooksUnderAnEarlierToken)
+{
+  hold ();
+  message (RST_MSG_HOLD, { "i", "10.0.0.1:80" }, { 2, 0 });
+  ASSERT_EQ (calls.size (), 2u);
+  answer (RST_RESULT_OK, 5000, 1);
+  EXPECT_TRUE (kinds.empty ());
+  answer (RST_RESULT_OK, 5000, 1);
+  EXPECT_EQ (kinds.size (), 1u);
+}
--- /dev/null
+++ b/test/unit/cell_harness.h
@@ -0,0 +1,382 @@
+// Drives one planner by hand: what it sends is kept for inspection.
+#ifndef RST_TEST_CELL_HARNESS_H
+#define RST_TEST_CELL_HARNESS_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "cell/planner.h"
+}
+
+namespace harness
+{
+
+// A message that the planner sent, decoded as far as tests look at it.
+struct Sent
+{
+  uint64_t link;
+  int kind;
+  std::string id;
+  std::string task;
+  int64_t number;
+};
+
+struct Reply
+{
+  uint64_t call;
+  rst_reply reply;
+};
+
+struct Commit
+{
+  int64_t segment;
+  std::string data;
+  std::vector<int64_t> removed;
+};
+
+class Planner
+{
+public:
+  explicit Planner (int64_t epoch = 1)
+  {
+    rst_planner_ops ops = { on_send, on_reply, on_commit, this };
+    rst_planner_bounds bounds = { 14000, 6000, 120000, 250 };
+
+    planner = rst_planner_create (&ops, &bounds, epoch);
+    set_time (1000);
+  }
+  ~Planner () { rst_planner_destroy (planner); }
+  Planner (const Planner &) = delete;
+  Planner &operator= (const Planner &) = delete;
+
+  rst_planner *planner;
+  std::vector<Sent> sent;
+  std::vector<Reply> replies;
+  std::vector<Commit> commits;
+  rst_ms now = 0;
+  int64_t clock = 5000;
+  bool confirms = true;
+
+  void
+  set_time (rst_ms time)
+  {
+    now = time;
+    rst_planner_set_time (planner, now, 1700000000000 + now);
+    if (confirms)
+      rst_planner_confirmed (planner, now);
+  }
+
+  // Lets time pass in small steps, as the daemon's loop does.
+  void
+  pass (rst_ms length)
+  {
+    for (rst_ms end = now + length; now < end;)
+      {
+        set_time (now + 5);
+        rst_planner_run (planner);
+      }
+  }
+
+  // A queue "q" (advised when asked for) and a customer with a limit.
+  void
+  configure (int64_t cpu_limit = 0, bool advised = false, int64_t version = 1)
+  {
+    rst_cellconfig *config = rst_cellconfig_create ();
+    auto *queue = g_new0 (rst_queue, 1);
+    auto *customer = g_new0 (rst_customer, 1);
+
+    config->version = version;
+    queue->name = g_strdup ("q");
+    queue->host = g_strdup ("h");
+    queue->prefix = g_strdup ("/q/");
+    queue->pool = g_strdup ("pool");
+    queue->attempts = 3;
+    queue->slack = 3000;
+    queue->target_ms = 500;
+    queue->advised = advised;
+    queue->advice_ms = 10;
+    queue->advice_valid_ms = 2000;
+    g_ptr_array_add (config->queues, queue);
+    customer->name = g_strdup ("c");
+    customer->weight = 100;
+    customer->limit.cpu = cpu_limit;
+    g_ptr_array_add (config->customers, customer);
+    g_hash_table_insert (config->keys, g_strdup ("k"), customer);
+    rst_planner_configure (planner, config);
+  }
+
+  void
+  instance (const std::string &id, bool draining = false,
+            const char *zone = "a")
+  {
+    rst_instance_entry entry = {};
+
+    g_strlcpy (entry.id, id.c_str (), sizeof entry.id);
+    g_strlcpy (entry.address, "10.0.0.1:80", sizeof entry.address);
+    g_strlcpy (entry.zone, zone, sizeof entry.zone);
+    g_strlcpy (entry.pool, "pool", sizeof entry.pool);
+    g_strlcpy (entry.labels, ",a,r1,", sizeof entry.labels);
+    entry.room = { 4000, 4000, 0 };
+    entry.draining = draining;
+    rst_planner_instance (planner, &entry);
+  }
+
+  void
+  agent (uint64_t link, const char *zone = "a")
+  {
+    rst_planner_agent (planner, link, ("n" + std::to_string (link)).c_str (),
+                       zone);
+  }
+
+  // What an instance lists: runs without a number, ends with one.
+  void
+  report (uint64_t link, const std::string &id,
+          const std::vector<rst_run> &runs, int64_t born = 1,
+          rst_result result = RST_RESULT_OK, int64_t lease_left = 0)
+  {
+    rst_pack pack;
+
+    clock += 10;
+    rst_pack_init (&pack, 6);
+    rst_pack_text (&pack, id.c_str ());
+    rst_pack_int (&pack, result);
+    rst_pack_int (&pack, clock);
+    rst_pack_int (&pack, born);
+    rst_pack_int (&pack, lease_left);
+    rst_pack_array (&pack, runs.size ());
+    for (const rst_run &run : runs)
+      {
+        rst_pack_array (&pack, 6);
+        rst_pack_int (&pack, run.number);
+        rst_pack_text (&pack, run.task);
+        rst_pack_int (&pack, run.attempt);
+        rst_pack_int (&pack, run.how);
+        rst_pack_text (&pack, run.saved);
+        rst_pack_int (&pack, run.percent);
+      }
+    deliver (link, RST_MSG_REPORT, &pack);
+  }
+
+  void
+  answer (uint64_t link, int kind, const std::string &id,
+          const std::string &task, int attempt, rst_result result)
+  {
+    rst_pack pack;
+
+    clock += 10;
+    rst_pack_init (&pack, 5);
+    rst_pack_text (&pack, id.c_str ());
+    rst_pack_text (&pack, task.c_str ());
+    rst_pack_int (&pack, attempt);
+    rst_pack_int (&pack, result);
+    rst_pack_int (&pack, clock);
+    deliver (link, kind, &pack);
+  }
+
+  void
+  advice (uint64_t link, int64_t handle,
+          const std::vector<std::string> &approved)
+  {
+    rst_pack pack;
+
+    rst_pack_init (&pack, 3);
+    rst_pack_int (&pack, handle);
+    rst_pack_int (&pack, RST_RESULT_OK);
+    rst_pack_array (&pack, approved.size ());
+    for (const std::string &id : approved)
+      {
+        rst_pack_array (&pack, 2);
+        rst_pack_text (&pack, id.c_str ());
+        rst_pack_text (&pack, "ticket");
+      }
+    deliver (link, RST_MSG_ADVICE, &pack);
+  }
+
+  static rst_jobdesc *
+  job (int tasks, int64_t cpu, bool gang = false, int steps = 1)
+  {
+    rst_jobdesc *desc = rst_jobdesc_create (steps);
+
+    desc->spec = g_strdup ("work");
+    for (int i = 0; i < steps; i++)
+      {
+        rst_step &step = desc->steps[i];
+
+        step.count = tasks;
+        step.need.cpu = cpu;
+        step.need.memory = 10;
+        step.estimate_ms = 1000;
+        step.gang = gang;
+        step.label = g_strdup ("");
+        step.rack = g_strdup ("");
+        step.image = g_strdup ("");
+        step.after = g_new0 (int, 1);
+        step.after_count = i > 0 ? 1 : 0;
+        step.after[0] = i - 1;
+      }
+    return desc;
+  }
+
+  void
+  call (uint64_t number, rst_operation operation, const std::string &id,
+        rst_jobdesc *desc = nullptr, const char *key = "k",
+        const char *prefix = "/q/")
+  {
+    struct rst_planner_call request = {};
+    std::string path = prefix + id;
+
+    request.link = 99;
+    request.number = number;
+    request.operation = operation;
+    request.host = "h";
+    request.path = path.c_str ();
+    request.key = key;
+    request.desc = desc;
+    rst_planner_call (planner, &request);
+  }
+
+  // Answers the commit under way, as the store would.
+  void
+  store ()
+  {
+    rst_planner_committed (planner);
+    pass (10);
+  }
+
+  // Passes time and stores until nothing is left to commit.
+  void
+  settle ()
+  {
+    for (int i = 0; i < 4; i++)
+      {
+        size_t before = commits.size ();
+
+        pass (60);
+        if (commits.size () > before)
+          store ();
+      }
+  }
+
+  // A serving planner with an agent and instances that list nothing.
+  void
+  begin (int instances, bool advised = false, int64_t cpu_limit = 0)
+  {
+    configure (cpu_limit, advised);
+    agent (1);
+    for (int i = 0; i < instances; i++)
+      instance ("i-" + std::to_string (i));
+    rst_planner_restored (planner);
+    for (int i = 0; i < instances; i++)
+      report (1, "i-" + std::to_string (i), {});
+    settle ();
+    sent.clear ();
+    replies.clear ();
+  }
+
+  std::vector<Sent>
+  of_kind (int kind) const
+  {
+    std::vector<Sent> found;
+
+    for (const Sent &message : sent)
+      if (message.kind == kind)
+        found.push_back (message);
+    return found;
+  }
+
+  const Reply *
+  reply_to (uint64_t call) const
+  {
+    for (const Reply &reply : replies)
+      if (reply.call == call)
+        return &reply;
+    return nullptr;
+  }
+
+  static rst_run
+  running (const std::string &task, int attempt)
+  {
+    rst_run run = {};
+
+    g_strlcpy (run.task, task.c_str (), sizeof run.task);
+    run.attempt = attempt;
+    return run;
+  }
+
+  static rst_run
+  ended (int64_t number, const std::string &task, int attempt, rst_end how)
+  {
+    rst_run run = running (task, attempt);
+
+    run.number = number;
+    run.how = how;
+    return run;
+  }
+
+private:
+  void
+  deliver (uint64_t link, int kind, rst_pack *pack)
+  {
+    msgpack_unpacked unpacked;
+    rst_reader reader;
+
+    rst_reader_open (&reader, &unpacked, pack->buffer.data, pack->buffer.size);
+    rst_planner_message (planner, link, kind, &reader);
+    msgpack_unpacked_destroy (&unpacked);
+    rst_pack_clear (pack);
+  }
+
+  static void
+  on_send (void *userdata, uint64_t link, const void *data, size_t length)
+  {
+    auto *self = static_cast<Planner *> (userdata);
+    msgpack_unpacked unpacked;
+    rst_reader reader;
+    Sent message = {};
+
+    rst_reader_open (&reader, &unpacked, data, length);
+    message.link = link;
+    message.kind = (int)rst_reader_int (&reader);
+    if (message.kind == RST_MSG_ADVISE)
+      message.number = rst_reader_int (&reader);
+    char *id = rst_reader_text (&reader);
+    message.id = id;
+    g_free (id);
+    if (message.kind == RST_MSG_START || message.kind == RST_MSG_STOP)
+      {
+        char *task = rst_reader_text (&reader);
+
+        message.task = task;
+        g_free (task);
+      }
+    if (message.kind != RST_MSG_ADVISE && message.kind != RST_MSG_HOLD)
+      message.number = rst_reader_int (&reader);
+    self->sent.push_back (message);
+    msgpack_unpacked_destroy (&unpacked);
+  }
+
+  static void
+  on_reply (void *userdata, uint64_t link, uint64_t call,
+            const rst_reply *reply)
+  {
+    (void)link;
+    static_cast<Planner *> (userdata)->replies.push_back (
+        Reply{ call, *reply });
+  }
+
+  static void
+  on_commit (void *userdata, int64_t segment, const void *data, size_t length,
+             const int64_t *remove, int count)
+  {
+    static_cast<Planner *> (userdata)->commits.push_back (
+        Commit{ segment, std::string ((const char *)data, length),
+                std::vector<int64_t> (remove, remove + count) });
+  }
+};
+
+} // namespace harness
+
+#endif
--- /dev/null
+++ b/test/unit/planner_test.cc
@@ -0,0 +1,441 @@
+#include <gtest/gtest.h>
+
+#include "cell_harness.h"
+
+using harness::Planner;
+using harness::Sent;
+
+static const char *const job_a = "00000000000000aa";
+static const char *const job_b = "00000000000000bb";
+static const std::string task_a0 = "00000000000000aa.0.0.0";
+static const std::string task_a1 = "00000000000000aa.0.0.1";
+static const std::string task_b0 = "00000000000000bb.0.0.0";
+
+TEST (Planner, AcceptsAndStartsOnlyWhatIsStored)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.pass (40);
+  EXPECT_EQ (cell.reply_to (7), nullptr);
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+  cell.store ();
+  ASSERT_NE (cell.reply_to (7), nullptr);
+  EXPECT_EQ (cell.reply_to (7)->reply.outcome, RST_OUTCOME_OK);
+  ASSERT_EQ (cell.of_kind (RST_MSG_START).size (), 1u);
+  EXPECT_EQ (cell.of_kind (RST_MSG_START)[0].task, task_a0);
+}
+
+TEST (Planner, LetsAnEndBeForgottenOnlyOnceItIsStored)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.settle ();
+  cell.answer (1, RST_MSG_STARTED, "i-0", task_a0, 1, RST_RESULT_OK);
+  cell.sent.clear ();
+  cell.report (1, "i-0", { Planner::ended (1, task_a0, 1, RST_END_DONE) });
+  cell.pass (40);
+  EXPECT_TRUE (cell.of_kind (RST_MSG_ACK).empty ());
+  cell.call (8, RST_OPERATION_READ, job_a);
+  EXPECT_EQ (cell.reply_to (8)->reply.state, RST_JOB_RUNNING);
+  cell.store ();
+  ASSERT_EQ (cell.of_kind (RST_MSG_ACK).size (), 1u);
+  EXPECT_EQ (cell.of_kind (RST_MSG_ACK)[0].number, 1);
+  cell.call (9, RST_OPERATION_READ, job_a);
+  EXPECT_EQ (cell.reply_to (9)->reply.state, RST_JOB_COMPLETED);
+}
+
+TEST (Planner, CountsFailedRunsInWhateverOrderTheyAreListed)
+{
+  Planner cell;
+
+  cell.begin (2);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.settle ();
+  cell.report (1, "i-1", { Planner::ended (1, task_a0, 3, RST_END_FAILED) });
+  cell.report (1, "i-0",
+               { Planner::ended (1, task_a0, 1, RST_END_FAILED),
+                 Planner::ended (2, task_a0, 2, RST_END_FAILED) });
+  cell.settle ();
+  cell.call (8, RST_OPERATION_READ, job_a);
+  EXPECT_EQ (cell.reply_to (8)->reply.state, RST_JOB_FAILED);
+}
+
+TEST (Planner, CountsAFailedRunOnce)
+{
+  Planner cell;
+
+  cell.begin (2);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.settle ();
+  for (int64_t born = 1; born < 5; born++)
+    cell.report (1, "i-0", { Planner::ended (1, task_a0, 1, RST_END_FAILED) },
+                 born);
+  cell.settle ();
+  cell.call (8, RST_OPERATION_READ, job_a);
+  EXPECT_EQ (cell.reply_to (8)->reply.state, RST_JOB_RUNNING);
+}
+
+TEST (Planner, RestartsAnUnansweredStartOnlyAfterItWasStopped)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.settle ();
+  cell.answer (1, RST_MSG_STARTED, "i-0", task_a0, 1, RST_RESULT_UNKNOWN);
+  cell.sent.clear ();
+  cell.report (1, "i-0", {});
+  cell.pass (5000);
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+  EXPECT_FALSE (cell.of_kind (RST_MSG_STOP).empty ());
+  cell.answer (1, RST_MSG_STOPPED, "i-0", task_a0, 1, RST_RESULT_OK);
+  cell.pass (500);
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+  cell.report (1, "i-0", {});
+  cell.pass (500);
+  ASSERT_EQ (cell.of_kind (RST_MSG_START).size (), 1u);
+  EXPECT_EQ (cell.of_kind (RST_MSG_START)[0].number, 2);
+}
+
+TEST (Planner, KeepsWithinAnInstancesRoomUntilAnEndIsListed)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (3, 1500));
+  cell.settle ();
+  EXPECT_EQ (cell.of_kind (RST_MSG_START).size (), 2u);
+  cell.call (8, RST_OPERATION_CANCEL, job_a);
+  cell.call (9, RST_OPERATION_SUBMIT, job_b, Planner::job (1, 1500));
+  cell.sent.clear ();
+  cell.settle ();
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+  cell.report (1, "i-0", { Planner::ended (1, task_a0, 1, RST_END_STOPPED) });
+  cell.settle ();
+  ASSERT_EQ (cell.of_kind (RST_MSG_START).size (), 1u);
+  EXPECT_EQ (cell.of_kind (RST_MSG_START)[0].task, task_b0);
+}
+
+TEST (Planner, AnswersACancelWhenItIsStoredAndStopsWhatRuns)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (2, 1000));
+  cell.settle ();
+  cell.call (8, RST_OPERATION_CANCEL, job_a);
+  EXPECT_EQ (cell.of_kind (RST_MSG_STOP).size (), 2u);
+  cell.pass (40);
+  EXPECT_EQ (cell.reply_to (8), nullptr);
+  cell.store ();
+  ASSERT_NE (cell.reply_to (8), nullptr);
+  EXPECT_EQ (cell.reply_to (8)->reply.outcome, RST_OUTCOME_OK);
+}
+
+TEST (Planner, StartsAGangWholeOrNotAtAll)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (3, 1500, true));
+  cell.settle ();
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+  cell.instance ("i-1");
+  cell.report (1, "i-1", {});
+  cell.settle ();
+  EXPECT_EQ (cell.of_kind (RST_MSG_START).size (), 3u);
+  cell.answer (1, RST_MSG_STARTED, "i-0", task_a0, 1, RST_RESULT_REFUSED);
+  EXPECT_EQ (cell.of_kind (RST_MSG_STOP).size (), 2u);
+}
+
+TEST (Planner, KeepsACustomerBelowItsLimit)
+{
+  Planner cell;
+
+  cell.begin (3, false, 2500);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (5, 1000));
+  cell.settle ();
+  EXPECT_EQ (cell.of_kind (RST_MSG_START).size (), 2u);
+}
+
+TEST (Planner, StartsNothingWhereItMayNot)
+{
+  Planner cell;
+
+  cell.begin (2);
+  cell.instance ("i-0", true);
+  rst_planner_evacuate (cell.planner, "a", true);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.settle ();
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+  rst_planner_evacuate (cell.planner, "a", false);
+  cell.settle ();
+  ASSERT_EQ (cell.of_kind (RST_MSG_START).size (), 1u);
+  EXPECT_EQ (cell.of_kind (RST_MSG_START)[0].id, "i-1");
+}
+
+TEST (Planner, KeepsTheOrderOfSteps)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (2, 1000, false, 2));
+  cell.settle ();
+  EXPECT_EQ (cell.of_kind (RST_MSG_START).size (), 2u);
+  cell.sent.clear ();
+  cell.report (1, "i-0",
+               { Planner::running (task_a1, 1),
+                 Planner::ended (1, task_a0, 1, RST_END_DONE) });
+  cell.settle ();
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+  cell.report (1, "i-0", { Planner::ended (2, task_a1, 1, RST_END_DONE) });
+  cell.pass (10);
+  EXPECT_EQ (cell.of_kind (RST_MSG_START).size (), 2u);
+}
+
+TEST (Planner, WaitsForTheLeaseOfAnInstanceThatDoesNotAnswer)
+{
+  Planner cell;
+
+  cell.begin (2);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.settle ();
+  std::string first = cell.of_kind (RST_MSG_START)[0].id;
+  cell.answer (1, RST_MSG_STARTED, first, task_a0, 1, RST_RESULT_OK);
+  cell.sent.clear ();
+  cell.report (1, first, {}, 1, RST_RESULT_UNKNOWN, 5000);
+  cell.pass (5000);
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+  cell.pass (1000);
+  ASSERT_EQ (cell.of_kind (RST_MSG_START).size (), 1u);
+  EXPECT_NE (cell.of_kind (RST_MSG_START)[0].id, first);
+}
+
+TEST (Planner, RestartsWhatRanInAnInstancesEarlierLife)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.settle ();
+  cell.answer (1, RST_MSG_STARTED, "i-0", task_a0, 1, RST_RESULT_OK);
+  cell.sent.clear ();
+  cell.report (1, "i-0", {}, 2);
+  cell.settle ();
+  EXPECT_EQ (cell.of_kind (RST_MSG_START).size (), 1u);
+}
+
+TEST (Planner, StartsNothingOnAnInstanceBetweenTwoAgents)
+{
+  Planner cell;
+
+  cell.begin (4);
+  cell.agent (2);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (16, 1000));
+  cell.settle ();
+  for (const Sent &start : cell.of_kind (RST_MSG_START))
+    EXPECT_EQ (start.link, 1u);
+  size_t before = cell.of_kind (RST_MSG_START).size ();
+  for (int i = 0; i < 4; i++)
+    cell.report (2, "i-" + std::to_string (i), {});
+  cell.settle ();
+  EXPECT_GT (cell.of_kind (RST_MSG_START).size (), before);
+}
+
+TEST (Planner, StartsNothingOnInstancesBornSinceTheStoreWasLost)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.settle ();
+  cell.answer (1, RST_MSG_STARTED, "i-0", task_a0, 1, RST_RESULT_OK);
+  cell.sent.clear ();
+  cell.confirms = false;
+  cell.pass (500);
+  cell.report (1, "i-0", {}, 2);
+  cell.pass (3000);
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+  cell.confirms = true;
+  cell.pass (50);
+  EXPECT_EQ (cell.of_kind (RST_MSG_START).size (), 1u);
+}
+
+TEST (Planner, AsksForAdviceAndStartsWhereItMay)
+{
+  Planner cell;
+
+  cell.begin (4, true);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (2, 1000));
+  cell.settle ();
+  ASSERT_EQ (cell.of_kind (RST_MSG_ADVISE).size (), 1u);
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+  cell.advice (1, cell.of_kind (RST_MSG_ADVISE)[0].number, { "i-2" });
+  cell.pass (10);
+  ASSERT_EQ (cell.of_kind (RST_MSG_START).size (), 2u);
+  EXPECT_EQ (cell.of_kind (RST_MSG_START)[0].id, "i-2");
+}
+
+TEST (Planner, TellsWhichCallsItTakes)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.call (1, RST_OPERATION_READ, job_a);
+  cell.call (2, RST_OPERATION_READ, job_a, nullptr, "wrong");
+  cell.call (3, RST_OPERATION_READ, job_a, nullptr, "k", "/none/");
+  cell.call (4, RST_OPERATION_SUBMIT, "short", Planner::job (1, 1));
+  cell.call (5, RST_OPERATION_READ, "");
+  EXPECT_EQ (cell.reply_to (1)->reply.outcome, RST_OUTCOME_NO_JOB);
+  EXPECT_EQ (cell.reply_to (2)->reply.outcome, RST_OUTCOME_NO_KEY);
+  EXPECT_EQ (cell.reply_to (3)->reply.outcome, RST_OUTCOME_NO_QUEUE);
+  EXPECT_EQ (cell.reply_to (4)->reply.outcome, RST_OUTCOME_BAD);
+  EXPECT_EQ (cell.reply_to (5)->reply.outcome, RST_OUTCOME_COUNT);
+  EXPECT_EQ (cell.reply_to (5)->reply.count, 0);
+}
+
+TEST (Planner, IgnoresAnOlderConfiguration)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.configure (0, false, 5);
+  cell.configure (100, false, 4);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.settle ();
+  EXPECT_EQ (cell.of_kind (RST_MSG_START).size (), 1u);
+}
+
+// ---- succession
+
+static void
+restore_all (Planner &heir, const Planner &former)
+{
+  for (const auto &commit : former.commits)
+    EXPECT_TRUE (rst_planner_restore (heir.planner, commit.segment,
+                                      commit.data.data (),
+                                      commit.data.size ()));
+}
+
+TEST (Succession, WaitsUntilEveryInheritedInstanceIsKnown)
+{
+  Planner former;
+  Planner heir (2);
+
+  former.begin (2);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  former.settle ();
+  restore_all (heir, former);
+  heir.configure ();
+  heir.agent (1);
+  heir.instance ("i-0");
+  heir.instance ("i-1");
+  rst_planner_restored (heir.planner);
+  heir.report (1, "i-0", {});
+  heir.settle ();
+  EXPECT_TRUE (heir.of_kind (RST_MSG_START).empty ());
+  heir.report (1, "i-1", { Planner::running (task_a0, 1) });
+  heir.settle ();
+  EXPECT_TRUE (heir.of_kind (RST_MSG_START).empty ());
+  EXPECT_TRUE (heir.of_kind (RST_MSG_STOP).empty ());
+  heir.report (1, "i-1", { Planner::ended (1, task_a0, 1, RST_END_DONE) });
+  heir.settle ();
+  heir.call (8, RST_OPERATION_READ, job_a);
+  EXPECT_EQ (heir.reply_to (8)->reply.state, RST_JOB_COMPLETED);
+}
+
+TEST (Succession, HoldsNothingBeforeTheJournalIsRead)
+{
+  Planner former;
+  Planner heir (2);
+
+  former.begin (1);
+  restore_all (heir, former);
+  heir.configure ();
+  heir.agent (1);
+  heir.agent (2);
+  heir.instance ("i-0");
+  rst_planner_link_closed (heir.planner, 2);
+  EXPECT_TRUE (heir.of_kind (RST_MSG_HOLD).empty ());
+  rst_planner_restored (heir.planner);
+  EXPECT_EQ (heir.of_kind (RST_MSG_HOLD).size (), 1u);
+}
+
+TEST (Succession, KeepsCountsOfFailedRuns)
+{
+  Planner former;
+  Planner heir (2);
+
+  former.begin (1);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  former.settle ();
+  former.report (1, "i-0", { Planner::ended (1, task_a0, 1, RST_END_FAILED) });
+  former.settle ();
+  restore_all (heir, former);
+  heir.configure ();
+  heir.agent (1);
+  heir.instance ("i-0");
+  rst_planner_restored (heir.planner);
+  heir.report (1, "i-0",
+               { Planner::ended (1, task_a0, 1, RST_END_FAILED),
+                 Planner::ended (2, task_a0, 2, RST_END_FAILED) });
+  heir.settle ();
+  heir.call (8, RST_OPERATION_READ, job_a);
+  EXPECT_EQ (heir.reply_to (8)->reply.state, RST_JOB_RUNNING);
+  heir.report (1, "i-0", { Planner::ended (3, task_a0, 3, RST_END_FAILED) });
+  heir.settle ();
+  heir.call (9, RST_OPERATION_READ, job_a);
+  EXPECT_EQ (heir.reply_to (9)->reply.state, RST_JOB_FAILED);
+}
+
+TEST (Succession, SkipsASegmentThatCantBeRead)
+{
+  Planner heir (2);
+
+  EXPECT_FALSE (rst_planner_restore (heir.planner, 1, "\x93\x01", 2));
+  EXPECT_FALSE (rst_planner_restore (heir.planner, 2, "none", 4));
+}
+
+TEST (Journal, RewritesOldSegmentsAndLosesNothing)
+{
+  Planner former;
+  Planner heir (2);
+  std::vector<harness::Commit> kept;
+
+  former.begin (1);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 9000));
+  former.settle ();
+  for (int i = 0; i < 700; i++)
+    {
+      char id[17];
+
+      snprintf (id, sizeof id, "%016x", 0x1000 + i);
+      former.call (100, RST_OPERATION_SUBMIT, id, Planner::job (1, 9000));
+      former.pass (35);
+      former.store ();
+      former.call (101, RST_OPERATION_CANCEL, id);
+      former.pass (35);
+      former.store ();
+    }
+  for (const auto &commit : former.commits)
+    {
+      for (int64_t removed : commit.removed)
+        std::erase_if (kept, [removed] (const harness::Commit &segment) {
+          return segment.segment == removed;
+        });
+      kept.push_back (commit);
+    }
+  EXPECT_LT (kept.size (), 700u);
+  former.commits = kept;
+  restore_all (heir, former);
+  heir.configure ();
+  rst_planner_restored (heir.planner);
+  heir.call (8, RST_OPERATION_READ, job_a);
+  EXPECT_EQ (heir.reply_to (8)->reply.outcome, RST_OUTCOME_STATE);
+  heir.call (9, RST_OPERATION_READ, "0000000000001000");
+  EXPECT_EQ (heir.reply_to (9)->reply.outcome, RST_OUTCOME_STATE);
+}
