Record instances that are out, so that a successor need not wait for them

Now an instance that was not reached for 0.3 s is recorded with what it may still run; only those tasks wait.

--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -17,7 +17,7 @@
 
 /** Age of the store's word from which on nothing is started; well below the
     time for which leases are extended without it. */
-#define STARTS_MAX_MS 8000
+#define STARTS_MAX_MS 4000
 
 /** Time between attempts to hold an instance that has no agent's report. */
 #define HOLD_AGAIN_MS 700
@@ -120,6 +120,8 @@
 static void
 set_unknown (struct rst_planner *planner, struct instance *instance)
 {
+  if (instance->known)
+    instance->unknown_at = planner->now;
   if (instance->known)
     instance->lapse_at = planner->now + planner->bounds.keep_ms
                          + planner->bounds.lease_ms * 102 / 100
@@ -309,6 +311,17 @@
              && instance->life_at > planner->confirmed_at);
 }
 
+/* Whether a task without a run here may still run somewhere. */
+bool
+rst_plan_may_run (const struct rst_planner *planner, const struct task *task)
+{
+  const struct instance *at = task->maybe_at;
+
+  if (task->unsure && planner->unsure_left)
+    return true;
+  return at != NULL && !at->known && planner->now < at->lapse_at;
+}
+
 bool
 rst_plan_usable (const struct rst_planner *planner,
                  const struct instance *instance)
@@ -553,7 +566,35 @@
 {
   return !instance->present && !instance->known
          && g_hash_table_size (instance->runs) == 0 && !instance->inherited
-         && planner->now - instance->gone_at > GONE_KEEP_MS;
+         && planner->now - instance->gone_at > GONE_KEEP_MS
+         && planner->now - planner->created_at > GONE_KEEP_MS;
+}
+
+static void
+forget_places (struct occurrence *occurrence, const struct instance *instance)
+{
+  for (int i = 0; i < occurrence->job->desc->step_count; i++)
+    for (int t = 0; t < occurrence->job->desc->steps[i].count; t++)
+      if (occurrence->steps[i].tasks[t].maybe_at == instance)
+        occurrence->steps[i].tasks[t].maybe_at = NULL;
+}
+
+/* No task may point to an instance that is freed. */
+static void
+forget (struct rst_planner *planner, struct instance *instance)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  give_to (planner, instance, NULL);
+  g_hash_table_iter_init (&iter, planner->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct job *job = value;
+
+      for (guint i = 0; i < job->occurrences->len; i++)
+        forget_places (g_ptr_array_index (job->occurrences, i), instance);
+    }
 }
 
 void
@@ -570,7 +611,7 @@
       check_instance (planner, instance);
       if (is_forgotten (planner, instance))
         {
-          give_to (planner, instance, NULL);
+          forget (planner, instance);
           g_hash_table_iter_remove (&iter);
         }
     }
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -15,12 +15,19 @@
 /** Segments removed with one commit; bounded by the store's entries. */
 #define REMOVE_MAX 16
 
+/** An instance that was not reached for this long is recorded as out. */
+#define OUT_AFTER_MS 300
+
+/** Margin for clocks that differ between machines, in milliseconds. */
+#define CLOCKS_DIFFER_MS 3000
+
 enum record_kind
 {
   RECORD_JOB = 1,
   RECORD_PROGRESS,
   RECORD_INSTANCE,
   RECORD_QUEUE,
+  RECORD_INSTANCE_OUT,
 };
 
 void
@@ -108,6 +115,26 @@
   rst_pack_text (pack, instance->entry.zone);
 }
 
+/* An instance that can't be reached: what it may run, and until when. */
+static void
+pack_instance_out (const struct rst_planner *planner, struct rst_pack *pack,
+                   const struct instance *instance)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  rst_pack_array (pack, 6);
+  rst_pack_int (pack, RECORD_INSTANCE_OUT);
+  rst_pack_text (pack, instance->entry.id);
+  rst_pack_text (pack, instance->entry.address);
+  rst_pack_text (pack, instance->entry.zone);
+  rst_pack_int (pack, planner->unix_ms + (instance->lapse_at - planner->now));
+  rst_pack_array (pack, g_hash_table_size (instance->runs));
+  g_hash_table_iter_init (&iter, instance->runs);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    rst_pack_text (pack, name);
+}
+
 static void
 pack_queue (struct rst_pack *pack, const struct queue *queue)
 {
@@ -133,6 +160,25 @@
   g_hash_table_add (planner->segments, key);
 }
 
+/* Whether an instance was lost a moment ago and its record has to stay. */
+static gboolean
+is_leaving (gpointer key, gpointer value, gpointer userdata)
+{
+  const struct instance *instance = value;
+
+  (void)key;
+  (void)userdata;
+  return instance->recorded && !instance->known;
+}
+
+/* Its record goes with the oldest segments. */
+static void
+rewrite_instance (struct instance *instance)
+{
+  instance->recorded
+      = !instance->known && g_hash_table_size (instance->runs) > 0;
+}
+
 static bool
 has_runs (const struct job *job)
 {
@@ -159,7 +205,8 @@
   gpointer key;
   gpointer value;
 
-  if (g_hash_table_size (planner->segments) <= SEGMENTS_MAX)
+  if (g_hash_table_size (planner->segments) <= SEGMENTS_MAX
+      || g_hash_table_find (planner->instances, is_leaving, NULL) != NULL)
     return 0;
   g_hash_table_iter_init (&iter, planner->segments);
   while (g_hash_table_iter_next (&iter, &key, NULL))
@@ -185,13 +232,28 @@
     }
   g_hash_table_iter_init (&iter, planner->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((struct instance *)value)->recorded = false;
+    rewrite_instance (value);
   g_hash_table_iter_init (&iter, planner->queues);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     ((struct queue *)value)->recorded = false;
   return count;
 }
 
+static bool
+wants_in_record (const struct instance *instance)
+{
+  return !instance->recorded && instance->present && instance->known;
+}
+
+/* A predecessor's instance that was never reached stays as it was. */
+static bool
+wants_out_record (const struct rst_planner *planner,
+                  const struct instance *instance)
+{
+  return instance->recorded && !instance->known && !instance->inherited
+         && planner->now - instance->unknown_at > OUT_AFTER_MS;
+}
+
 /* Writes the instances and queues that have no record yet. */
 static int
 pack_others (struct rst_planner *planner, struct rst_pack *pack)
@@ -205,11 +267,18 @@
     {
       struct instance *instance = value;
 
-      if (instance->recorded || !instance->present)
-        continue;
-      if (pack != NULL)
-        pack_instance (pack, instance);
-      count++;
+      if (wants_in_record (instance))
+        {
+          if (pack != NULL)
+            pack_instance (pack, instance);
+          count++;
+        }
+      else if (wants_out_record (planner, instance))
+        {
+          if (pack != NULL)
+            pack_instance_out (planner, pack, instance);
+          count++;
+        }
     }
   g_hash_table_iter_init (&iter, planner->queues);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -237,7 +306,10 @@
       struct instance *instance = value;
 
       instance->committing = instance->seen;
-      instance->recorded |= instance->present;
+      if (wants_in_record (instance))
+        instance->recording = true;
+      else if (wants_out_record (planner, instance))
+        instance->recorded = false;
     }
   g_hash_table_iter_init (&iter, planner->queues);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -315,11 +387,28 @@
   rst_pack_clear (&pack);
 }
 
+static void
+set_recorded (struct rst_planner *planner)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, planner->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct instance *instance = value;
+
+      instance->recorded |= instance->recording;
+      instance->recording = false;
+    }
+}
+
 void
 rst_planner_committed (struct rst_planner *planner)
 {
   planner->commit_busy = false;
   planner->changed = true;
+  set_recorded (planner);
   for (guint i = 0; i < planner->committing->len; i++)
     {
       struct job *job = g_ptr_array_index (planner->committing, i);
@@ -448,27 +537,63 @@
   g_free (customer);
 }
 
-static void
-restore_instance (struct rst_planner *planner, struct rst_reader *in)
+static struct instance *
+restore_place (struct rst_planner *planner, struct rst_reader *in)
 {
   char id[RST_ID_SIZE];
   struct instance *instance;
 
   rst_reader_copy (in, id, sizeof id);
   if (in->bad)
-    return;
+    return NULL;
   instance = g_hash_table_lookup (planner->instances, id);
   if (instance == NULL)
     instance = rst_plan_instance_new (planner, id);
   rst_reader_copy (in, instance->entry.address,
                    sizeof instance->entry.address);
   rst_reader_copy (in, instance->entry.zone, sizeof instance->entry.zone);
+  instance->gone_at = planner->now;
+  return instance;
+}
+
+static void
+restore_instance (struct rst_planner *planner, struct rst_reader *in)
+{
+  struct instance *instance = restore_place (planner, in);
+
+  if (instance == NULL)
+    return;
   instance->recorded = true;
   instance->inherited = true;
-  instance->gone_at = planner->now;
   planner->unsure_left = true;
 }
 
+static void
+restore_instance_out (struct rst_planner *planner, struct rst_reader *in)
+{
+  struct instance *instance = restore_place (planner, in);
+  int64_t left = rst_reader_int (in) - planner->unix_ms;
+  struct rst_reader names = rst_reader_array (in);
+
+  if (instance == NULL)
+    return;
+  instance->recorded = false;
+  instance->inherited = false;
+  instance->lapse_at
+      = MIN (instance->lapse_at,
+             planner->now + MAX (left, 0) * 102 / 100 + CLOCKS_DIFFER_MS);
+  for (uint32_t i = 0; i < names.count; i++)
+    {
+      char *name = rst_reader_text (&names);
+      struct task *task = rst_plan_find_task (planner, name);
+
+      if (task != NULL && !task->done)
+        task->maybe_at = instance;
+      g_free (name);
+    }
+  in->bad |= names.bad;
+}
+
 static void
 restore_queue (struct rst_planner *planner, struct rst_reader *in)
 {
@@ -515,6 +640,9 @@
     case RECORD_INSTANCE:
       restore_instance (planner, &in);
       break;
+    case RECORD_INSTANCE_OUT:
+      restore_instance_out (planner, &in);
+      break;
     case RECORD_QUEUE:
       restore_queue (planner, &in);
       break;
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -230,8 +230,7 @@
 static bool
 may_start (const struct rst_planner *planner, const struct task *task)
 {
-  return !task->done && task->run == NULL
-         && !(task->unsure && planner->unsure_left);
+  return !task->done && task->run == NULL && !rst_plan_may_run (planner, task);
 }
 
 /* Returns how many tasks found no place. */
@@ -301,8 +300,7 @@
     {
       const struct task *task = &step->tasks[i];
 
-      if (task->run != NULL || task->done
-          || (task->unsure && planner->unsure_left))
+      if (task->run != NULL || task->done || rst_plan_may_run (planner, task))
         return false;
     }
   step->gang_stopping = false;
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -67,6 +67,7 @@
   task->run = run;
   task->attempt = MAX (task->attempt, attempt);
   task->unsure = false;
+  task->maybe_at = NULL;
   if (!task->done)
     task->step->waiting--;
   add_need (&instance->used, &run->need, 1);
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -46,7 +46,11 @@
   int64_t acked;
   int64_t committing;
   bool present;
+  /* Whether the journal says that it takes starts; or, when it is out, what
+     it may still run.  One of the two is written before the other matters. */
   bool recorded;
+  bool recording;
+  rst_ms unknown_at;
   bool known;
   bool inherited;
   bool blocked;
@@ -103,6 +107,8 @@
   uint16_t failed_attempts[RST_FAILED_MAX];
   int attempt;
   bool unsure;
+  /* An instance that was out and may still run the task. */
+  struct instance *maybe_at;
   char saved[RST_TOKEN_SIZE];
   struct instance *bad;
 };
@@ -284,6 +290,8 @@
                       struct rst_reader *reader);
 void rst_plan_assign (struct rst_planner *planner);
 void rst_plan_acks (struct rst_planner *planner);
+bool rst_plan_may_run (const struct rst_planner *planner,
+                       const struct task *task);
 bool rst_plan_usable (const struct rst_planner *planner,
                       const struct instance *instance);
 
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -27,7 +27,7 @@
 #define PER_HOST_MAX 8
 
 /** How long leases are extended without the store's word for the planner. */
-#define KEEP_MS 14000
+#define KEEP_MS 5000
 
 /** Largest share of the wait before taking over that is a process's own. */
 #define JITTER_MS 120
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -348,6 +348,47 @@
   EXPECT_EQ (heir.reply_to (8)->reply.state, RST_JOB_COMPLETED);
 }
 
+TEST (Succession, DoesNotWaitForAnInstanceThatWasOutBefore)
+{
+  Planner former;
+  Planner heir (2);
+
+  former.begin (2);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 3000));
+  former.settle ();
+  std::string lost = former.of_kind (RST_MSG_START)[0].id;
+  std::string other = lost == "i-0" ? "i-1" : "i-0";
+
+  former.call (8, RST_OPERATION_SUBMIT, job_b, Planner::job (1, 3000));
+  former.settle ();
+  former.report (1, lost, {}, 1, RST_RESULT_UNKNOWN, 5000);
+  former.settle ();
+  former.pass (500);
+  former.settle ();
+  restore_all (heir, former);
+  heir.set_time (former.now);
+  heir.configure ();
+  heir.agent (1);
+  heir.instance (other);
+  rst_planner_restored (heir.planner);
+  heir.report (1, other, {});
+  heir.settle ();
+  // What may still run on the lost instance waits, the other does not.
+  ASSERT_EQ (heir.of_kind (RST_MSG_START).size (), 1u);
+  EXPECT_EQ (heir.of_kind (RST_MSG_START)[0].task, task_b0);
+  int attempt = (int)heir.of_kind (RST_MSG_START)[0].number;
+
+  heir.sent.clear ();
+  heir.report (1, other,
+               { Planner::ended (1, task_b0, attempt, RST_END_DONE) });
+  heir.pass (2000);
+  EXPECT_TRUE (heir.of_kind (RST_MSG_START).empty ());
+  heir.pass (7000);
+  heir.settle ();
+  ASSERT_EQ (heir.of_kind (RST_MSG_START).size (), 1u);
+  EXPECT_EQ (heir.of_kind (RST_MSG_START)[0].task, task_a0);
+}
+
 TEST (Succession, HoldsNothingBeforeTheJournalIsRead)
 {
   Planner former;
