--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -311,17 +311,6 @@
              && instance->life_at > planner->confirmed_at);
 }
 
-/* Whether a task without a run here may still run somewhere. */
-bool
-rst_plan_may_run (const struct rst_planner *planner, const struct task *task)
-{
-  const struct instance *at = task->maybe_at;
-
-  if (task->unsure && planner->unsure_left)
-    return true;
-  return at != NULL && !at->known && planner->now < at->lapse_at;
-}
-
 bool
 rst_plan_usable (const struct rst_planner *planner,
                  const struct instance *instance)
@@ -377,6 +366,10 @@
   struct job *job = task != NULL ? task->step->occurrence->job : NULL;
   struct run *run;
 
+  /* A later attempt was ordered only when the one assumed had ended. */
+  if (task != NULL && task->run != NULL && task->run->assumed
+      && task->run->attempt < listed->attempt)
+    rst_plan_run_drop (planner, task->run);
   if (task == NULL || task->run != NULL || task->done
       || rst_plan_job_over (job) || !job->stored)
     {
@@ -385,7 +378,7 @@
       return;
     }
   run = rst_plan_run_new (planner, task, instance, listed->attempt);
-  run->state = RUN_RUNNING;
+  rst_plan_run_begun (run);
   run->percent = listed->percent;
   task->step->gang_attempt = MAX (task->step->gang_attempt, listed->attempt);
   if (!planner->unsure_left && task->step->spec->gang)
@@ -404,8 +397,8 @@
       adopt (planner, instance, listed);
       return;
     }
-  if (run->state == RUN_STARTING)
-    run->state = RUN_RUNNING;
+  rst_plan_run_begun (run);
+  run->assumed = false;
   if (listed->percent != run->percent)
     run->moved_at = planner->now;
   run->percent = listed->percent;
@@ -570,33 +563,6 @@
          && planner->now - planner->created_at > GONE_KEEP_MS;
 }
 
-static void
-forget_places (struct occurrence *occurrence, const struct instance *instance)
-{
-  for (int i = 0; i < occurrence->job->desc->step_count; i++)
-    for (int t = 0; t < occurrence->job->desc->steps[i].count; t++)
-      if (occurrence->steps[i].tasks[t].maybe_at == instance)
-        occurrence->steps[i].tasks[t].maybe_at = NULL;
-}
-
-/* No task may point to an instance that is freed. */
-static void
-forget (struct rst_planner *planner, struct instance *instance)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  give_to (planner, instance, NULL);
-  g_hash_table_iter_init (&iter, planner->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct job *job = value;
-
-      for (guint i = 0; i < job->occurrences->len; i++)
-        forget_places (g_ptr_array_index (job->occurrences, i), instance);
-    }
-}
-
 void
 rst_plan_check_instances (struct rst_planner *planner)
 {
@@ -611,7 +577,7 @@
       check_instance (planner, instance);
       if (is_forgotten (planner, instance))
         {
-          forget (planner, instance);
+          give_to (planner, instance, NULL);
           g_hash_table_iter_remove (&iter);
         }
     }
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -163,7 +163,8 @@
 rst_plan_step_ready (struct rst_planner *planner, struct step *step)
 {
   planner->changed = true;
-  if (step->listed || !step_may_begin (step))
+  /* A later record may say that the job is over. */
+  if (!planner->restored || step->listed || !step_may_begin (step))
     return;
   step->listed = true;
   rst_plan_objective (planner, step);
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -121,7 +121,7 @@
                    const struct instance *instance)
 {
   GHashTableIter iter;
-  gpointer name;
+  gpointer value;
 
   rst_pack_array (pack, 6);
   rst_pack_int (pack, RECORD_INSTANCE_OUT);
@@ -131,8 +131,14 @@
   rst_pack_int (pack, planner->unix_ms + (instance->lapse_at - planner->now));
   rst_pack_array (pack, g_hash_table_size (instance->runs));
   g_hash_table_iter_init (&iter, instance->runs);
-  while (g_hash_table_iter_next (&iter, &name, NULL))
-    rst_pack_text (pack, name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct run *run = value;
+
+      rst_pack_array (pack, 2);
+      rst_pack_text (pack, run->name);
+      rst_pack_int (pack, run->attempt);
+    }
 }
 
 static void
@@ -444,17 +450,22 @@
     {
       struct task *task = &step->tasks[i];
       bool done = bytes[at] & 1;
+      int attempt;
 
       task->failed = MIN (bytes[at + 1], RST_FAILED_MAX);
       at += 2;
-      task->attempt = read_number (bytes, length, &at);
+      attempt = read_number (bytes, length, &at);
+      task->attempt = MAX (task->attempt, attempt);
+      if (task->attempt > 0)
+        rst_plan_job_begun (step->occurrence->job);
       for (int k = 0; k < task->failed; k++)
         task->failed_attempts[k] = (uint16_t)read_number (bytes, length, &at);
       if (!done || task->done)
         continue;
       task->done = true;
       step->left--;
-      step->waiting--;
+      if (task->run == NULL)
+        step->waiting--;
     }
 }
 
@@ -558,6 +569,22 @@
   return instance;
 }
 
+/* What an earlier record said of its runs no longer counts. */
+static void
+drop_runs (struct rst_planner *planner, struct instance *instance)
+{
+  GList *runs = g_hash_table_get_values (instance->runs);
+
+  for (GList *item = runs; item != NULL; item = item->next)
+    {
+      struct task *task = ((struct run *)item->data)->task;
+
+      rst_plan_run_drop (planner, item->data);
+      task->unsure = true;
+    }
+  g_list_free (runs);
+}
+
 static void
 restore_instance (struct rst_planner *planner, struct rst_reader *in)
 {
@@ -565,35 +592,52 @@
 
   if (instance == NULL)
     return;
+  drop_runs (planner, instance);
   instance->recorded = true;
   instance->inherited = true;
   planner->unsure_left = true;
 }
 
+static void
+restore_run (struct rst_planner *planner, struct instance *instance,
+             struct rst_reader *rows)
+{
+  struct rst_reader row = rst_reader_array (rows);
+  char *name = rst_reader_text (&row);
+  int attempt = (int)rst_reader_int (&row);
+  struct task *task = rst_plan_find_task (planner, name);
+
+  if (task != NULL && task->run == NULL && !row.bad)
+    {
+      struct run *run = rst_plan_run_new (planner, task, instance, attempt);
+
+      run->assumed = true;
+      rst_plan_run_begun (run);
+      /* It may have ended unseen, and the task may run elsewhere. */
+      task->unsure = true;
+    }
+  rows->bad |= row.bad;
+  g_free (name);
+}
+
 static void
 restore_instance_out (struct rst_planner *planner, struct rst_reader *in)
 {
   struct instance *instance = restore_place (planner, in);
   int64_t left = rst_reader_int (in) - planner->unix_ms;
-  struct rst_reader names = rst_reader_array (in);
+  struct rst_reader rows = rst_reader_array (in);
 
   if (instance == NULL)
     return;
+  drop_runs (planner, instance);
   instance->recorded = false;
   instance->inherited = false;
   instance->lapse_at
       = MIN (instance->lapse_at,
              planner->now + MAX (left, 0) * 102 / 100 + CLOCKS_DIFFER_MS);
-  for (uint32_t i = 0; i < names.count; i++)
-    {
-      char *name = rst_reader_text (&names);
-      struct task *task = rst_plan_find_task (planner, name);
-
-      if (task != NULL && !task->done)
-        task->maybe_at = instance;
-      g_free (name);
-    }
-  in->bad |= names.bad;
+  for (uint32_t i = 0; i < rows.count; i++)
+    restore_run (planner, instance, &rows);
+  in->bad |= rows.bad;
 }
 
 static void
@@ -679,7 +723,7 @@
 {
   bool over = rst_plan_job_over (job);
 
-  if (over && job->desc->repeats == 0)
+  if (over && !job->begun && job->desc->repeats == 0)
     job->queue->pending--;
   if (over)
     return;
@@ -695,10 +739,10 @@
   char jobs[16];
   char segments[16];
 
+  planner->restored = true;
   g_hash_table_iter_init (&iter, planner->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     settle_job (planner, value);
-  planner->restored = true;
   planner->changed = true;
   rst_plan_assign (planner);
   g_snprintf (jobs, sizeof jobs, "%u", g_hash_table_size (planner->jobs));
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -230,7 +230,8 @@
 static bool
 may_start (const struct rst_planner *planner, const struct task *task)
 {
-  return !task->done && task->run == NULL && !rst_plan_may_run (planner, task);
+  return !task->done && task->run == NULL
+         && !(task->unsure && planner->unsure_left);
 }
 
 /* Returns how many tasks found no place. */
@@ -300,7 +301,8 @@
     {
       const struct task *task = &step->tasks[i];
 
-      if (task->run != NULL || task->done || rst_plan_may_run (planner, task))
+      if (task->run != NULL || task->done
+          || (task->unsure && planner->unsure_left))
         return false;
     }
   step->gang_stopping = false;
@@ -452,8 +454,9 @@
 
   if (!learns && !has_room (planner, step))
     return;
+  /* While the job is being stored, advice can be on its way. */
   if (!job->stored)
-    left = step->waiting;
+    left = step->asked ? 0 : step->waiting;
   else if (step->spec->gang)
     left = place_gang (planner, step, keeping);
   else
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -67,16 +67,30 @@
   task->run = run;
   task->attempt = MAX (task->attempt, attempt);
   task->unsure = false;
-  task->maybe_at = NULL;
   if (!task->done)
     task->step->waiting--;
   add_need (&instance->used, &run->need, 1);
   add_need (&run->customer->used, &run->need, 1);
   g_hash_table_replace (instance->runs, run->name, run);
+  return run;
+}
+
+/* An instance has said that the run is there. */
+void
+rst_plan_run_begun (struct run *run)
+{
+  if (run->state == RUN_STARTING)
+    run->state = RUN_RUNNING;
+  rst_plan_job_begun (run->task->step->occurrence->job);
+}
+
+/* A task of the job has started. */
+void
+rst_plan_job_begun (struct job *job)
+{
   if (!job->begun && job->desc->repeats == 0 && !rst_plan_job_over (job))
     job->queue->pending--;
   job->begun = true;
-  return run;
 }
 
 void
@@ -224,8 +238,7 @@
   if (result == RST_RESULT_OK)
     {
       run->instance->refusals = 0;
-      if (run->state == RUN_STARTING)
-        run->state = RUN_RUNNING;
+      rst_plan_run_begun (run);
       return;
     }
   rst_info (RST_PLAN_LOG, "Start did not succeed.", "task", run->name,
@@ -369,6 +382,7 @@
       g_strlcpy (step->saved, end->saved, sizeof step->saved);
     }
   task->attempt = MAX (task->attempt, end->attempt);
+  rst_plan_job_begun (step->occurrence->job);
   if (!rst_plan_job_over (step->occurrence->job))
     {
       if (end->how == RST_END_DONE && !step->spec->lasting)
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -89,6 +89,8 @@
   /* The instance's clock when the last order was answered. */
   int64_t clock_ms;
   bool stop_answered;
+  /* From the journal: what an instance that is out may still run. */
+  bool assumed;
   int percent;
   rst_ms moved_at;
   struct customer *customer;
@@ -107,8 +109,6 @@
   uint16_t failed_attempts[RST_FAILED_MAX];
   int attempt;
   bool unsure;
-  /* An instance that was out and may still run the task. */
-  struct instance *maybe_at;
   char saved[RST_TOKEN_SIZE];
   struct instance *bad;
 };
@@ -290,8 +290,6 @@
                       struct rst_reader *reader);
 void rst_plan_assign (struct rst_planner *planner);
 void rst_plan_acks (struct rst_planner *planner);
-bool rst_plan_may_run (const struct rst_planner *planner,
-                       const struct task *task);
 bool rst_plan_usable (const struct rst_planner *planner,
                       const struct instance *instance);
 
@@ -299,6 +297,8 @@
 void rst_plan_run_free (gpointer data);
 struct run *rst_plan_run_new (struct rst_planner *planner, struct task *task,
                               struct instance *instance, int attempt);
+void rst_plan_run_begun (struct run *run);
+void rst_plan_job_begun (struct job *job);
 void rst_plan_run_drop (struct rst_planner *planner, struct run *run);
 void rst_plan_start (struct rst_planner *planner, struct task *task,
                      struct instance *instance, int attempt,
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -298,6 +298,33 @@
   EXPECT_EQ (cell.reply_to (5)->reply.count, 0);
 }
 
+TEST (Planner, CountsAJobAsWaitingUntilAnInstanceHasATaskOfIt)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.settle ();
+  cell.call (8, RST_OPERATION_READ, "");
+  EXPECT_EQ (cell.reply_to (8)->reply.count, 1);
+  cell.answer (1, RST_MSG_STARTED, "i-0", task_a0, 1, RST_RESULT_OK);
+  cell.call (9, RST_OPERATION_READ, "");
+  EXPECT_EQ (cell.reply_to (9)->reply.count, 0);
+}
+
+TEST (Planner, AsksOnceForAJobThatIsNotStoredYet)
+{
+  Planner cell;
+
+  cell.begin (8, true);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (2, 1000));
+  cell.pass (5);
+  ASSERT_EQ (cell.of_kind (RST_MSG_ADVISE).size (), 1u);
+  cell.advice (1, cell.of_kind (RST_MSG_ADVISE)[0].number, {});
+  cell.pass (5000);
+  EXPECT_EQ (cell.of_kind (RST_MSG_ADVISE).size (), 1u);
+}
+
 TEST (Planner, IgnoresAnOlderConfiguration)
 {
   Planner cell;
@@ -389,6 +416,69 @@
   EXPECT_EQ (heir.of_kind (RST_MSG_START)[0].task, task_a0);
 }
 
+TEST (Succession, StartsNothingOfAJobThatALaterRecordEnds)
+{
+  Planner former;
+  Planner heir (2);
+
+  former.begin (2);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 3000));
+  former.settle ();
+  std::string lost = former.of_kind (RST_MSG_START)[0].id;
+
+  former.report (1, lost, {}, 1, RST_RESULT_UNKNOWN, 5000);
+  former.settle ();
+  former.pass (500);
+  former.settle ();
+  former.report (1, lost, { Planner::running (task_a0, 1) });
+  former.settle ();
+  former.report (1, lost, { Planner::ended (1, task_a0, 1, RST_END_DONE) });
+  former.settle ();
+  restore_all (heir, former);
+  heir.configure ();
+  heir.agent (1);
+  heir.instance ("i-0");
+  heir.instance ("i-1");
+  rst_planner_restored (heir.planner);
+  heir.report (1, "i-0", {});
+  heir.report (1, "i-1", {});
+  heir.settle ();
+  EXPECT_TRUE (heir.of_kind (RST_MSG_START).empty ());
+}
+
+TEST (Succession, PassesOnWhatMayRunOnAnInstanceThatIsOut)
+{
+  Planner former;
+  Planner heir (2);
+  Planner third (3);
+
+  former.begin (2);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 3000));
+  former.settle ();
+  std::string lost = former.of_kind (RST_MSG_START)[0].id;
+  std::string other = lost == "i-0" ? "i-1" : "i-0";
+
+  former.report (1, lost, {}, 1, RST_RESULT_UNKNOWN, 5000);
+  former.settle ();
+  former.pass (500);
+  former.settle ();
+  restore_all (heir, former);
+  heir.set_time (former.now);
+  heir.configure ();
+  rst_planner_restored (heir.planner);
+  heir.settle ();
+  restore_all (third, former);
+  restore_all (third, heir);
+  third.set_time (heir.now);
+  third.configure ();
+  third.agent (1);
+  third.instance (other);
+  rst_planner_restored (third.planner);
+  third.report (1, other, {});
+  third.settle ();
+  EXPECT_TRUE (third.of_kind (RST_MSG_START).empty ());
+}
+
 TEST (Succession, HoldsNothingBeforeTheJournalIsRead)
 {
   Planner former;
