--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -534,7 +534,8 @@
   planner->unsure_left = false;
   g_hash_table_iter_init (&iter, planner->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    planner->unsure_left |= ((struct instance *)value)->inherited;
+    planner->unsure_left |= ((struct instance *)value)->inherited
+                            && !RST_CELL_FAULT (RST_CELL_FAULT_HASTY_HEIR);
   if (!planner->unsure_left)
     rst_info (RST_PLAN_LOG, "All instances of the predecessor are known.");
 }
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -153,7 +153,9 @@
 static bool
 step_may_begin (const struct step *step)
 {
-  for (int i = 0; i < step->spec->after_count; i++)
+  for (int i = 0; i < step->spec->after_count
+                  && !RST_CELL_FAULT (RST_CELL_FAULT_NO_ORDER);
+       i++)
     if (step->occurrence->steps[step->spec->after[i]].left > 0)
       return false;
   return step->waiting > 0;
@@ -232,7 +234,8 @@
   job->ended_at = planner->now;
   if (!job->begun && job->desc->repeats == 0)
     job->queue->pending--;
-  unlist_steps (planner, job);
+  if (!RST_CELL_FAULT (RST_CELL_FAULT_NO_CANCEL))
+    unlist_steps (planner, job);
   rst_plan_mark (planner, job);
   rst_info (RST_PLAN_LOG, "Job ended.", "job", job->id, "state",
             state == RST_JOB_COMPLETED ? "completed"
@@ -247,7 +250,7 @@
   struct job *job = occurrence->job;
 
   occurrence->steps_left--;
-  if (occurrence->steps_left > 0)
+  if (occurrence->steps_left > 0 && !RST_CELL_FAULT (RST_CELL_FAULT_EARLY_END))
     {
       rst_plan_steps_ready (planner, occurrence);
       return;
@@ -371,7 +374,10 @@
   job = rst_plan_job_new (planner, id, rst_plan_queue (planner, route->name),
                           customer, call->desc);
   job->beyond_share = is_beyond_share (planner, customer);
-  wait_for_commit (job, call);
+  if (RST_CELL_FAULT (RST_CELL_FAULT_EARLY_ACCEPT))
+    reply (planner, call, RST_OUTCOME_OK);
+  else
+    wait_for_commit (job, call);
   rst_plan_mark (planner, job);
   if (job->desc->repeats == 0)
     rst_plan_steps_ready (planner, rst_plan_occurrence_new (planner, job, 0));
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -365,6 +365,11 @@
   int others;
   struct rst_pack pack;
 
+  if (RST_CELL_FAULT (RST_CELL_FAULT_EARLY_ACK))
+    {
+      mark_others (planner);
+      rst_plan_acks (planner);
+    }
   if (planner->commit_busy || planner->now - planner->last_commit < GATHER_MS)
     return;
   others = pack_others (planner, NULL);
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -27,6 +27,9 @@
   const struct rst_need *room = &instance->entry.room;
   int64_t slots = step->spec->count;
 
+  if (RST_CELL_FAULT (RST_CELL_FAULT_NO_ROOM))
+    return (int)slots;
+
   if (need->cpu > 0 && !step->spec->fills)
     slots = MIN (slots, (room->cpu - instance->used.cpu - instance->kept.cpu)
                             / need->cpu);
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -244,7 +244,8 @@
   rst_info (RST_PLAN_LOG, "Start did not succeed.", "task", run->name,
             "instance", run->instance->entry.id, "result",
             rst_result_text (result));
-  if (result == RST_RESULT_UNKNOWN || result == RST_RESULT_OTHER_LIFE)
+  if ((result == RST_RESULT_UNKNOWN || result == RST_RESULT_OTHER_LIFE)
+      && !RST_CELL_FAULT (RST_CELL_FAULT_EARLY_RESTART))
     {
       pause_instance (planner, run->instance);
       stop_gang (planner, run->task->step);
@@ -347,7 +348,8 @@
   if (step->spec->lasting || !count_failure (counter, attempt))
     return;
   rst_plan_mark (planner, job);
-  if (counter->failed >= MAX (job->queue->set.attempts, 1))
+  if (counter->failed >= MAX (job->queue->set.attempts, 1)
+      && !RST_CELL_FAULT (RST_CELL_FAULT_NO_BUDGET))
     rst_plan_job_end (planner, job, RST_JOB_FAILED);
 }
 
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -9,6 +9,7 @@
 #ifndef RST_PLANNER_PRIVATE_H
 #define RST_PLANNER_PRIVATE_H
 
+#include "cell/fault_private.h"
 #include "cell/planner.h"
 #include "util/log.h"
 
--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -1,6 +1,6 @@
 // Runs a cell under faults drawn from a seed; the oracle judges.
 //
-//   cell-fuzz --seed N [--seconds N] [--seeds COUNT] [--log info]
+//   cell-fuzz --seed N [--seconds N] [--seeds COUNT] [--log info] [--fault N]
 #include "world.h"
 
 #include <cstdio>
@@ -9,7 +9,10 @@
 
 extern "C"
 {
+#include "cell/fault_private.h"
 #include "util/log.h"
+
+  int rst_cell_fault = RST_CELL_FAULT_NONE;
 }
 
 using namespace cell;
@@ -33,7 +36,7 @@
   rst_jobdesc *desc = rst_jobdesc_create (steps);
   bool urgent = world.chance () < 0.4;
 
-  desc->spec = g_strdup ("work");
+  desc->spec = g_strdup (world.chance () < 0.08 ? "fail" : "work");
   for (int i = 0; i < steps; i++)
     {
       rst_step &step = desc->steps[i];
@@ -165,7 +168,7 @@
         world.submit (job_id (++jobs), draw_job (world));
       if (jobs > 0 && world.chance () < 0.3)
         world.read (job_id (1 + world.below (jobs)));
-      if (jobs > 0 && world.chance () < 0.02)
+      if (jobs > 0 && world.chance () < 0.05)
         world.cancel (job_id (1 + world.below (jobs)));
       if (world.chance () < 0.03)
         fault_node (world);
@@ -210,6 +213,8 @@
         seconds = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--seeds") == 0)
         seeds = atoi (argv[i + 1]);
+      else if (strcmp (argv[i], "--fault") == 0)
+        rst_cell_fault = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--log") == 0)
         g_strlcpy (log.level, argv[i + 1], sizeof log.level);
     }
--- a/test/cell/workers.cc
+++ b/test/cell/workers.cc
@@ -128,6 +128,15 @@
   (void)attempt;
 }
 
+// Jobs whose text says so fail nearly always.
+double
+World::fail_chance (const std::string &task)
+{
+  const rst_jobdesc *desc = jobs[job_of (task)].desc;
+
+  return std::string (desc->spec) == "fail" ? 0.9 : faults.fail_run;
+}
+
 void
 World::check_gang (const std::string &step, int count)
 {
@@ -140,7 +149,7 @@
   if ((int)members.size () < count)
     return;
   Millis ends_at = now () + 300 + below (1500);
-  bool fails = chance () < faults.fail_run;
+  bool fails = chance () < fail_chance (step + ".0");
 
   for (Run *run : members)
     {
@@ -179,7 +188,7 @@
   run.task = copy.task;
   run.attempt = copy.attempt;
   run.ends_at = now () + step.estimate_ms / 2 + below ((int)step.estimate_ms);
-  run.fails = chance () < faults.fail_run;
+  run.fails = chance () < fail_chance (copy.task);
   if (step.gang)
     {
       run.count = step.count;
@@ -246,14 +255,9 @@
       for (int i = 0; step.gang && i < step.count; i++)
         job.done.insert (step_of (task) + "." + std::to_string (i));
     }
-  if (how == RST_END_FAILED && ++worker.highest["!" + task] > 0)
-    {
-      int failed = 0;
-
-      for (auto &other : workers)
-        failed += other->highest["!" + task];
-      job.over |= failed >= 3;
-    }
+  // A gang has one count.
+  if (how == RST_END_FAILED)
+    job.over |= ++job.ended_failed[step.gang ? step_of (task) : task] >= 3;
   if (how == RST_END_DONE || run.count == 0)
     return;
   for (auto &other : workers)
@@ -321,9 +325,7 @@
     worker.fence = 0;
     worker.next_end = 1;
     worker.lease = 0;
-    for (auto &entry : worker.highest)
-      if (entry.first[0] != '!')
-        entry.second = 0;
+    worker.highest.clear ();
     register_worker (worker);
   });
 }
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -101,10 +101,11 @@
   std::string queue;
   bool accepted = false;
   Millis cancelled_at = 0;
-  std::set<std::string> done;        // tasks that have ended done
-  std::map<std::string, int> failed; // noted failed runs of a task
-  std::set<std::string> noted;       // tasks whose done end was noted
-  bool over = false;                 // failed rightly
+  std::set<std::string> done;              // tasks that have ended done
+  std::map<std::string, int> failed;       // noted failed runs of a task
+  std::map<std::string, int> ended_failed; // failed runs, noted or not
+  std::set<std::string> noted;             // tasks whose done end was noted
+  bool over = false;                       // failed rightly
 };
 
 class World;
@@ -242,6 +243,7 @@
   void check_start (Worker &worker, const std::string &task, int attempt);
   void note_ends (Worker &worker, int64_t last_seen);
   void end_run (Worker &worker, const std::string &task, int how);
+  double fail_chance (const std::string &task);
   void check_gang (const std::string &step, int count);
   void tick_worker (Worker &worker);
   void list (Worker &worker, rst_instance_answer *answer);
