--- a/src/cell/agent.c
+++ b/src/cell/agent.c
@@ -7,7 +7,7 @@
 #define LOG_PREFIX "agent"
 
 /** How long a look waits for an end, in milliseconds. */
-#define LOOK_WAIT_MS 1000
+#define LOOK_WAIT_MS 2000
 
 /** Pause after a look that failed, in milliseconds. */
 #define LOOK_AGAIN_MS 300
