--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -4,7 +4,8 @@
  * plan_jobs.c: callers' calls, jobs and their steps.  plan_instances.c:
  * instances, agents and reports.  plan_runs.c: single runs, from order to end.
  * plan_place.c: which waiting task goes where.  plan_advice.c: whom to ask
- * for which step.  plan_journal.c: records in the store.
+ * for which step.  plan_journal.c: records in the store,
+ * plan_restore.c: reading them.
  */
 #ifndef RST_PLANNER_PRIVATE_H
 #define RST_PLANNER_PRIVATE_H
@@ -24,6 +25,18 @@
 /** Bound on the failed runs of a task that are told apart. */
 #define RST_FAILED_MAX 16
 
+/**
+ * enum rst_record_kind - First member of a record of the journal.
+ */
+enum rst_record_kind
+{
+  RST_RECORD_JOB = 1,
+  RST_RECORD_PROGRESS,
+  RST_RECORD_INSTANCE,
+  RST_RECORD_QUEUE,
+  RST_RECORD_INSTANCE_OUT,
+};
+
 struct agent
 {
   uint64_t link;
@@ -341,5 +354,6 @@
 /* plan_journal.c */
 void rst_plan_mark (struct rst_planner *planner, struct job *job);
 void rst_plan_commit (struct rst_planner *planner);
+void rst_plan_count_segment (struct rst_planner *planner, int64_t segment);
 
 #endif
--- /dev/null
+++ b/src/daemon/observe.c
@@ -0,0 +1,60 @@
+#include "daemon/observe.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "adapter.h"
+#include "util/log.h"
+
+#define LOG_PREFIX "observe"
+
+static void
+take_config (struct rst_planner *planner, const struct rst_item *item)
+{
+  char *problem = NULL;
+  struct rst_cellconfig *config;
+  char version[24];
+
+  if (item->deleted || item->value == NULL)
+    return;
+  config = rst_adapter_read_config ((const char *)item->value, &problem);
+  if (config == NULL)
+    {
+      rst_warning (LOG_PREFIX,
+                   "Configuration can't be read; the last one stays.",
+                   "problem", problem);
+      g_free (problem);
+      return;
+    }
+  g_snprintf (version, sizeof version, "%" PRId64, config->version);
+  rst_info (LOG_PREFIX, "Configuration is in force.", "version", version);
+  rst_planner_configure (planner, config);
+}
+
+void
+rst_observe_operators (struct rst_planner *planner,
+                       const struct rst_item *item)
+{
+  size_t length = strlen (RST_PLATFORM_EVACUATE_PREFIX);
+
+  if (strcmp (item->key, RST_PLATFORM_CONFIG_KEY) == 0)
+    take_config (planner, item);
+  else if (strncmp (item->key, RST_PLATFORM_EVACUATE_PREFIX, length) == 0)
+    rst_planner_evacuate (planner, item->key + length, !item->deleted);
+}
+
+void
+rst_observe_instance (struct rst_planner *planner, const struct rst_item *item)
+{
+  const char *id = item->key + strlen (RST_PLATFORM_INSTANCE_PREFIX);
+  struct rst_instance_entry entry;
+
+  if (item->deleted)
+    rst_planner_instance_gone (planner, id);
+  else if (item->value != NULL
+           && rst_adapter_read_instance (id, (const char *)item->value,
+                                         &entry))
+    rst_planner_instance (planner, &entry);
+  else
+    rst_info (LOG_PREFIX, "Entry names no usable instance.", "id", id);
+}
--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #include "adapter.h"
+#include "daemon/follow.h"
+#include "daemon/observe.h"
 #include "util/log.h"
 
 #define LOG_PREFIX "term"
@@ -41,22 +43,6 @@
   READING_DONE,
 };
 
-/* A prefix that is read whole and then watched. */
-struct followed
-{
-  struct rst_term *term;
-  const char *prefix;
-  void (*apply) (struct rst_term *term, const struct rst_item *item);
-  GHashTable *known;
-  GHashTable *listed;
-  int64_t revision;
-  char after[256];
-  bool busy;
-  bool ranging;
-  rst_ms next;
-  rst_ms pause;
-};
-
 /* What a commit changes beside the planner's key. */
 struct change
 {
@@ -82,8 +68,8 @@
   /* When to read the journal's next page again; 0 for not. */
   rst_ms read_at;
   char after[256];
-  struct followed operators;
-  struct followed instances;
+  struct rst_follow *operators;
+  struct rst_follow *instances;
   GHashTable *links;
   int calls;
   bool committing;
@@ -102,8 +88,6 @@
 {
   rst_planner_destroy (term->planner);
   g_hash_table_destroy (term->links);
-  g_hash_table_destroy (term->operators.known);
-  g_hash_table_destroy (term->instances.known);
   if (term->waiting.segment != NULL)
     g_byte_array_free (term->waiting.segment, TRUE);
   if (term->sent.segment != NULL)
@@ -145,6 +129,8 @@
   while (g_hash_table_iter_next (&iter, &key, NULL))
     term->config.close (term->config.userdata, *(uint64_t *)key);
   term->ended = true;
+  rst_follow_destroy (term->operators);
+  rst_follow_destroy (term->instances);
   if (term->calls == 0)
     free_term (term);
 }
@@ -392,171 +378,32 @@
 }
 
 static void
-apply_config (struct rst_term *term, const struct rst_item *item)
-{
-  char *problem = NULL;
-  struct rst_cellconfig *config;
-  char version[24];
-
-  if (item->deleted || item->value == NULL)
-    return;
-  config = rst_adapter_read_config ((const char *)item->value, &problem);
-  if (config == NULL)
-    {
-      rst_warning (LOG_PREFIX,
-                   "Configuration can't be read; the last one "
-                   "stays.",
-                   "problem", problem);
-      g_free (problem);
-      return;
-    }
-  g_snprintf (version, sizeof version, "%" PRId64, config->version);
-  rst_info (LOG_PREFIX, "Configuration is in force.", "version", version);
-  rst_planner_configure (term->planner, config);
-}
-
-static void
-apply_operators (struct rst_term *term, const struct rst_item *item)
+set_time (struct rst_term *term)
 {
-  size_t length = strlen (RST_PLATFORM_EVACUATE_PREFIX);
-
-  if (strcmp (item->key, RST_PLATFORM_CONFIG_KEY) == 0)
-    apply_config (term, item);
-  else if (strncmp (item->key, RST_PLATFORM_EVACUATE_PREFIX, length) == 0)
-    rst_planner_evacuate (term->planner, item->key + length, !item->deleted);
+  rst_planner_set_time (term->planner, term->config.now (),
+                        term->config.unix_now ());
 }
 
 static void
-apply_instance (struct rst_term *term, const struct rst_item *item)
+apply_operators (void *userdata, const struct rst_item *item)
 {
-  const char *id = item->key + strlen (RST_PLATFORM_INSTANCE_PREFIX);
-  struct rst_instance_entry entry;
-
-  if (item->deleted)
-    rst_planner_instance_gone (term->planner, id);
-  else if (item->value != NULL
-           && rst_adapter_read_instance (id, (const char *)item->value,
-                                         &entry))
-    rst_planner_instance (term->planner, &entry);
-}
+  struct rst_term *term = userdata;
 
-static void
-apply_item (struct followed *followed, const struct rst_item *item)
-{
-  if (item->deleted)
-    g_hash_table_remove (followed->known, item->key);
-  else
-    g_hash_table_add (followed->known, g_strdup (item->key));
-  followed->apply (followed->term, item);
+  set_time (term);
+  rst_observe_operators (term->planner, item);
 }
 
-/* Keys known before that a whole reading did not show are gone. */
 static void
-apply_absent (struct followed *followed)
+apply_instance (void *userdata, const struct rst_item *item)
 {
-  GList *keys = g_hash_table_get_keys (followed->known);
-
-  for (GList *at = keys; at != NULL; at = at->next)
-    {
-      struct rst_item gone = { 0 };
-
-      if (g_hash_table_contains (followed->listed, at->data))
-        continue;
-      gone.key = g_strdup (at->data);
-      gone.deleted = true;
-      apply_item (followed, &gone);
-      g_free (gone.key);
-    }
-  g_list_free (keys);
-}
+  struct rst_term *term = userdata;
 
-static void
-begin_range (struct followed *followed)
-{
-  followed->ranging = true;
-  followed->after[0] = '\0';
-  followed->listed
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  set_time (term);
+  rst_observe_instance (term->planner, item);
 }
 
 static void next_reading (struct rst_term *term);
 
-static void
-take_range (struct followed *followed, const struct rst_store_answer *answer)
-{
-  /* What changes while pages are read is seen by the watch. */
-  if (followed->after[0] == '\0')
-    followed->revision = answer->revision;
-  for (guint i = 0; i < answer->items->len; i++)
-    {
-      const struct rst_item *item = g_ptr_array_index (answer->items, i);
-
-      g_hash_table_add (followed->listed, g_strdup (item->key));
-      g_strlcpy (followed->after, item->key, sizeof followed->after);
-      apply_item (followed, item);
-    }
-  if (answer->more)
-    return;
-  apply_absent (followed);
-  g_hash_table_destroy (followed->listed);
-  followed->listed = NULL;
-  followed->ranging = false;
-  if (followed->term->reading != READING_DONE)
-    next_reading (followed->term);
-}
-
-static void
-on_followed (struct rst_store_answer *answer, void *userdata)
-{
-  struct followed *followed = userdata;
-  struct rst_term *term = followed->term;
-  rst_ms now = term->config.now ();
-
-  if (!call_ended (term))
-    {
-      rst_store_answer_free (answer);
-      return;
-    }
-  followed->busy = false;
-  followed->next = now + followed->pause;
-  rst_planner_set_time (term->planner, now, term->config.unix_now ());
-  if (answer->result == RST_RESULT_OK && followed->ranging)
-    {
-      followed->next = now;
-      take_range (followed, answer);
-    }
-  else if (answer->result == RST_RESULT_OK)
-    {
-      for (guint i = 0; i < answer->items->len; i++)
-        apply_item (followed, g_ptr_array_index (answer->items, i));
-      followed->revision = MAX (followed->revision, answer->revision);
-    }
-  else if (answer->result == RST_RESULT_COMPACTED && !followed->ranging)
-    begin_range (followed);
-  else
-    followed->next = now + AGAIN_MS;
-  rst_store_answer_free (answer);
-}
-
-static void
-follow (struct followed *followed, rst_ms now)
-{
-  struct rst_term *term = followed->term;
-  const struct rst_backend *backend = term->config.backend;
-
-  if (followed->busy || now < followed->next)
-    return;
-  followed->busy = true;
-  term->calls++;
-  if (followed->ranging)
-    backend->store_range (backend->userdata, followed->prefix, followed->after,
-                          on_followed, followed);
-  else
-    backend->store_watch (backend->userdata, followed->prefix,
-                          followed->revision, WATCH_WAIT_MS, on_followed,
-                          followed);
-}
-
 static void read_journal (struct rst_term *term);
 
 static void
@@ -569,8 +416,7 @@
       rst_store_answer_free (answer);
       return;
     }
-  rst_planner_set_time (term->planner, term->config.now (),
-                        term->config.unix_now ());
+  set_time (term);
   for (guint i = 0; answer->result == RST_RESULT_OK && i < answer->items->len;
        i++)
     {
@@ -603,14 +449,43 @@
                         on_journal, term);
 }
 
+static void
+on_read (void *userdata)
+{
+  struct rst_term *term = userdata;
+
+  if (term->reading != READING_DONE)
+    next_reading (term);
+}
+
+static struct rst_follow *
+start_following (struct rst_term *term, const char *prefix,
+                 void (*apply) (void *, const struct rst_item *),
+                 rst_ms pause_ms)
+{
+  struct rst_follow_config config = { 0 };
+
+  config.backend = term->config.backend;
+  config.now = term->config.now;
+  config.prefix = prefix;
+  config.wait_ms = WATCH_WAIT_MS;
+  config.pause_ms = pause_ms;
+  config.apply = apply;
+  config.read = on_read;
+  config.userdata = term;
+  return rst_follow_create (&config);
+}
+
 static void
 next_reading (struct rst_term *term)
 {
   term->reading++;
   if (term->reading == READING_OPERATORS)
-    begin_range (&term->operators);
+    term->operators = start_following (term, RST_PLATFORM_OPERATOR_PREFIX,
+                                       apply_operators, 0);
   else if (term->reading == READING_INSTANCES)
-    begin_range (&term->instances);
+    term->instances = start_following (term, RST_PLATFORM_INSTANCE_PREFIX,
+                                       apply_instance, INSTANCES_EVERY_MS);
   else
     rst_planner_restored (term->planner);
 }
@@ -630,20 +505,6 @@
   read_journal (term);
 }
 
-static void
-init_followed (struct rst_term *term, struct followed *followed,
-               const char *prefix,
-               void (*apply) (struct rst_term *, const struct rst_item *),
-               rst_ms pause)
-{
-  followed->term = term;
-  followed->prefix = prefix;
-  followed->apply = apply;
-  followed->pause = pause;
-  followed->known
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-}
-
 struct rst_term *
 rst_term_create (const struct rst_term_config *config, int64_t revision,
                  const struct rst_seat *seat)
@@ -657,10 +518,6 @@
   g_strlcpy (term->seat.address, config->address, sizeof term->seat.address);
   term->links
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  init_followed (term, &term->operators, RST_PLATFORM_OPERATOR_PREFIX,
-                 apply_operators, 0);
-  init_followed (term, &term->instances, RST_PLATFORM_INSTANCE_PREFIX,
-                 apply_instance, INSTANCES_EVERY_MS);
   begin_commit (term);
   return term;
 }
@@ -737,8 +594,7 @@
       return;
     }
   kind = (int)rst_reader_int (&reader);
-  rst_planner_set_time (term->planner, term->config.now (),
-                        term->config.unix_now ());
+  set_time (term);
   if (kind == RST_MSG_HELLO)
     take_hello (term, link, &reader);
   else if (kind == RST_MSG_MOVED)
@@ -755,8 +611,7 @@
 {
   if (!g_hash_table_remove (term->links, &link) || term->planner == NULL)
     return;
-  rst_planner_set_time (term->planner, term->config.now (),
-                        term->config.unix_now ());
+  set_time (term);
   rst_planner_link_closed (term->planner, link);
 }
 
@@ -773,6 +628,20 @@
     send_welcome (term, *(uint64_t *)key);
 }
 
+static rst_ms
+follow (struct rst_term *term)
+{
+  rst_ms wake = term->config.now () + ALIVE_MS;
+
+  if (term->resigning)
+    return wake;
+  if (term->operators != NULL)
+    wake = MIN (wake, rst_follow_run (term->operators));
+  if (term->instances != NULL)
+    wake = MIN (wake, rst_follow_run (term->instances));
+  return wake;
+}
+
 rst_ms
 rst_term_run (struct rst_term *term)
 {
@@ -790,10 +659,6 @@
       term->read_at = 0;
       read_journal (term);
     }
-  if (term->reading >= READING_OPERATORS && term->resigning == false)
-    follow (&term->operators, now);
-  if (term->reading >= READING_INSTANCES && term->resigning == false)
-    follow (&term->instances, now);
   rst_planner_set_time (term->planner, now, term->config.unix_now ());
   if (!term->serving && rst_planner_ready (term->planner))
     begin_serving (term);
@@ -803,10 +668,7 @@
       send_alive (term, now - term->committed_at);
     }
   wake = MIN (wake, rst_planner_run (term->planner));
-  if (!term->operators.busy)
-    wake = MIN (wake, MAX (term->operators.next, now + 1));
-  if (!term->instances.busy)
-    wake = MIN (wake, MAX (term->instances.next, now + 1));
+  wake = MIN (wake, follow (term));
   if (term->committing && !term->commit_sent)
     wake = MIN (wake, term->commit_next);
   return wake;
--- /dev/null
+++ b/test/unit/follow_test.cc
@@ -0,0 +1,130 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "daemon/follow.h"
+}
+
+static rst_ms follow_now;
+
+class Follow : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    rst_follow_config config = {};
+
+    follow_now = 1000;
+    backend.userdata = this;
+    backend.store_range = [] (void *userdata, const char *, const char *after,
+                              rst_store_done done, void *data) {
+      static_cast<Follow *> (userdata)->called ("range " + std::string (after),
+                                                done, data);
+    };
+    backend.store_watch = [] (void *userdata, const char *, int64_t after,
+                              int64_t, rst_store_done done, void *data) {
+      static_cast<Follow *> (userdata)->called (
+          "watch " + std::to_string (after), done, data);
+    };
+    config.backend = &backend;
+    config.now = [] { return follow_now; };
+    config.prefix = "p/";
+    config.wait_ms = 1000;
+    config.apply = [] (void *userdata, const rst_item *item) {
+      static_cast<Follow *> (userdata)->seen.push_back (
+          (item->deleted ? "-" : "+") + std::string (item->key));
+    };
+    config.read
+        = [] (void *userdata) { static_cast<Follow *> (userdata)->reads++; };
+    config.userdata = this;
+    follow = rst_follow_create (&config);
+  }
+
+  void
+  called (const std::string &text, rst_store_done new_done, void *new_data)
+  {
+    calls.push_back (text);
+    done = new_done;
+    data = new_data;
+  }
+
+  // Answers the call under way; keys that begin with '-' are deletions.
+  void
+  answer (rst_result result, int64_t revision,
+          const std::vector<std::string> &keys, bool more = false)
+  {
+    rst_store_answer *answer = rst_store_answer_new ();
+
+    answer->result = result;
+    answer->revision = revision;
+    answer->more = more;
+    for (const std::string &key : keys)
+      {
+        rst_item *item = g_new0 (rst_item, 1);
+
+        item->deleted = key[0] == '-';
+        item->key = g_strdup (key.c_str () + (item->deleted ? 1 : 0));
+        g_ptr_array_add (answer->items, item);
+      }
+    done (answer, data);
+  }
+
+  void
+  run ()
+  {
+    follow_now += 200;
+    rst_follow_run (follow);
+  }
+
+  rst_backend backend = {};
+  rst_follow *follow = nullptr;
+  rst_store_done done = nullptr;
+  void *data = nullptr;
+  std::vector<std::string> calls;
+  std::vector<std::string> seen;
+  int reads = 0;
+};
+
+TEST_F (Follow, ReadsAllPagesThenWatchesFromTheFirstPagesRevision)
+{
+  run ();
+  answer (RST_RESULT_OK, 10, { "p/a", "p/b" }, true);
+  run ();
+  answer (RST_RESULT_OK, 14, { "p/c" });
+  run ();
+  EXPECT_EQ (calls,
+             (std::vector<std::string>{ "range ", "range p/b", "watch 10" }));
+  EXPECT_EQ (reads, 1);
+  answer (RST_RESULT_OK, 15, { "-p/a" });
+  EXPECT_EQ (seen,
+             (std::vector<std::string>{ "+p/a", "+p/b", "+p/c", "-p/a" }));
+  rst_follow_destroy (follow);
+}
+
+TEST_F (Follow, ReadsAnewWhenTheHistoryIsGone)
+{
+  run ();
+  answer (RST_RESULT_OK, 10, { "p/a", "p/b" });
+  run ();
+  answer (RST_RESULT_COMPACTED, 0, {});
+  run ();
+  answer (RST_RESULT_OK, 40, { "p/b", "p/c" });
+  EXPECT_EQ (seen, (std::vector<std::string>{ "+p/a", "+p/b", "+p/b", "+p/c",
+                                              "-p/a" }));
+  run ();
+  EXPECT_EQ (calls.back (), "watch 40");
+  answer (RST_RESULT_UNKNOWN, 0, {});
+  rst_follow_destroy (follow);
+}
+
+TEST_F (Follow, HandsNothingOnAfterItsEnd)
+{
+  run ();
+  rst_follow_destroy (follow);
+  answer (RST_RESULT_OK, 10, { "p/a" });
+  EXPECT_TRUE (seen.empty ());
+}
