--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -96,7 +96,7 @@
       struct leave *leave
           = g_hash_table_lookup (step->leaves, instance->entry.id);
 
-      if (!rst_plan_allowed (planner, instance, step)
+      if (!rst_plan_allowed (instance, step)
           || (leave != NULL && leave->denied))
         continue;
       candidate.slots = rst_plan_slots (instance, step);
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -387,11 +387,10 @@
 
 static void
 take_running (struct rst_planner *planner, struct instance *instance,
-              const struct rst_run *listed, int64_t clock_ms)
+              const struct rst_run *listed)
 {
   struct run *run = g_hash_table_lookup (instance->runs, listed->task);
 
-  (void)clock_ms;
   if (run == NULL || run->attempt != listed->attempt)
     {
       adopt (planner, instance, listed);
@@ -450,7 +449,7 @@
       if (run.number == 0)
         {
           g_hash_table_add (listed, g_strdup (run.task));
-          take_running (planner, instance, &run, clock_ms);
+          take_running (planner, instance, &run);
         }
       else if (run.number > seen)
         {
@@ -521,7 +520,6 @@
     begin_life (planner, instance, born);
   instance->known = true;
   instance->inherited = false;
-  instance->heard_at = planner->now;
   take_lists (planner, instance, &runs, clock_ms);
 }
 
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -6,8 +6,6 @@
 /** Seconds after which a caller that was turned away should come back. */
 #define RETRY_SECONDS 1
 
-/** Least time between two sweeps over ended jobs is that of the checks. */
-
 /** Jobs a second that a customer may hand in beyond its share, as a burst. */
 #define SHARE_BURST_S 2.0
 
@@ -129,8 +127,7 @@
 }
 
 struct occurrence *
-rst_plan_occurrence_new (struct rst_planner *planner, struct job *job,
-                         int64_t number)
+rst_plan_occurrence_new (struct job *job, int64_t number)
 {
   struct occurrence *occurrence = g_new0 (struct occurrence, 1);
 
@@ -146,7 +143,6 @@
     init_step (occurrence, i);
   g_ptr_array_add (job->occurrences, occurrence);
   job->next_occurrence = MAX (job->next_occurrence, number + 1);
-  (void)planner;
   return occurrence;
 }
 
@@ -169,7 +165,7 @@
   if (!planner->restored || step->listed || !step_may_begin (step))
     return;
   step->listed = true;
-  rst_plan_objective (planner, step);
+  rst_plan_objective (step);
   g_ptr_array_add (planner->active, step);
 }
 
@@ -181,7 +177,7 @@
     rst_plan_step_ready (planner, &occurrence->steps[i]);
 }
 
-/* Begins the occurrences whose time has come; forgets ended jobs. */
+/* Begins the occurrences whose time has come. */
 void
 rst_plan_timed (struct rst_planner *planner)
 {
@@ -195,8 +191,7 @@
                         + job->next_occurrence * job->desc->period_ms
                     <= planner->unix_ms)
         rst_plan_steps_ready (
-            planner,
-            rst_plan_occurrence_new (planner, job, job->next_occurrence));
+            planner, rst_plan_occurrence_new (job, job->next_occurrence));
       if (rst_plan_job_over (job)
           || job->next_occurrence >= job->desc->repeats)
         g_ptr_array_remove_index_fast (planner->timed, i);
@@ -380,7 +375,7 @@
     wait_for_commit (job, call);
   rst_plan_mark (planner, job);
   if (job->desc->repeats == 0)
-    rst_plan_steps_ready (planner, rst_plan_occurrence_new (planner, job, 0));
+    rst_plan_steps_ready (planner, rst_plan_occurrence_new (job, 0));
   rst_info (RST_PLAN_LOG, "Job handed in.", "job", id, "queue", route->name,
             "customer", customer->set.name);
 }
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -324,7 +324,6 @@
       struct job *job = g_ptr_array_index (planner->dirty, i);
 
       job->dirty = false;
-      job->in_commit = true;
       job->committing = job->state;
       job->segment_last = planner->next_segment;
       if (job->segment_full == 0)
@@ -414,7 +413,6 @@
     {
       struct job *job = g_ptr_array_index (planner->committing, i);
 
-      job->in_commit = false;
       job->stored = true;
       job->shown = job->committing;
       rst_plan_answer (planner, job);
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -6,10 +6,6 @@
 /** Gangs that may keep room free for themselves at once. */
 #define KEEPING_GANGS_MAX 3
 
-/** A start this much after its latest moment still counts as in time, since
-    that moment is an estimate. */
-#define START_MARGIN_MS 0
-
 /** A job is given up as late after this multiple of its objective. */
 #define LATE_FACTOR 3
 
@@ -69,12 +65,10 @@
 /* Whether a step's tasks may run there at all, room aside.  The instance is
    one that takes starts. */
 bool
-rst_plan_allowed (const struct rst_planner *planner,
-                  const struct instance *instance, const struct step *step)
+rst_plan_allowed (const struct instance *instance, const struct step *step)
 {
   const struct queue *queue = step->occurrence->job->queue;
 
-  (void)planner;
   if (queue->set.pool == NULL
       || strcmp (queue->set.pool, instance->entry.pool) != 0)
     return false;
@@ -140,12 +134,11 @@
 
 /* Sets when a step has to start for its job to be on time. */
 void
-rst_plan_objective (const struct rst_planner *planner, struct step *step)
+rst_plan_objective (struct step *step)
 {
   const struct job *job = step->occurrence->job;
   const struct rst_queue *queue = &job->queue->set;
 
-  (void)planner;
   step->objective_ms
       = (int64_t)(chain_ms (job) * (double)queue->slack / 1000.0)
         + queue->target_ms;
@@ -170,7 +163,7 @@
     return BAND_LOST + value;
   if (job->beyond_share)
     return BAND_BEYOND + value;
-  if (planner->unix_ms > step->start_by_ms + START_MARGIN_MS)
+  if (planner->unix_ms > step->start_by_ms)
     return BAND_LATE + urgent + value;
   return urgent + value;
 }
@@ -216,8 +209,7 @@
       struct instance *instance = g_ptr_array_index (planner->usable, i);
       double now;
 
-      if (!rst_plan_allowed (planner, instance, step)
-          || !rst_plan_fits (instance, step)
+      if (!rst_plan_allowed (instance, step) || !rst_plan_fits (instance, step)
           || rst_plan_ticket (planner, step, instance) == NULL)
         continue;
       now = score (instance, step, task);
@@ -279,7 +271,7 @@
     {
       struct share share = { g_ptr_array_index (planner->usable, i), 0 };
 
-      if (!rst_plan_allowed (planner, share.instance, step)
+      if (!rst_plan_allowed (share.instance, step)
           || rst_plan_ticket (planner, step, share.instance) == NULL)
         continue;
       share.slots = rst_plan_slots (share.instance, step);
@@ -355,7 +347,7 @@
           = g_hash_table_lookup (step->leaves, instance->entry.id);
       int slots;
 
-      if (!rst_plan_allowed (planner, instance, step)
+      if (!rst_plan_allowed (instance, step)
           || (queue->set.advised && (leave == NULL || leave->denied)))
         continue;
       slots = MIN (rst_plan_slots (instance, step), wanted);
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -46,15 +46,14 @@
 }
 
 static void
-restore_occurrence (struct rst_planner *planner, struct job *job,
-                    struct rst_reader *reader)
+restore_occurrence (struct job *job, struct rst_reader *reader)
 {
   struct rst_reader in = rst_reader_array (reader);
   int64_t number = rst_reader_int (&in);
   struct occurrence *occurrence = rst_plan_occurrence (job, number);
 
   if (occurrence == NULL)
-    occurrence = rst_plan_occurrence_new (planner, job, number);
+    occurrence = rst_plan_occurrence_new (job, number);
   occurrence->steps_left = 0;
   for (int i = 0; i < job->desc->step_count; i++)
     {
@@ -83,7 +82,7 @@
   job->next_occurrence = rst_reader_int (&in);
   occurrences = rst_reader_array (&in);
   for (uint32_t i = 0; i < occurrences.count; i++)
-    restore_occurrence (planner, job, &occurrences);
+    restore_occurrence (job, &occurrences);
   if (rst_plan_job_over (job))
     job->ended_at = planner->now;
   reader->bad |= in.bad || occurrences.bad;
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -269,7 +269,6 @@
   int64_t clock_ms;
   struct run *run = find_run (planner, reader, &result, &clock_ms);
 
-  (void)planner;
   if (run == NULL || result != RST_RESULT_OK)
     return;
   run->stop_answered = true;
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -68,7 +68,6 @@
   bool known;
   bool inherited;
   bool blocked;
-  rst_ms heard_at;
   /* When its present life was learned of. */
   rst_ms life_at;
   rst_ms lapse_at;
@@ -209,7 +208,6 @@
   bool begun;
   bool stored;
   bool dirty;
-  bool in_commit;
   bool beyond_share;
   GArray *waiters;
   int64_t segment_full;
@@ -223,7 +221,6 @@
   int64_t occurrence;
   int step;
   uint64_t link;
-  bool urgent;
   int64_t cost_ms;
   rst_ms sent_at;
   /* Whether room is kept on the instances named while it is under way. */
@@ -241,7 +238,6 @@
   rst_ms created_at;
   rst_ms confirmed_at;
   bool restored;
-  bool have_instances;
   struct rst_cellconfig *config;
   GHashTable *evacuated;
   GHashTable *jobs;
@@ -278,8 +274,7 @@
                               struct rst_jobdesc *desc);
 void rst_plan_job_free (gpointer data);
 struct occurrence *rst_plan_occurrence (struct job *job, int64_t number);
-struct occurrence *rst_plan_occurrence_new (struct rst_planner *planner,
-                                            struct job *job, int64_t number);
+struct occurrence *rst_plan_occurrence_new (struct job *job, int64_t number);
 void rst_plan_step_ready (struct rst_planner *planner, struct step *step);
 void rst_plan_steps_ready (struct rst_planner *planner,
                            struct occurrence *occurrence);
@@ -331,14 +326,13 @@
 /* plan_place.c */
 void rst_plan_place (struct rst_planner *planner);
 bool rst_plan_fits (const struct instance *instance, const struct step *step);
-bool rst_plan_allowed (const struct rst_planner *planner,
-                       const struct instance *instance,
+bool rst_plan_allowed (const struct instance *instance,
                        const struct step *step);
 int rst_plan_slots (const struct instance *instance, const struct step *step);
 bool rst_plan_below_limit (const struct step *step, int tasks);
 void rst_plan_keep (struct instance *instance, const struct step *step,
                     int slots);
-void rst_plan_objective (const struct rst_planner *planner, struct step *step);
+void rst_plan_objective (struct step *step);
 
 /* plan_advice.c */
 void rst_plan_ask (struct rst_planner *planner, struct step *step, int tasks);
