Remove what the cell no longer uses; state the longest lapse once

Found on reading the whole change: an instance's speed was never learned and always 1, the old estimate of a chain had no caller, and the bound on a lease that an agent out of reach may extend stood twice.

--- a/src/cell/jobdesc.c
+++ b/src/cell/jobdesc.c
@@ -180,21 +180,3 @@
   rst_jobdesc_destroy (desc);
   return NULL;
 }
-
-int64_t
-rst_jobdesc_chain_ms (const struct rst_jobdesc *desc)
-{
-  int64_t ends[RST_STEPS_MAX] = { 0 };
-  int64_t longest = 0;
-
-  for (int i = 0; i < desc->step_count; i++)
-    {
-      const struct rst_step *step = &desc->steps[i];
-
-      for (int k = 0; k < step->after_count; k++)
-        ends[i] = MAX (ends[i], ends[step->after[k]]);
-      ends[i] += step->estimate_ms;
-      longest = MAX (longest, ends[i]);
-    }
-  return longest;
-}
--- a/src/cell/jobdesc.h
+++ b/src/cell/jobdesc.h
@@ -118,9 +118,4 @@
  */
 struct rst_jobdesc *rst_jobdesc_read (struct rst_reader *reader);
 
-/**
- * rst_jobdesc_chain_ms() - Estimated time of the longest chain of steps.
- */
-int64_t rst_jobdesc_chain_ms (const struct rst_jobdesc *desc);
-
 #endif
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -31,6 +31,14 @@
   g_free (instance);
 }
 
+/* When the leases have run out that an agent out of reach may extend. */
+static rst_ms
+longest_lapse (const struct rst_planner *planner)
+{
+  return planner->now + planner->bounds.keep_ms
+         + planner->bounds.lease_ms * 102 / 100 + LAPSE_MARGIN_MS;
+}
+
 struct instance *
 rst_plan_instance_new (struct rst_planner *planner, const char *id)
 {
@@ -39,10 +47,7 @@
   g_strlcpy (instance->entry.id, id, sizeof instance->entry.id);
   instance->runs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                           rst_plan_run_free);
-  instance->speed = 1.0;
-  instance->lapse_at = planner->now + planner->bounds.keep_ms
-                       + planner->bounds.lease_ms * 102 / 100
-                       + LAPSE_MARGIN_MS;
+  instance->lapse_at = longest_lapse (planner);
   g_hash_table_insert (planner->instances, instance->entry.id, instance);
   return instance;
 }
@@ -120,12 +125,10 @@
 static void
 set_unknown (struct rst_planner *planner, struct instance *instance)
 {
-  if (instance->known)
-    instance->unknown_at = planner->now;
-  if (instance->known)
-    instance->lapse_at = planner->now + planner->bounds.keep_ms
-                         + planner->bounds.lease_ms * 102 / 100
-                         + LAPSE_MARGIN_MS;
+  if (!instance->known)
+    return;
+  instance->unknown_at = planner->now;
+  instance->lapse_at = longest_lapse (planner);
   instance->known = false;
 }
 
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -190,7 +190,6 @@
   if (task != NULL && task->bad == instance)
     total += 4.0;
   total += 0.5 * MIN (instance->failures, 4);
-  total += 2.0 * (instance->speed - 1.0);
   if (step->spec->rack[0] != '\0'
       && strcmp (step->spec->rack, instance->entry.rack) != 0)
     total += 3.0;
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -76,7 +76,6 @@
   rst_ms next_hold;
   int failures;
   int refusals;
-  double speed;
 };
 
 enum run_state
