Count handed-over work until its new owner covers it, also at a planned stop

Traced with a dump of each scheduler's counts at the violation (all 33 runs were counted, 33 of granted 30) and of all writes of the limit's record.

--- a/src/coordination/sched_instance.c
+++ b/src/coordination/sched_instance.c
@@ -220,8 +220,10 @@
   if (!mine)
     {
       instance = g_hash_table_lookup (sched->instances, owned->instance);
+      /* Work that was handed over, one by one or by a planned stop, counts
+         here until the new owner has said that it counts it. */
       if (instance != NULL)
-        drop_instance (instance, instance->yielding);
+        drop_instance (instance, instance->yielding || sched->stopping);
       return;
     }
   instance = find_or_add (sched, owned->instance);
