Count what may still run against a customer's limit after a change of planner

A successor that had heard of some instances only counted what those run, and started new work of a customer up to its limit while its other work ran on instances not heard yet. Mend: while an inherited instance is not known, tasks of older jobs that may run there count (plan_limit.c); runs of a job that is over are counted and stopped when they are found, in place of blocking their instance. Ruled out: the change of the configuration at 25.8 s (the newest limit is kept and the higher of two would count).

--- a/src/cell/fault_private.h
+++ b/src/cell/fault_private.h
@@ -20,6 +20,7 @@
  * @RST_CELL_FAULT_EARLY_ACCEPT: A job is accepted before it is stored.
  * @RST_CELL_FAULT_EARLY_END: A job completes with its first step.
  * @RST_CELL_FAULT_HASTY_HEIR: A successor does not wait for instances.
+ * @RST_CELL_FAULT_NO_LIMIT: Customers' upper limits do not count.
  */
 enum rst_cell_fault_kind
 {
@@ -33,6 +34,7 @@
   RST_CELL_FAULT_EARLY_ACCEPT,
   RST_CELL_FAULT_EARLY_END,
   RST_CELL_FAULT_HASTY_HEIR,
+  RST_CELL_FAULT_NO_LIMIT,
 };
 
 #ifdef RST_FAULTS
--- a/src/cell/jobdesc.c
+++ b/src/cell/jobdesc.c
@@ -16,6 +16,24 @@
   FLAG_FILLS = 32,
 };
 
+void
+rst_need_add (struct rst_need *sum, const struct rst_need *need, int64_t times)
+{
+  sum->cpu += times * need->cpu;
+  sum->memory += times * need->memory;
+  sum->gpu += times * need->gpu;
+}
+
+struct rst_need
+rst_step_need (const struct rst_step *step)
+{
+  struct rst_need need = step->need;
+
+  if (step->fills)
+    need.cpu = 0;
+  return need;
+}
+
 struct rst_jobdesc *
 rst_jobdesc_create (int steps)
 {
--- a/src/cell/jobdesc.h
+++ b/src/cell/jobdesc.h
@@ -95,6 +95,13 @@
   int64_t period_ms;
 };
 
+/** rst_need_add() - Adds @need to @sum, @times times; may be negative. */
+void rst_need_add (struct rst_need *sum, const struct rst_need *need,
+                   int64_t times);
+
+/** rst_step_need() - What a task of the step takes of an instance's room. */
+struct rst_need rst_step_need (const struct rst_step *step);
+
 /** rst_jobdesc_create() - An empty description with @steps steps. */
 struct rst_jobdesc *rst_jobdesc_create (int steps);
 
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -373,8 +373,7 @@
   if (task != NULL && task->run != NULL && task->run->assumed
       && task->run->attempt < listed->attempt)
     rst_plan_run_drop (planner, task->run);
-  if (task == NULL || task->run != NULL || task->done
-      || rst_plan_job_over (job) || !job->stored)
+  if (task == NULL || task->run != NULL || task->done || !job->stored)
     {
       instance->blocked = true;
       stop_stranger (planner, instance, listed);
@@ -384,7 +383,8 @@
   rst_plan_run_begun (run);
   run->percent = listed->percent;
   task->step->gang_attempt = MAX (task->step->gang_attempt, listed->attempt);
-  if (!planner->unsure_left && task->step->spec->gang)
+  if (rst_plan_job_over (job)
+      || (!planner->unsure_left && task->step->spec->gang))
     rst_plan_stop (planner, run);
 }
 
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -19,23 +19,20 @@
 int
 rst_plan_slots (const struct instance *instance, const struct step *step)
 {
-  const struct rst_need *need = &step->spec->need;
-  const struct rst_need *room = &instance->entry.room;
+  struct rst_need need = rst_step_need (step->spec);
+  struct rst_need left = instance->entry.room;
   int64_t slots = step->spec->count;
 
   if (RST_CELL_FAULT (RST_CELL_FAULT_NO_ROOM))
     return (int)slots;
-
-  if (need->cpu > 0 && !step->spec->fills)
-    slots = MIN (slots, (room->cpu - instance->used.cpu - instance->kept.cpu)
-                            / need->cpu);
-  if (need->memory > 0)
-    slots = MIN (slots,
-                 (room->memory - instance->used.memory - instance->kept.memory)
-                     / need->memory);
-  if (need->gpu > 0)
-    slots = MIN (slots, (room->gpu - instance->used.gpu - instance->kept.gpu)
-                            / need->gpu);
+  rst_need_add (&left, &instance->used, -1);
+  rst_need_add (&left, &instance->kept, -1);
+  if (need.cpu > 0)
+    slots = MIN (slots, left.cpu / need.cpu);
+  if (need.memory > 0)
+    slots = MIN (slots, left.memory / need.memory);
+  if (need.gpu > 0)
+    slots = MIN (slots, left.gpu / need.gpu);
   if (step->spec->per_instance > 0)
     slots = MIN (slots, step->spec->per_instance);
   return (int)MAX (slots, 0);
@@ -76,21 +73,6 @@
          || rst_instance_entry_has_label (&instance->entry, step->spec->label);
 }
 
-bool
-rst_plan_below_limit (const struct step *step, int tasks)
-{
-  const struct customer *customer = step->occurrence->job->customer;
-  const struct rst_need *limit = &customer->set.limit;
-  const struct rst_need *need = &step->spec->need;
-  int64_t cpu = step->spec->fills ? 0 : need->cpu;
-
-  return (limit->cpu == 0 || customer->used.cpu + cpu * tasks <= limit->cpu)
-         && (limit->memory == 0
-             || customer->used.memory + need->memory * tasks <= limit->memory)
-         && (limit->gpu == 0
-             || customer->used.gpu + need->gpu * tasks <= limit->gpu);
-}
-
 /* Estimates are rough; the queue's own run times say as much. */
 static double
 expected_ms (const struct job *job, int index)
@@ -326,10 +308,9 @@
 void
 rst_plan_keep (struct instance *instance, const struct step *step, int slots)
 {
-  if (!step->spec->fills)
-    instance->kept.cpu += step->spec->need.cpu * slots;
-  instance->kept.memory += step->spec->need.memory * slots;
-  instance->kept.gpu += step->spec->need.gpu * slots;
+  struct rst_need need = rst_step_need (step->spec);
+
+  rst_need_add (&instance->kept, &need, slots);
 }
 
 /* Holds free room back for a gang that comes next but doesn't fit yet. */
@@ -480,6 +461,7 @@
     }
   g_ptr_array_sort (planner->active, by_rank);
   begin_pass (planner);
+  rst_plan_count_unsure (planner);
   for (guint i = 0; i < planner->active->len; i++)
     place_step (planner, g_ptr_array_index (planner->active, i), &keeping);
 }
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -33,14 +33,6 @@
               step->occurrence->number, step->index, task->index);
 }
 
-static void
-add_need (struct rst_need *sum, const struct rst_need *need, int sign)
-{
-  sum->cpu += sign * need->cpu;
-  sum->memory += sign * need->memory;
-  sum->gpu += sign * need->gpu;
-}
-
 void
 rst_plan_run_free (gpointer data)
 {
@@ -57,9 +49,7 @@
   rst_plan_task_name (task, run->name, sizeof run->name);
   run->task = task;
   run->instance = instance;
-  run->need = task->step->spec->need;
-  if (task->step->spec->fills)
-    run->need.cpu = 0;
+  run->need = rst_step_need (task->step->spec);
   run->attempt = attempt;
   run->ordered_at = planner->now;
   run->moved_at = planner->now;
@@ -69,8 +59,8 @@
   task->unsure = false;
   if (!task->done)
     task->step->waiting--;
-  add_need (&instance->used, &run->need, 1);
-  add_need (&run->customer->used, &run->need, 1);
+  rst_need_add (&instance->used, &run->need, 1);
+  rst_need_add (&run->customer->used, &run->need, 1);
   g_hash_table_replace (instance->runs, run->name, run);
   return run;
 }
@@ -99,8 +89,8 @@
   struct task *task = run->task;
 
   planner->changed = true;
-  add_need (&run->instance->used, &run->need, -1);
-  add_need (&run->customer->used, &run->need, -1);
+  rst_need_add (&run->instance->used, &run->need, -1);
+  rst_need_add (&run->customer->used, &run->need, -1);
   task->run = NULL;
   if (!task->done)
     task->step->waiting++;
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -3,9 +3,9 @@
  *
  * plan_jobs.c: callers' calls, jobs and their steps.  plan_instances.c:
  * instances, agents and reports.  plan_runs.c: single runs, from order to end.
- * plan_place.c: which waiting task goes where.  plan_advice.c: whom to ask
- * for which step.  plan_journal.c: records in the store,
- * plan_restore.c: reading them.
+ * plan_place.c: which waiting task goes where.  plan_limit.c: upper
+ * limits of customers.  plan_advice.c: whom to ask for which step.
+ * plan_journal.c: records in the store, plan_restore.c: reading them.
  */
 #ifndef RST_PLANNER_PRIVATE_H
 #define RST_PLANNER_PRIVATE_H
@@ -179,6 +179,8 @@
 {
   struct rst_customer set;
   struct rst_need used;
+  /* What may run on instances that are not known yet. */
+  struct rst_need unsure;
   double tokens;
   rst_ms tokens_at;
 };
@@ -328,11 +330,14 @@
 bool rst_plan_allowed (const struct instance *instance,
                        const struct step *step);
 int rst_plan_slots (const struct instance *instance, const struct step *step);
-bool rst_plan_below_limit (const struct step *step, int tasks);
 void rst_plan_keep (struct instance *instance, const struct step *step,
                     int slots);
 void rst_plan_objective (struct step *step);
 
+/* plan_limit.c */
+bool rst_plan_below_limit (const struct step *step, int tasks);
+void rst_plan_count_unsure (struct rst_planner *planner);
+
 /* plan_advice.c */
 void rst_plan_ask (struct rst_planner *planner, struct step *step, int tasks);
 const char *rst_plan_ticket (const struct rst_planner *planner,
--- a/test/cell/store.cc
+++ b/test/cell/store.cc
@@ -31,9 +31,11 @@
 }
 
 void
-World::configure (int64_t version, bool with_limit)
+World::configure (int64_t version, int64_t cpu_limit)
 {
-  std::string limit = with_limit ? "12000" : "0";
+  std::string limit = std::to_string (cpu_limit);
+
+  cpu_limit_ = cpu_limit;
 
   put ("op/config",
        "{\"version\":" + std::to_string (version)
--- a/test/cell/workers.cc
+++ b/test/cell/workers.cc
@@ -89,11 +89,24 @@
     }
 }
 
+int64_t
+World::running_cpu (const Worker &worker)
+{
+  int64_t cpu = 0;
+
+  for (auto &entry : worker.runs)
+    cpu += jobs[job_of (entry.first)]
+               .desc->steps[step_number (entry.first)]
+               .need.cpu;
+  return cpu;
+}
+
 void
 World::check_start (Worker &worker, const std::string &task, int attempt)
 {
   auto found = jobs.find (job_of (task));
-  int64_t cpu = 0;
+  int64_t cpu = running_cpu (worker);
+  int64_t all = 0;
 
   if (found == jobs.end ())
     {
@@ -119,12 +132,13 @@
                           + std::to_string (k))
           == 0)
         breach ("ORDER " + task);
-  for (auto &entry : worker.runs)
-    cpu += jobs[job_of (entry.first)]
-               .desc->steps[step_number (entry.first)]
-               .need.cpu;
   if (cpu + step.need.cpu > room_cpu)
     breach ("LIMIT " + worker.id + " at " + std::to_string (cpu));
+  // A tenth and one task beyond the limit are allowed.
+  for (auto &other : workers)
+    all += other->up ? running_cpu (*other) : 0;
+  if (cpu_limit_ > 0 && all > cpu_limit_ + cpu_limit_ / 10)
+    breach ("QUOTA " + std::to_string (all));
   (void)attempt;
 }
 
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -31,6 +31,8 @@
   return world_now;
 }
 
+static const int64_t customer_limit = 12000;
+
 World::World (uint64_t seed, int node_count, int worker_count) : random (seed)
 {
   static const char *const zones[] = { "a", "b", "c" };
@@ -52,7 +54,8 @@
       register_worker (*worker);
       tick_worker (*worker);
     }
-  configure (1, false);
+  // Every fourth seed has a limit below the room of all instances.
+  configure (1, seed % 4 == 2 ? customer_limit : 0);
   for (int i = 0; i < node_count; i++)
     {
       auto node = std::make_unique<Node> ();
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -163,7 +163,7 @@
   }
 
   // Operators and instances.
-  void configure (int64_t version, bool with_limit);
+  void configure (int64_t version, int64_t cpu_limit);
   void put (const std::string &key, const std::string &value);
   void remove (const std::string &key);
   void register_worker (Worker &worker, bool draining = false);
@@ -227,6 +227,7 @@
 
   void at (Millis time, std::function<void ()> action);
   void breach (const std::string &text);
+  int64_t running_cpu (const Worker &worker);
   uint64_t begin_call (Node &node, std::function<void ()> lost);
   bool end_call (Node &node, uint64_t life, uint64_t call);
   void store_answer (Node &node, rst_store_answer *answer, rst_store_done done,
@@ -263,6 +264,7 @@
   uint64_t sequence_ = 0;
   uint64_t next_link_ = 1;
   uint64_t next_call_ = 1;
+  int64_t cpu_limit_ = 0; // of the one customer; 0 for none
   int64_t revision_ = 10;
   std::vector<std::pair<int64_t, std::string> > history_;
   std::map<uint64_t, Link> links_;
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -375,6 +375,62 @@
   EXPECT_EQ (heir.reply_to (8)->reply.state, RST_JOB_COMPLETED);
 }
 
+TEST (Succession, CountsWhatMayStillRunAgainstACustomersLimit)
+{
+  Planner former;
+  Planner heir (2);
+
+  former.begin (2, false, 4500);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (4, 1000));
+  former.settle ();
+  restore_all (heir, former);
+  heir.configure (4500);
+  heir.agent (1);
+  heir.instance ("i-0");
+  heir.instance ("i-1");
+  rst_planner_restored (heir.planner);
+  heir.report (1, "i-0", {});
+  heir.call (8, RST_OPERATION_SUBMIT, job_b, Planner::job (1, 1000));
+  heir.settle ();
+  // Four tasks may run on i-1, which has not said so yet.
+  EXPECT_TRUE (heir.of_kind (RST_MSG_START).empty ());
+  heir.report (1, "i-1",
+               { Planner::ended (1, task_a0, 1, RST_END_DONE),
+                 Planner::running (task_a1, 1) });
+  heir.settle ();
+  EXPECT_EQ (heir.of_kind (RST_MSG_START).size (), 3u);
+}
+
+TEST (Succession, CountsACancelledJobsRunsUntilTheyHaveEnded)
+{
+  Planner former;
+  Planner heir (2);
+
+  former.begin (2, false, 1500);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  former.settle ();
+  std::string at = former.of_kind (RST_MSG_START)[0].id;
+  std::string other = at == "i-0" ? "i-1" : "i-0";
+
+  former.call (8, RST_OPERATION_CANCEL, job_a);
+  former.settle ();
+  restore_all (heir, former);
+  heir.configure (1500);
+  heir.agent (1);
+  heir.instance ("i-0");
+  heir.instance ("i-1");
+  rst_planner_restored (heir.planner);
+  heir.report (1, at, { Planner::running (task_a0, 1) });
+  heir.report (1, other, {});
+  heir.call (9, RST_OPERATION_SUBMIT, job_b, Planner::job (1, 1000));
+  heir.settle ();
+  EXPECT_FALSE (heir.of_kind (RST_MSG_STOP).empty ());
+  EXPECT_TRUE (heir.of_kind (RST_MSG_START).empty ());
+  heir.report (1, at, { Planner::ended (1, task_a0, 1, RST_END_STOPPED) });
+  heir.settle ();
+  EXPECT_EQ (heir.of_kind (RST_MSG_START).size (), 1u);
+}
+
 TEST (Succession, DoesNotWaitForAnInstanceThatWasOutBefore)
 {
   Planner former;
