Serve counters and latency histograms of celld and jobd

A turned-away call is logged with its path, age and whether it was passed on, so that its id leads to it. The loop now runs HTTP handlers and the planned stop on its own thread, which both daemons did in copies.

--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -229,6 +229,7 @@
   step->ask = ask;
   step->asked = true;
   g_hash_table_insert (planner->asks, &ask->handle, ask);
+  planner->stats.advice_calls++;
   send_ask (planner, ask);
   g_array_free (found, TRUE);
 }
@@ -362,8 +363,10 @@
 
   if (reader->bad || ask == NULL)
     return;
+  rst_histogram_add (&planner->stats.advice_ms, planner->now - ask->sent_at);
   if (result != RST_RESULT_OK)
     {
+      planner->stats.advice_failed++;
       rst_info (RST_PLAN_LOG, "Call for advice failed.", "job", ask->id,
                 "result", rst_result_text (result));
       end_ask (planner, ask, ASK_FAILED_MS);
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -219,6 +219,21 @@
     }
 }
 
+static void
+count_end (struct rst_planner *planner, const struct job *job)
+{
+  if (job->state == RST_JOB_FAILED)
+    planner->stats.failed++;
+  else if (job->state == RST_JOB_CANCELLED)
+    planner->stats.cancelled++;
+  else
+    {
+      planner->stats.completed++;
+      rst_histogram_add (&job->queue->job_ms,
+                         planner->unix_ms - job->submitted_ms);
+    }
+}
+
 void
 rst_plan_job_end (struct rst_planner *planner, struct job *job,
                   enum rst_job_state state)
@@ -232,6 +247,7 @@
   if (!RST_CELL_FAULT (RST_CELL_FAULT_NO_CANCEL))
     unlist_steps (planner, job);
   rst_plan_mark (planner, job);
+  count_end (planner, job);
   rst_info (RST_PLAN_LOG, "Job ended.", "job", job->id, "state",
             state == RST_JOB_COMPLETED ? "completed"
             : state == RST_JOB_FAILED  ? "failed"
@@ -376,6 +392,7 @@
   rst_plan_mark (planner, job);
   if (job->desc->repeats == 0)
     rst_plan_steps_ready (planner, rst_plan_occurrence_new (job, 0));
+  planner->stats.accepted++;
   rst_info (RST_PLAN_LOG, "Job handed in.", "job", id, "queue", route->name,
             "customer", customer->set.name);
 }
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -381,6 +381,7 @@
     g_hash_table_remove (planner->segments, &remove[i]);
   rst_plan_count_segment (planner, planner->next_segment);
   planner->commit_busy = true;
+  planner->stats.commits++;
   planner->ops.commit (planner->ops.userdata, planner->next_segment,
                        pack.buffer.data, pack.buffer.size, remove, removed);
   planner->next_segment++;
@@ -408,6 +409,8 @@
 {
   planner->commit_busy = false;
   planner->changed = true;
+  rst_histogram_add (&planner->stats.commit_ms,
+                     planner->now - planner->last_commit);
   set_recorded (planner);
   for (guint i = 0; i < planner->committing->len; i++)
     {
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -138,6 +138,16 @@
       rst_plan_stop (planner, step->tasks[i].run);
 }
 
+static void
+count_start (struct rst_planner *planner, struct job *job)
+{
+  planner->stats.starts++;
+  if (!job->ordered && !job->begun)
+    rst_histogram_add (&job->queue->first_start_ms,
+                       planner->unix_ms - job->submitted_ms);
+  job->ordered = true;
+}
+
 void
 rst_plan_start (struct rst_planner *planner, struct task *task,
                 struct instance *instance, int attempt, const char *ticket)
@@ -147,6 +157,7 @@
   struct run *run = rst_plan_run_new (planner, task, instance, attempt);
   struct rst_pack pack;
 
+  count_start (planner, step->occurrence->job);
   rst_pack_init (&pack, 7);
   rst_pack_int (&pack, RST_MSG_START);
   rst_pack_text (&pack, instance->entry.id);
@@ -231,6 +242,7 @@
       rst_plan_run_begun (run);
       return;
     }
+  planner->stats.starts_failed++;
   rst_info (RST_PLAN_LOG, "Start did not succeed.", "task", run->name,
             "instance", run->instance->entry.id, "result",
             rst_result_text (result));
@@ -367,6 +379,7 @@
   if (task == NULL)
     return;
   step = task->step;
+  planner->stats.ends[end->how]++;
   if (end->saved[0] != '\0' && step->spec->saves)
     {
       g_strlcpy (task->saved, end->saved, sizeof task->saved);
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -187,6 +187,47 @@
   planner->confirmed_at = MAX (planner->confirmed_at, at);
 }
 
+void
+rst_planner_read_stats (const struct rst_planner *planner,
+                        struct rst_planner_stats *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  *out = planner->stats;
+  out->jobs = g_hash_table_size (planner->jobs);
+  out->agents = planner->agents->len;
+  out->waiting_steps = planner->active->len;
+  g_hash_table_iter_init (&iter, planner->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct instance *instance = value;
+
+      out->instances += instance->present ? 1 : 0;
+      out->instances_known += instance->known ? 1 : 0;
+    }
+}
+
+void
+rst_planner_each_queue (const struct rst_planner *planner,
+                        void (*visit) (void *userdata,
+                                       const struct rst_queue_stats *),
+                        void *userdata)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, planner->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct queue *queue = value;
+      struct rst_queue_stats stats = { queue->set.name, queue->pending,
+                                       queue->first_start_ms, queue->job_ms };
+
+      visit (userdata, &stats);
+    }
+}
+
 bool
 rst_planner_ready (const struct rst_planner *planner)
 {
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -12,6 +12,7 @@
 
 #include "cell/cellconfig.h"
 #include "cell/messages.h"
+#include "cell/planstats.h"
 
 struct rst_planner;
 
@@ -168,6 +169,16 @@
  */
 rst_ms rst_planner_run (struct rst_planner *planner);
 
+/** rst_planner_read_stats() - Copies the planner's counters. */
+void rst_planner_read_stats (const struct rst_planner *planner,
+                             struct rst_planner_stats *out);
+
+/** rst_planner_each_queue() - Calls @visit with each queue's counters. */
+void rst_planner_each_queue (const struct rst_planner *planner,
+                             void (*visit) (void *userdata,
+                                            const struct rst_queue_stats *),
+                             void *userdata);
+
 /** rst_planner_ready() - Whether callers can be served. */
 bool rst_planner_ready (const struct rst_planner *planner);
 
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -173,6 +173,8 @@
   double approval;
   /* Learned run time of a task; 0 until one has ended. */
   double run_ms;
+  struct rst_histogram first_start_ms;
+  struct rst_histogram job_ms;
 };
 
 struct customer
@@ -207,6 +209,7 @@
   enum rst_job_state shown;
   enum rst_job_state committing;
   bool begun;
+  bool ordered;
   bool stored;
   bool dirty;
   bool beyond_share;
@@ -267,6 +270,8 @@
      present pass. */
   GPtrArray *usable;
   GArray *full;
+  /* Counters only; sizes are filled in when asked for. */
+  struct rst_planner_stats stats;
 };
 
 /* plan_jobs.c */
--- a/src/daemon/cell_loop.c
+++ b/src/daemon/cell_loop.c
@@ -1,5 +1,6 @@
 #include "daemon/cell_loop.h"
 
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 #include <unistd.h>
@@ -18,6 +19,11 @@
 #define LINK_HEARTBEAT_MS 500
 #define LINK_SILENT_MS 1000
 
+/** Bounds on the readers of a page of text. */
+#define PAGE_BODY_MAX 1024
+#define PAGE_READERS_MAX 8
+#define PAGE_IDLE_S 30
+
 /** Pause of a poster while the mailbox is full, in microseconds. */
 #define LOOP_FULL_PAUSE_US 1000
 
@@ -54,6 +60,29 @@
   void *answer;
 };
 
+/* An HTTP server that hands its requests to the loop. */
+struct served
+{
+  struct rst_cell_loop *loop;
+  rst_http_handler handler;
+  void *userdata;
+};
+
+struct request_event
+{
+  struct rst_cell_event event;
+  const struct served *served;
+  struct rst_http_request *request;
+};
+
+struct stop_event
+{
+  struct rst_cell_event event;
+  struct rst_cell_loop *loop;
+  void (*begin) (void *userdata);
+  void *userdata;
+};
+
 struct rst_cell_loop *
 rst_cell_loop_create (const struct rst_cell_loop_config *config)
 {
@@ -313,6 +342,96 @@
   return &loop->posted;
 }
 
+static void
+run_request (struct rst_cell_event *base)
+{
+  struct request_event *event = (struct request_event *)base;
+
+  event->served->handler (event->request, event->served->userdata);
+  g_free (event);
+}
+
+/* On the server's thread. */
+static void
+on_request (struct rst_http_request *request, void *userdata)
+{
+  struct request_event *event = g_new0 (struct request_event, 1);
+
+  event->event.run = run_request;
+  event->served = userdata;
+  event->request = request;
+  rst_cell_loop_post (event->served->loop, &event->event);
+}
+
+int
+rst_cell_loop_serve (struct rst_cell_loop *loop,
+                     const struct rst_http_server_config *config,
+                     struct rst_http_server **out)
+{
+  struct rst_http_server_config posted = *config;
+  /* Lives as long as the process; a server's last requests need it. */
+  struct served *served = g_new0 (struct served, 1);
+
+  served->loop = loop;
+  served->handler = config->handler;
+  served->userdata = config->userdata;
+  posted.handler = on_request;
+  posted.userdata = served;
+  return rst_http_server_create (&posted, out);
+}
+
+int
+rst_cell_loop_serve_page (struct rst_cell_loop *loop, const char *address,
+                          rst_http_handler handler, void *userdata)
+{
+  struct rst_http_server_config config = { 0 };
+  struct rst_http_server *server;
+
+  if (address[0] == '\0')
+    return RST_TRANSPORT_OK;
+  config.address = address;
+  config.max_body = PAGE_BODY_MAX;
+  config.max_connections = PAGE_READERS_MAX;
+  config.idle_timeout_s = PAGE_IDLE_S;
+  config.handler = handler;
+  config.userdata = userdata;
+  return rst_cell_loop_serve (loop, &config, &server);
+}
+
+static void
+run_stop (struct rst_cell_event *base)
+{
+  struct stop_event *event = (struct stop_event *)base;
+
+  event->begin (event->userdata);
+  g_free (event);
+}
+
+static void *
+wait_for_stop (void *userdata)
+{
+  struct stop_event *event = userdata;
+
+  rst_os_wait_stop ();
+  rst_cell_loop_post (event->loop, &event->event);
+  return NULL;
+}
+
+void
+rst_cell_loop_await_stop (struct rst_cell_loop *loop,
+                          void (*begin) (void *userdata), void *userdata)
+{
+  struct stop_event *event = g_new0 (struct stop_event, 1);
+  pthread_t thread;
+
+  event->event.run = run_stop;
+  event->loop = loop;
+  event->begin = begin;
+  event->userdata = userdata;
+  pthread_create (&thread, NULL, wait_for_stop, event);
+  pthread_detach (thread);
+}
+
 void
 rst_cell_loop_run (struct rst_cell_loop *loop)
 {
--- a/src/daemon/cell_loop.h
+++ b/src/daemon/cell_loop.h
@@ -8,6 +8,7 @@
 #define RST_CELL_LOOP_H
 
 #include "cell/backend.h"
+#include "transport/http_server.h"
 #include "transport/net.h"
 #include "util/mailbox.h"
 
@@ -66,6 +67,37 @@
 rst_cell_loop_backend (struct rst_cell_loop *loop,
                        const struct rst_backend *backend);
 
+/**
+ * rst_cell_loop_serve() - Starts an HTTP server whose handler runs on the
+ * loop's thread.
+ * @config: How the server is set up; copied.
+ * @out: Receives the server.
+ *
+ * Return: RST_TRANSPORT_OK or RST_TRANSPORT_ADDRESS.
+ */
+int rst_cell_loop_serve (struct rst_cell_loop *loop,
+                         const struct rst_http_server_config *config,
+                         struct rst_http_server **out);
+
+/**
+ * rst_cell_loop_serve_page() - Serves a page of text to a few readers.
+ * @address: Where; with "" nothing is served.
+ * @handler: Answers a request, on the loop's thread.
+ *
+ * Return: RST_TRANSPORT_OK or RST_TRANSPORT_ADDRESS.
+ */
+int rst_cell_loop_serve_page (struct rst_cell_loop *loop, const char *address,
+                              rst_http_handler handler, void *userdata);
+
+/**
+ * rst_cell_loop_await_stop() - Calls @begin on the loop's thread once the
+ * process is asked to stop.
+ *
+ * Signals must be blocked in all threads, see rst_os_block_signals().
+ */
+void rst_cell_loop_await_stop (struct rst_cell_loop *loop,
+                               void (*begin) (void *userdata), void *userdata);
+
 /** rst_cell_loop_run() - Runs until rst_cell_loop_stop(). */
 void rst_cell_loop_run (struct rst_cell_loop *loop);
 
--- /dev/null
+++ b/src/daemon/cell_metrics.c
@@ -0,0 +1,197 @@
+#include "daemon/cell_metrics.h"
+
+#include "daemon/metrics.h"
+
+/* Statuses of answers; the last stands for all others. */
+static const unsigned statuses[RST_STATUS_KINDS]
+    = { 200, 400, 401, 404, 410, 413, 503, 504, 0 };
+
+static const struct rst_metrics_label no_label = { NULL, NULL };
+
+void
+rst_call_stats_add (struct rst_call_stats *stats, enum rst_operation operation,
+                    unsigned status, int64_t took_ms)
+{
+  int kind = 0;
+  int row = (int)operation - RST_OPERATION_SUBMIT;
+
+  while (kind < RST_STATUS_KINDS - 1 && statuses[kind] != status)
+    kind++;
+  stats->answers[row][kind]++;
+  rst_histogram_add (&stats->answer_ms[row], took_ms);
+}
+
+static void
+add_answers (GString *page, const struct rst_call_stats *stats, int row,
+             const char *operation)
+{
+  char label[48];
+
+  for (int i = 0; i < RST_STATUS_KINDS; i++)
+    {
+      struct rst_metrics_label both = { "call", label };
+
+      if (stats->answers[row][i] == 0)
+        continue;
+      g_snprintf (label, sizeof label, "%s %u", operation, statuses[i]);
+      rst_metrics_sample (page, "answers_total", both,
+                          (double)stats->answers[row][i]);
+    }
+}
+
+char *
+rst_call_metrics_page (const struct rst_call_stats *stats, bool ready)
+{
+  static const char *const operations[RST_OPERATION_KINDS]
+      = { "submit", "read", "cancel" };
+  GString *page = g_string_new (NULL);
+
+  rst_metrics_gauge (page, "ready", "Whether callers can be served.", ready);
+  rst_metrics_gauge (page, "calls_waiting", "Calls without an answer so far.",
+                     (double)stats->waiting);
+  rst_metrics_family (page, "answers_total", "counter",
+                      "Answers by operation and status; 0 is any other.");
+  for (int i = 0; i < RST_OPERATION_KINDS; i++)
+    add_answers (page, stats, i, operations[i]);
+  rst_metrics_family (page, "answer_seconds", "histogram",
+                      "Time to the answer.");
+  for (int i = 0; i < RST_OPERATION_KINDS; i++)
+    {
+      struct rst_metrics_label label = { "operation", operations[i] };
+
+      rst_metrics_histogram (page, "answer_seconds", label,
+                             &stats->answer_ms[i]);
+    }
+  rst_metrics_process (page);
+  return g_string_free (page, FALSE);
+}
+
+static void
+add_ends (GString *page, const struct rst_planner_stats *stats)
+{
+  static const char *const names[RST_END_KINDS]
+      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+
+  rst_metrics_family (page, "run_ends_total", "counter",
+                      "Runs ended, by how.");
+  for (int i = 0; i < RST_END_KINDS; i++)
+    {
+      struct rst_metrics_label label = { "how", names[i] };
+
+      rst_metrics_sample (page, "run_ends_total", label,
+                          (double)stats->ends[i]);
+    }
+}
+
+static void
+add_sizes (GString *page, const struct rst_planner_stats *stats)
+{
+  rst_metrics_gauge (page, "jobs", "Jobs known.", (double)stats->jobs);
+  rst_metrics_gauge (page, "instances", "Instances registered.",
+                     (double)stats->instances);
+  rst_metrics_gauge (page, "instances_known",
+                     "Instances whose runs are known.",
+                     (double)stats->instances_known);
+  rst_metrics_gauge (page, "agents", "Agents linked.", (double)stats->agents);
+  rst_metrics_gauge (page, "waiting_steps",
+                     "Steps with tasks that wait for a place.",
+                     (double)stats->waiting_steps);
+}
+
+static void
+add_counters (GString *page, const struct rst_planner_stats *stats)
+{
+  rst_metrics_counter (page, "jobs_accepted_total", "Jobs handed in.",
+                       stats->accepted);
+  rst_metrics_counter (page, "jobs_completed_total", "Jobs that completed.",
+                       stats->completed);
+  rst_metrics_counter (page, "jobs_failed_total", "Jobs that failed.",
+                       stats->failed);
+  rst_metrics_counter (page, "jobs_cancelled_total", "Jobs cancelled.",
+                       stats->cancelled);
+  rst_metrics_counter (page, "starts_total", "Starts ordered.", stats->starts);
+  rst_metrics_counter (page, "starts_failed_total",
+                       "Starts that did not succeed.", stats->starts_failed);
+  rst_metrics_counter (page, "advice_calls_total", "Calls for advice.",
+                       stats->advice_calls);
+  rst_metrics_counter (page, "advice_failed_total",
+                       "Calls for advice without a usable answer.",
+                       stats->advice_failed);
+  rst_metrics_counter (page, "paced_total", "Orders on the pace of tasks.",
+                       stats->paced);
+  rst_metrics_counter (page, "commits_total", "Segments appended.",
+                       stats->commits);
+}
+
+static void
+add_latencies (GString *page, const struct rst_planner_stats *stats)
+{
+  rst_metrics_family (page, "commit_seconds", "histogram",
+                      "Time from a commit to the store's word.");
+  rst_metrics_histogram (page, "commit_seconds", no_label, &stats->commit_ms);
+  rst_metrics_family (page, "advice_seconds", "histogram",
+                      "Time from a call for advice to its answer.");
+  rst_metrics_histogram (page, "advice_seconds", no_label, &stats->advice_ms);
+}
+
+static void
+add_pending (void *userdata, const struct rst_queue_stats *queue)
+{
+  struct rst_metrics_label label = { "queue", queue->name };
+
+  rst_metrics_sample (userdata, "queue_pending", label,
+                      (double)queue->pending);
+}
+
+static void
+add_first_start (void *userdata, const struct rst_queue_stats *queue)
+{
+  struct rst_metrics_label label = { "queue", queue->name };
+
+  rst_metrics_histogram (userdata, "first_start_seconds", label,
+                         &queue->first_start_ms);
+}
+
+static void
+add_job_time (void *userdata, const struct rst_queue_stats *queue)
+{
+  struct rst_metrics_label label = { "queue", queue->name };
+
+  rst_metrics_histogram (userdata, "job_seconds", label, &queue->job_ms);
+}
+
+static void
+add_queues (GString *page, const struct rst_planner *planner)
+{
+  rst_metrics_family (page, "queue_pending", "gauge",
+                      "Jobs of which no task has started.");
+  rst_planner_each_queue (planner, add_pending, page);
+  rst_metrics_family (page, "first_start_seconds", "histogram",
+                      "Time from handing a job in to the first order for it.");
+  rst_planner_each_queue (planner, add_first_start, page);
+  rst_metrics_family (page, "job_seconds", "histogram",
+                      "Time from handing a job in to its completion.");
+  rst_planner_each_queue (planner, add_job_time, page);
+}
+
+char *
+rst_cell_metrics_page (const struct rst_cell_node *node)
+{
+  const struct rst_planner *planner = rst_cell_node_planner (node);
+  GString *page = g_string_new (NULL);
+  struct rst_planner_stats stats;
+
+  rst_metrics_gauge (page, "is_planner", "Whether this process plans.",
+                     planner != NULL);
+  if (planner != NULL)
+    {
+      rst_planner_read_stats (planner, &stats);
+      add_sizes (page, &stats);
+      add_counters (page, &stats);
+      add_ends (page, &stats);
+      add_latencies (page, &stats);
+      add_queues (page, planner);
+    }
+  rst_metrics_process (page);
+  return g_string_free (page, FALSE);
+}
--- /dev/null
+++ b/src/daemon/cell_metrics.h
@@ -0,0 +1,41 @@
+/**
+ * DOC: cell_metrics - the pages of counters of celld and jobd
+ */
+#ifndef RST_CELL_METRICS_H
+#define RST_CELL_METRICS_H
+
+#include "cell/messages.h"
+#include "daemon/cell_node.h"
+#include "util/histogram.h"
+
+/** Number of operations of callers; see enum rst_operation. */
+#define RST_OPERATION_KINDS 3
+
+/** Number of statuses that callers' calls are counted by. */
+#define RST_STATUS_KINDS 9
+
+/**
+ * struct rst_call_stats - Callers' calls as one entry instance answered them.
+ * @answers: Answers by operation and status, see rst_call_stats_add().
+ * @answer_ms: Time to the answer, by operation.
+ * @waiting: Calls without an answer so far.
+ */
+struct rst_call_stats
+{
+  uint64_t answers[RST_OPERATION_KINDS][RST_STATUS_KINDS];
+  struct rst_histogram answer_ms[RST_OPERATION_KINDS];
+  uint64_t waiting;
+};
+
+/** rst_call_stats_add() - Counts an answered call. */
+void rst_call_stats_add (struct rst_call_stats *stats,
+                         enum rst_operation operation, unsigned status,
+                         int64_t took_ms);
+
+/** rst_call_metrics_page() - jobd's page, to be freed with g_free(). */
+char *rst_call_metrics_page (const struct rst_call_stats *stats, bool ready);
+
+/** rst_cell_metrics_page() - celld's page, to be freed with g_free(). */
+char *rst_cell_metrics_page (const struct rst_cell_node *node);
+
+#endif
--- a/src/daemon/cell_node.c
+++ b/src/daemon/cell_node.c
@@ -215,6 +215,12 @@
   return node->term != NULL && !node->term_over;
 }
 
+const struct rst_planner *
+rst_cell_node_planner (const struct rst_cell_node *node)
+{
+  return rst_cell_node_plans (node) ? rst_term_planner (node->term) : NULL;
+}
+
 struct rst_cell_node *
 rst_cell_node_create (const struct rst_cell_node_config *config)
 {
--- a/src/daemon/cell_node.h
+++ b/src/daemon/cell_node.h
@@ -69,4 +69,8 @@
 /** rst_cell_node_plans() - Whether the node is the planner. */
 bool rst_cell_node_plans (const struct rst_cell_node *node);
 
+/** rst_cell_node_planner() - The node's planner, or NULL. */
+const struct rst_planner *
+rst_cell_node_planner (const struct rst_cell_node *node);
+
 #endif
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -4,7 +4,6 @@
  * Every entry instance runs one.  One at a time is the planner; all, the
  * planner's own among them, are its agents.
  */
-#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -12,6 +11,7 @@
 
 #include "adapter.h"
 #include "daemon/cell_loop.h"
+#include "daemon/cell_metrics.h"
 #include "daemon/cell_node.h"
 #include "transport/http_client.h"
 #include "transport/transport.h"
@@ -46,6 +46,7 @@
   char listen[RST_ADDRESS_SIZE];
   char store[RST_ADDRESS_SIZE];
   char advice[RST_ADDRESS_SIZE];
+  char metrics[RST_ADDRESS_SIZE];
   int64_t hold_max_ms;
   int64_t status_s;
   int64_t early_ms;
@@ -68,6 +69,7 @@
   TEXT ("listen", RST_CONF_ADDRESS, true, listen),
   TEXT ("store", RST_CONF_ADDRESS, true, store),
   TEXT ("advice", RST_CONF_STRING, false, advice),
+  TEXT ("metrics", RST_CONF_ADDRESS, false, metrics),
   INT ("lease_max_ms", hold_max_ms, 500, 600000),
   INT ("status_s", status_s, 1, 86400),
   INT ("early_ms", early_ms, 0, 60000),
@@ -86,12 +88,6 @@
   struct rst_cell_node *node;
 };
 
-struct stop_event
-{
-  struct rst_cell_event event;
-  struct celld *celld;
-};
-
 static int64_t
 unix_now (void)
 {
@@ -146,24 +142,21 @@
 }
 
 static void
-begin_stop (struct rst_cell_event *base)
+begin_stop (void *userdata)
 {
-  struct stop_event *event = (struct stop_event *)base;
+  struct celld *celld = userdata;
 
-  rst_cell_node_stop (event->celld->node);
-  g_free (event);
+  rst_cell_node_stop (celld->node);
 }
 
-static void *
-wait_for_stop (void *userdata)
+static void
+on_metrics (struct rst_http_request *request, void *userdata)
 {
-  struct stop_event *event = g_new0 (struct stop_event, 1);
+  struct celld *celld = userdata;
+  char *page = rst_cell_metrics_page (celld->node);
 
-  rst_os_wait_stop ();
-  event->event.run = begin_stop;
-  event->celld = userdata;
-  rst_cell_loop_post (event->celld->loop, &event->event);
-  return NULL;
+  rst_http_reply (request, 200, "text/plain", page, strlen (page), 0);
+  g_free (page);
 }
 
 /* The planner's work of 350 instances took 0.13 cores; a machine near that
@@ -216,7 +209,6 @@
   struct celld celld = { 0 };
   struct rst_cell_loop_config loop = { on_link, on_tick, &celld };
   struct rst_log_config log = { false, "info", true };
-  pthread_t stopper;
   int status;
 
   celld.settings.hold_max_ms = 6000;
@@ -243,9 +235,16 @@
       rst_warning (LOG_PREFIX, "listen: the address can't be used.");
       goto out;
     }
+  if (rst_cell_loop_serve_page (celld.loop, celld.settings.metrics, on_metrics,
+                                &celld)
+      != RST_TRANSPORT_OK)
+    {
+      rst_warning (LOG_PREFIX, "metrics: the address can't be used.");
+      goto out;
+    }
   rst_info (LOG_PREFIX, "Started.", "name", celld.settings.name, "zone",
             celld.settings.zone, "listen", celld.settings.listen);
-  pthread_create (&stopper, NULL, wait_for_stop, &celld);
+  rst_cell_loop_await_stop (celld.loop, begin_stop, &celld);
   rst_cell_loop_run (celld.loop);
   rst_info (LOG_PREFIX, "Stopped.");
   /* Threads may still post into the loop; the process's end frees all. */
--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -5,7 +5,6 @@
  * planner; after a planner was lost it is passed to the next one, since
  * handing a job in twice leaves it one job.
  */
-#include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,6 +13,7 @@
 #include "adapter.h"
 #include "cell/seeker.h"
 #include "daemon/cell_loop.h"
+#include "daemon/cell_metrics.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/transport.h"
@@ -51,6 +51,7 @@
   char listen[RST_ADDRESS_SIZE];
   char readiness[RST_ADDRESS_SIZE];
   char store[RST_ADDRESS_SIZE];
+  char metrics[RST_ADDRESS_SIZE];
   int64_t max_body;
   int64_t max_connections;
   char log_level[16];
@@ -70,6 +71,7 @@
   TEXT ("listen", RST_CONF_ADDRESS, true, listen),
   TEXT ("readiness", RST_CONF_ADDRESS, true, readiness),
   TEXT ("store", RST_CONF_ADDRESS, true, store),
+  TEXT ("metrics", RST_CONF_ADDRESS, false, metrics),
   INT ("limits.body_bytes", max_body, 1, 4194304),
   INT ("limits.connections", max_connections, 1, 100000),
   { "log.level", RST_CONF_CHOICE, false, offsetof (struct settings, log_level),
@@ -86,6 +88,7 @@
   struct rst_http_server *callers;
   struct rst_http_server *checks;
   GHashTable *pending;
+  struct rst_call_stats stats;
   uint64_t next_number;
   atomic_bool ready;
   bool serving;
@@ -109,19 +112,6 @@
   bool sent_before;
 };
 
-struct request_event
-{
-  struct rst_cell_event event;
-  struct jobd *jobd;
-  struct rst_http_request *request;
-};
-
-struct stop_event
-{
-  struct rst_cell_event event;
-  struct jobd *jobd;
-};
-
 static void
 pending_free (gpointer data)
 {
@@ -148,19 +138,39 @@
   answer (request, status, text, retry_s);
 }
 
+/* Gives a call its answer and counts it. */
 static void
 end_pending (struct jobd *jobd, struct pending *pending, unsigned status,
-             const char *why, unsigned retry_s)
+             const char *text, unsigned retry_s)
+{
+  rst_call_stats_add (&jobd->stats, pending->operation, status,
+                      rst_os_now () - pending->came_at);
+  answer (pending->request, status, text, retry_s);
+  g_hash_table_remove (jobd->pending, &pending->number);
+}
+
+/* Ends a call without success; its path holds the job's id. */
+static void
+refuse_pending (struct jobd *jobd, struct pending *pending, unsigned status,
+                const char *why, unsigned retry_s)
 {
-  answer_error (pending->request, status, why, retry_s);
+  char text[256];
+
   if (rst_log_enabled (G_LOG_LEVEL_INFO))
     {
       char number[16];
+      char age[24];
 
       g_snprintf (number, sizeof number, "%u", status);
-      rst_info (LOG_PREFIX, "Call turned away.", "status", number, "why", why);
+      g_snprintf (age, sizeof age, "%lld",
+                  (long long)(rst_os_now () - pending->came_at));
+      rst_info (LOG_PREFIX, "Call turned away.", "path",
+                rst_http_path (pending->request), "status", number, "why", why,
+                "age_ms", age, "passed_on",
+                pending->sent || pending->sent_before ? "yes" : "no");
     }
-  g_hash_table_remove (jobd->pending, &pending->number);
+  g_snprintf (text, sizeof text, "{\"error\":\"%s\"}\n", why);
+  end_pending (jobd, pending, status, text, retry_s);
 }
 
 static void
@@ -229,8 +239,9 @@
 }
 
 static void
-take_request (struct jobd *jobd, struct rst_http_request *request)
+take_request (struct rst_http_request *request, void *userdata)
 {
+  struct jobd *jobd = userdata;
   enum rst_operation operation;
   struct rst_jobdesc *desc = NULL;
   const char *problem = NULL;
@@ -266,24 +277,15 @@
 }
 
 static void
-run_request (struct rst_cell_event *base)
+on_metrics (struct rst_http_request *request, void *userdata)
 {
-  struct request_event *event = (struct request_event *)base;
-
-  take_request (event->jobd, event->request);
-  g_free (event);
-}
-
-/* On the server's thread. */
-static void
-on_request (struct rst_http_request *request, void *userdata)
-{
-  struct request_event *event = g_new0 (struct request_event, 1);
+  struct jobd *jobd = userdata;
+  char *page;
 
-  event->event.run = run_request;
-  event->jobd = userdata;
-  event->request = request;
-  rst_cell_loop_post (event->jobd->loop, &event->event);
+  jobd->stats.waiting = g_hash_table_size (jobd->pending);
+  page = rst_call_metrics_page (&jobd->stats, atomic_load (&jobd->ready));
+  rst_http_reply (request, 200, "text/plain", page, strlen (page), 0);
+  g_free (page);
 }
 
 static void
@@ -298,69 +300,75 @@
 }
 
 static void
-answer_state (struct rst_http_request *request, enum rst_job_state state)
+end_with_state (struct jobd *jobd, struct pending *pending,
+                enum rst_job_state state)
 {
   static const char *const names[]
       = { "queued", "running", "completed", "failed", "cancelled" };
   char text[64];
 
   g_snprintf (text, sizeof text, "{\"state\":\"%s\"}\n", names[state]);
-  answer (request, 200, text, 0);
+  end_pending (jobd, pending, 200, text, 0);
 }
 
 static void
-answer_count (struct rst_http_request *request, int64_t count)
+end_with_count (struct jobd *jobd, struct pending *pending, int64_t count)
 {
   char text[64];
 
   g_snprintf (text, sizeof text, "{\"pending\":%lld}\n", (long long)count);
-  answer (request, 200, text, 0);
+  end_pending (jobd, pending, 200, text, 0);
 }
 
+/* Answers of the planner that are no success, as a status and its reason. */
 static void
-take_reply (struct jobd *jobd, struct rst_reader *reader)
+end_without_success (struct jobd *jobd, struct pending *pending,
+                     enum rst_outcome outcome, unsigned retry_s)
 {
-  uint64_t number = (uint64_t)rst_reader_int (reader);
-  enum rst_outcome outcome = (enum rst_outcome)rst_reader_int (reader);
-  int64_t state = rst_reader_int (reader);
-  int64_t count = rst_reader_int (reader);
-  unsigned retry_s = (unsigned)rst_reader_int (reader);
-  struct pending *pending = g_hash_table_lookup (jobd->pending, &number);
-
-  if (pending == NULL || reader->bad)
-    return;
   switch (outcome)
     {
-    case RST_OUTCOME_OK:
-      answer (pending->request, 200, "{\"accepted\":true}\n", 0);
-      break;
-    case RST_OUTCOME_STATE:
-      answer_state (pending->request, (enum rst_job_state)state);
-      break;
-    case RST_OUTCOME_COUNT:
-      answer_count (pending->request, count);
-      break;
     case RST_OUTCOME_NO_QUEUE:
-      answer_error (pending->request, 404, "no such queue", 0);
+      refuse_pending (jobd, pending, 404, "no such queue", 0);
       break;
     case RST_OUTCOME_NO_KEY:
-      answer_error (pending->request, 401, "unknown key", 0);
+      refuse_pending (jobd, pending, 401, "unknown key", 0);
       break;
     case RST_OUTCOME_NO_JOB:
-      answer_error (pending->request, 410, "no such job", 0);
+      refuse_pending (jobd, pending, 410, "no such job", 0);
       break;
     case RST_OUTCOME_BAD:
-      answer_error (pending->request, 400, "not a job", 0);
+      refuse_pending (jobd, pending, 400, "not a job", 0);
       break;
     case RST_OUTCOME_REFUSED:
-      end_pending (jobd, pending, pending->sent_before ? 504 : 503,
-                   "turned away", retry_s);
-      return;
+      refuse_pending (jobd, pending, pending->sent_before ? 504 : 503,
+                      "turned away", retry_s);
+      break;
     default:
-      end_pending (jobd, pending, 504, "not known", retry_s);
-      return;
+      refuse_pending (jobd, pending, 504, "not known", retry_s);
+      break;
     }
-  g_hash_table_remove (jobd->pending, &number);
+}
+
+static void
+take_reply (struct jobd *jobd, struct rst_reader *reader)
+{
+  uint64_t number = (uint64_t)rst_reader_int (reader);
+  enum rst_outcome outcome = (enum rst_outcome)rst_reader_int (reader);
+  int64_t state = rst_reader_int (reader);
+  int64_t count = rst_reader_int (reader);
+  unsigned retry_s = (unsigned)rst_reader_int (reader);
+  struct pending *pending = g_hash_table_lookup (jobd->pending, &number);
+
+  if (pending == NULL || reader->bad)
+    return;
+  if (outcome == RST_OUTCOME_OK)
+    end_pending (jobd, pending, 200, "{\"accepted\":true}\n", 0);
+  else if (outcome == RST_OUTCOME_STATE)
+    end_with_state (jobd, pending, (enum rst_job_state)state);
+  else if (outcome == RST_OUTCOME_COUNT)
+    end_with_count (jobd, pending, count);
+  else
+    end_without_success (jobd, pending, outcome, retry_s);
 }
 
 static void
@@ -424,11 +432,11 @@
       bool sent = pending->sent || pending->sent_before;
 
       if (sent && now >= pending->answer_by)
-        end_pending (jobd, pending, 504, "no answer in time", 0);
+        refuse_pending (jobd, pending, 504, "no answer in time", 0);
       else if (!sent
                && (now >= pending->answer_by
                    || now - pending->came_at >= UNSENT_MAX_MS))
-        end_pending (jobd, pending, 503, "no planner", 1);
+        refuse_pending (jobd, pending, 503, "no planner", 1);
     }
   g_list_free (all);
 }
@@ -475,10 +483,9 @@
 }
 
 static void
-begin_stop (struct rst_cell_event *base)
+begin_stop (void *userdata)
 {
-  struct stop_event *event = (struct stop_event *)base;
-  struct jobd *jobd = event->jobd;
+  struct jobd *jobd = userdata;
 
   rst_info (LOG_PREFIX, "Planned stop.");
   jobd->stopping = true;
@@ -486,19 +493,6 @@
   rst_http_server_close_idle (jobd->callers);
   jobd->stop_at = rst_os_now () + LINGER_MS;
   jobd->stop_by = rst_os_now () + STOP_MS;
-  g_free (event);
-}
-
-static void *
-wait_for_stop (void *userdata)
-{
-  struct stop_event *event = g_new0 (struct stop_event, 1);
-
-  rst_os_wait_stop ();
-  event->event.run = begin_stop;
-  event->jobd = userdata;
-  rst_cell_loop_post (event->jobd->loop, &event->event);
-  return NULL;
 }
 
 static uint64_t
@@ -556,9 +550,10 @@
   config.max_body = (size_t)jobd->settings.max_body;
   config.max_connections = (unsigned)jobd->settings.max_connections;
   config.idle_timeout_s = 60;
-  config.handler = on_request;
+  config.handler = take_request;
   config.userdata = jobd;
-  if (rst_http_server_create (&config, &jobd->callers) != RST_TRANSPORT_OK)
+  if (rst_cell_loop_serve (jobd->loop, &config, &jobd->callers)
+      != RST_TRANSPORT_OK)
     {
       rst_warning (LOG_PREFIX, "listen: the address can't be used.");
       return false;
@@ -571,6 +566,13 @@
       rst_warning (LOG_PREFIX, "readiness: the address can't be used.");
       return false;
     }
+  if (rst_cell_loop_serve_page (jobd->loop, jobd->settings.metrics, on_metrics,
+                                jobd)
+      != RST_TRANSPORT_OK)
+    {
+      rst_warning (LOG_PREFIX, "metrics: the address can't be used.");
+      return false;
+    }
   return true;
 }
 
@@ -584,7 +586,6 @@
   struct jobd jobd = { 0 };
   struct rst_cell_loop_config loop = { on_link, on_tick, &jobd };
   struct rst_log_config log = { false, "info", true };
-  pthread_t stopper;
   int status;
 
   jobd.settings.max_body = 262144;
@@ -610,7 +611,7 @@
     return EXIT_FAILURE;
   rst_info (LOG_PREFIX, "Started.", "name", jobd.settings.name, "listen",
             jobd.settings.listen);
-  pthread_create (&stopper, NULL, wait_for_stop, &jobd);
+  rst_cell_loop_await_stop (jobd.loop, begin_stop, &jobd);
   rst_cell_loop_run (jobd.loop);
   rst_http_server_destroy (jobd.callers);
   rst_info (LOG_PREFIX, "Stopped.");
--- a/src/daemon/metrics.c
+++ b/src/daemon/metrics.c
@@ -28,6 +28,63 @@
                           name, help, name, name, value);
 }
 
+void
+rst_metrics_family (GString *page, const char *name, const char *type,
+                    const char *help)
+{
+  g_string_append_printf (page,
+                          "# HELP " METRICS_PREFIX "%s %s\n"
+                          "# TYPE " METRICS_PREFIX "%s %s\n",
+                          name, help, name, type);
+}
+
+/* Writes one sample; @bound is a bucket's upper bound, or NULL. */
+static void
+add_sample (GString *page, const char *name, const char *suffix,
+            struct rst_metrics_label label, const char *bound, double value)
+{
+  const char *comma = label.name != NULL && bound != NULL ? "," : "";
+
+  g_string_append_printf (page, METRICS_PREFIX "%s%s", name, suffix);
+  if (label.name != NULL || bound != NULL)
+    g_string_append_c (page, '{');
+  if (label.name != NULL)
+    g_string_append_printf (page, "%s=\"%s\"", label.name, label.value);
+  if (bound != NULL)
+    g_string_append_printf (page, "%sle=\"%s\"", comma, bound);
+  if (label.name != NULL || bound != NULL)
+    g_string_append_c (page, '}');
+  g_string_append_printf (page, " %.10g\n", value);
+}
+
+void
+rst_metrics_sample (GString *page, const char *name,
+                    struct rst_metrics_label label, double value)
+{
+  add_sample (page, name, "", label, NULL, value);
+}
+
+void
+rst_metrics_histogram (GString *page, const char *name,
+                       struct rst_metrics_label label,
+                       const struct rst_histogram *histogram)
+{
+  uint64_t below = 0;
+  char bound[24];
+
+  for (int i = 0; i < RST_HISTOGRAM_BOUNDS; i++)
+    {
+      below += histogram->counts[i];
+      g_snprintf (bound, sizeof bound, "%g",
+                  (double)rst_histogram_bound (i) / 1000.0);
+      add_sample (page, name, "_bucket", label, bound, (double)below);
+    }
+  add_sample (page, name, "_bucket", label, "+Inf", (double)histogram->total);
+  add_sample (page, name, "_sum", label, NULL,
+              (double)histogram->sum_ms / 1000.0);
+  add_sample (page, name, "_count", label, NULL, (double)histogram->total);
+}
+
 void
 rst_metrics_process (GString *page)
 {
--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -694,3 +694,9 @@
 {
   return term->seat.epoch;
 }
+
+const struct rst_planner *
+rst_term_planner (const struct rst_term *term)
+{
+  return term->planner;
+}
--- a/src/daemon/term.h
+++ b/src/daemon/term.h
@@ -81,6 +81,9 @@
 /** rst_term_idle() - Whether no change of the store is under way. */
 bool rst_term_idle (const struct rst_term *term);
 
+/** rst_term_planner() - The planner, or NULL until the term is won. */
+const struct rst_planner *rst_term_planner (const struct rst_term *term);
+
 /** rst_term_epoch() - The epoch of the term. */
 int64_t rst_term_epoch (const struct rst_term *term);
 
--- /dev/null
+++ b/src/util/histogram.c
@@ -0,0 +1,25 @@
+#include "util/histogram.h"
+
+/* From one exchange within a zone up to the longest objective. */
+static const int64_t bounds_ms[RST_HISTOGRAM_BOUNDS]
+    = { 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000 };
+
+int64_t
+rst_histogram_bound (int bucket)
+{
+  return bounds_ms[bucket];
+}
+
+void
+rst_histogram_add (struct rst_histogram *histogram, int64_t ms)
+{
+  int bucket = 0;
+
+  if (ms < 0)
+    ms = 0;
+  while (bucket < RST_HISTOGRAM_BOUNDS && ms > bounds_ms[bucket])
+    bucket++;
+  histogram->counts[bucket]++;
+  histogram->total++;
+  histogram->sum_ms += ms;
+}
