Look for a job's tasks until every recorded instance has an owner

The new owner of team3/job118 asked all members of all zones; z1 had none, later one that owned nothing yet, so 'all tasks are accounted for' was concluded at 1708962 and job118.0 started on z2-w9 while it ran on z1-w7. Ruled out: answers on different versions of the record (check_revisions), a late start of the earlier owner. Mend: the search is complete only when each instance in the record belongs to a present member.

--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -1188,6 +1188,16 @@
     ask->consistent = false;
 }
 
+/* An instance without an owner may run tasks that no member knows of. */
+static bool
+all_owned (const struct rst_zone *zone)
+{
+  for (int i = 0; i < zone->owned_count; i++)
+    if (rst_zone_find_member (zone, zone->owned[i].owner) == NULL)
+      return false;
+  return true;
+}
+
 static void
 ask_members (const struct rst_zone *zone, void *userdata)
 {
@@ -1200,6 +1210,8 @@
   message.task_event.job = job->record.name;
   message.task_event.attempt = job->record.generation;
   check_revisions (zone, ask);
+  if (!all_owned (zone))
+    ask->complete = false;
   for (int i = 0; i < zone->member_count; i++)
     {
       const char *incarnation = zone->members[i].incarnation;
