Slow tasks that fill while they disturb tasks that serve

Where both kinds run, looks wait 0.5 s in place of 2 s. A lost order is repeated while a run is slowed. Ruled out: a model per image (amounts change within seconds).

--- a/src/cell/agent.c
+++ b/src/cell/agent.c
@@ -33,6 +33,7 @@
   int64_t clock_ms;
   rst_ms clock_at;
   rst_ms lease_until;
+  rst_ms wait_ms;
   bool looking;
   bool dropped;
   /* Whether the last answer came from the life that the numbers belong to.
@@ -114,13 +115,14 @@
 static void
 pack_run (struct rst_pack *pack, const struct rst_run *run)
 {
-  rst_pack_array (pack, 6);
+  rst_pack_array (pack, 7);
   rst_pack_int (pack, run->number);
   rst_pack_text (pack, run->task);
   rst_pack_int (pack, run->attempt);
   rst_pack_int (pack, run->how);
   rst_pack_text (pack, run->saved);
   rst_pack_int (pack, run->percent);
+  rst_pack_int (pack, run->usage);
 }
 
 static void
@@ -211,7 +213,7 @@
   call.deadline_ms = deadline (held, now);
   /* Ends that wait to be stored would end the wait at once. */
   if (held->same_life && held->listed <= held->last_seen)
-    call.wait_ms = LOOK_WAIT_MS;
+    call.wait_ms = held->wait_ms;
   held->looking = true;
   backend->hold (backend->userdata, &call, on_look, held);
 }
@@ -256,6 +258,7 @@
     {
       held = g_new0 (struct held, 1);
       held->agent = agent;
+      held->wait_ms = LOOK_WAIT_MS;
       g_strlcpy (held->id, id, sizeof held->id);
       g_strlcpy (held->address, address, sizeof held->address);
       g_hash_table_insert (agent->held, held->id, held);
@@ -373,6 +376,62 @@
   g_free (ticket);
 }
 
+/* A lost order on the pace is not answered; the planner repeats it. */
+static void
+on_pace (struct rst_instance_answer *answer, void *userdata)
+{
+  struct order *order = userdata;
+
+  if (answer->result != RST_RESULT_OK)
+    rst_info (LOG_PREFIX, "Order on the pace did not succeed.", "task",
+              order->task, "instance", order->id, "result",
+              rst_result_text (answer->result));
+  rst_instance_answer_free (answer);
+  g_free (order);
+}
+
+static void
+pace (struct rst_agent *agent, struct rst_reader *reader)
+{
+  const struct rst_backend *backend = agent->config.backend;
+  struct order *order = g_new0 (struct order, 1);
+  struct rst_instance_call call = { 0 };
+  const struct held *held;
+
+  order->agent = agent;
+  order->kind = RST_MSG_PACE;
+  rst_reader_copy (reader, order->id, sizeof order->id);
+  rst_reader_copy (reader, order->task, sizeof order->task);
+  call.attempt = (int)rst_reader_int (reader);
+  call.percent = (int)rst_reader_int (reader);
+  held = g_hash_table_lookup (agent->held, order->id);
+  if (held == NULL || reader->bad)
+    {
+      g_free (order);
+      return;
+    }
+  call.id = held->id;
+  call.address = held->address;
+  call.fence = held->fence;
+  call.task = order->task;
+  call.paces = true;
+  backend->pace (backend->userdata, &call, on_pace, order);
+}
+
+static void
+set_wait (struct rst_agent *agent, struct rst_reader *reader)
+{
+  char id[RST_ID_SIZE];
+  struct held *held;
+  int64_t wait_ms;
+
+  rst_reader_copy (reader, id, sizeof id);
+  wait_ms = rst_reader_int (reader);
+  held = g_hash_table_lookup (agent->held, id);
+  if (held != NULL && !reader->bad)
+    held->wait_ms = CLAMP (wait_ms, 1, LOOK_WAIT_MS);
+}
+
 static void
 on_advice (struct rst_advice_answer *answer, void *userdata)
 {
@@ -441,6 +500,12 @@
     case RST_MSG_ACK:
       ack (agent, reader);
       break;
+    case RST_MSG_PACE:
+      pace (agent, reader);
+      break;
+    case RST_MSG_WATCH:
+      set_wait (agent, reader);
+      break;
     case RST_MSG_ADVISE:
       ask (agent, reader);
       break;
--- a/src/cell/backend.h
+++ b/src/cell/backend.h
@@ -125,6 +125,8 @@
  * @how: How it ended; a value of enum rst_end.
  * @saved: Last checkpoint, or "".
  * @percent: Progress while it runs.
+ * @usage: Over the last half second while it runs: response time of a run
+ *   that serves, in milliseconds; processors of any other, in thousandths.
  */
 struct rst_run
 {
@@ -134,6 +136,7 @@
   int how;
   char saved[RST_TOKEN_SIZE];
   int percent;
+  int64_t usage;
 };
 
 /**
@@ -189,6 +192,8 @@
  * @deadline_ms: End of the lease on the instance's clock; 0 to leave it.
  * @last_seen: Ends up to this number are stored and may be forgotten.
  * @wait_ms: How long a look may wait for an end.
+ * @paces: Whether @percent is meant.
+ * @percent: The share of its full pace at which a run may work.
  */
 struct rst_instance_call
 {
@@ -203,6 +208,8 @@
   int64_t deadline_ms;
   int64_t last_seen;
   int64_t wait_ms;
+  bool paces;
+  int percent;
 };
 
 /**
@@ -249,6 +256,7 @@
  * @hold: Looks at an instance and extends its lease.
  * @start: Starts a run.
  * @stop: Stops a run, present or still to come.
+ * @pace: Sets how fast a run may work.
  * @advise: Asks which of @ids may run a step.
  * @userdata: Passed to each.
  */
@@ -268,6 +276,8 @@
                  rst_instance_done done, void *done_data);
   void (*stop) (void *userdata, const struct rst_instance_call *call,
                 rst_instance_done done, void *done_data);
+  void (*pace) (void *userdata, const struct rst_instance_call *call,
+                rst_instance_done done, void *done_data);
   void (*advise) (void *userdata, const char *step, const char *const *ids,
                   int count, rst_advice_done done, void *done_data);
   void *userdata;
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -18,6 +18,8 @@
  * @RST_MSG_START: id, task, attempt, spec, checkpoint, ticket.
  * @RST_MSG_STOP: id, task, attempt.
  * @RST_MSG_ACK: id, number of the last stored end.
+ * @RST_MSG_PACE: id, task, attempt, hundredths; how fast a run may work.
+ * @RST_MSG_WATCH: id, milliseconds; how long looks may wait for an end.
  * @RST_MSG_ADVISE: handle, step, ids.
  * @RST_MSG_REPORT: id, result, clock, birth, lease left, runs.
  * @RST_MSG_STARTED: id, task, attempt, result, clock.
@@ -45,6 +47,8 @@
   RST_MSG_CALL,
   RST_MSG_REPLY,
   RST_MSG_ALIVE,
+  RST_MSG_PACE,
+  RST_MSG_WATCH,
 };
 
 /**
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -104,9 +104,9 @@
   rst_pack_clear (&pack);
 }
 
-static void
-send_id (struct rst_planner *planner, struct instance *instance, int kind,
-         int64_t number)
+void
+rst_plan_send_id (struct rst_planner *planner, struct instance *instance,
+                  int kind, int64_t number)
 {
   struct rst_pack pack;
 
@@ -141,13 +141,14 @@
   if (instance->agent != NULL)
     {
       instance->agent->held--;
-      send_id (planner, instance, RST_MSG_DROP, 0);
+      rst_plan_send_id (planner, instance, RST_MSG_DROP, 0);
       set_unknown (planner, instance);
     }
   instance->agent = agent;
   if (agent == NULL)
     return;
   agent->held++;
+  instance->look_ms = 0;
   send_hold (planner, instance);
 }
 
@@ -337,6 +338,7 @@
   run.how = (int)rst_reader_int (&row);
   rst_reader_copy (&row, run.saved, sizeof run.saved);
   run.percent = (int)rst_reader_int (&row);
+  run.usage = rst_reader_int (&row);
   reader->bad |= row.bad;
   return run;
 }
@@ -404,6 +406,7 @@
   if (listed->percent != run->percent)
     run->moved_at = planner->now;
   run->percent = listed->percent;
+  run->usage = listed->usage;
   if (listed->saved[0] != '\0' && run->task->step->spec->saves)
     {
       g_strlcpy (run->task->saved, listed->saved, sizeof run->task->saved);
@@ -462,6 +465,7 @@
         }
     }
   drop_missing (planner, instance, listed, clock_ms);
+  rst_plan_pace (planner, instance);
   g_hash_table_destroy (listed);
 }
 
@@ -602,6 +606,6 @@
       if (instance->committing <= instance->acked)
         continue;
       instance->acked = instance->committing;
-      send_id (planner, instance, RST_MSG_ACK, instance->acked);
+      rst_plan_send_id (planner, instance, RST_MSG_ACK, instance->acked);
     }
 }
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "cell/pace.h"
 #include "cell/planner_private.h"
 
 /** Time between two stop orders for one run, in milliseconds. */
@@ -53,6 +54,7 @@
   run->attempt = attempt;
   run->ordered_at = planner->now;
   run->moved_at = planner->now;
+  run->pace = RST_PACE_FULL;
   run->customer = job->customer;
   task->run = run;
   task->attempt = MAX (task->attempt, attempt);
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -3,7 +3,8 @@
  *
  * plan_jobs.c: callers' calls, jobs and their steps.  plan_instances.c:
  * instances, agents and reports.  plan_runs.c: single runs, from order to end.
- * plan_place.c: which waiting task goes where.  plan_limit.c: upper
+ * plan_place.c: which waiting task goes where.  plan_pace.c: pace of
+ * tasks that fill.  plan_limit.c: upper
  * limits of customers.  plan_advice.c: whom to ask for which step.
  * plan_journal.c: records in the store, plan_restore.c: reading them.
  */
@@ -74,6 +75,8 @@
   rst_ms avoid_until;
   rst_ms gone_at;
   rst_ms next_hold;
+  /* How long the agent's looks wait; 0 until it was told. */
+  int64_t look_ms;
   int failures;
   int refusals;
 };
@@ -105,6 +108,11 @@
   bool assumed;
   int percent;
   rst_ms moved_at;
+  /* Response time in ms of a run that serves, else processors in use. */
+  int64_t usage;
+  /* Hundredths at which a run that fills may work. */
+  int pace;
+  rst_ms paced_at;
   struct customer *customer;
 };
 
@@ -307,6 +315,8 @@
 void rst_plan_acks (struct rst_planner *planner);
 bool rst_plan_usable (const struct rst_planner *planner,
                       const struct instance *instance);
+void rst_plan_send_id (struct rst_planner *planner, struct instance *instance,
+                       int kind, int64_t number);
 
 /* plan_runs.c */
 void rst_plan_run_free (gpointer data);
@@ -339,6 +349,9 @@
                     int slots);
 void rst_plan_objective (struct step *step);
 
+/* plan_pace.c */
+void rst_plan_pace (struct rst_planner *planner, struct instance *instance);
+
 /* plan_limit.c */
 bool rst_plan_below_limit (const struct step *step, int tasks);
 void rst_plan_count_unsure (struct rst_planner *planner);
--- a/src/daemon/cell_loop.c
+++ b/src/daemon/cell_loop.c
@@ -317,6 +317,16 @@
                        instance_event (loop, done, done_data));
 }
 
+static void
+pace (void *userdata, const struct rst_instance_call *call,
+      rst_instance_done done, void *done_data)
+{
+  struct rst_cell_loop *loop = userdata;
+
+  loop->backend->pace (loop->backend->userdata, call, on_instance,
+                       instance_event (loop, done, done_data));
+}
+
 static void
 advise (void *userdata, const char *step, const char *const *ids, int count,
         rst_advice_done done, void *done_data)
@@ -335,7 +345,7 @@
 {
   struct rst_backend table
       = { store_get, store_range, store_watch, store_commit, hold,
-          start,     stop,        advise,      loop };
+          start,     stop,        pace,        advise,       loop };
 
   loop->backend = backend;
   loop->posted = table;
--- a/test/unit/adapter_test.cc
+++ b/test/unit/adapter_test.cc
@@ -50,6 +50,21 @@
   free (body);
 }
 
+TEST (Adapter, WritesAPaceOfNothingToo)
+{
+  rst_instance_call call = {};
+
+  call.fence = 3;
+  call.task = "t";
+  call.attempt = 2;
+  call.paces = true;
+  char *body = rst_platform_order_body (&call);
+
+  EXPECT_STREQ (body, "{\"fencing_token\":3,\"task\":\"t\",\"attempt\":2,"
+                      "\"percent\":0}");
+  free (body);
+}
+
 TEST (Adapter, ReadsListsOfRuns)
 {
   rst_instance_answer *answer = rst_instance_answer_new ();
@@ -69,6 +84,7 @@
   EXPECT_STREQ (first.task, "t1");
   EXPECT_EQ (first.number, 0);
   EXPECT_EQ (first.percent, 41);
+  EXPECT_EQ (first.usage, 7);
   EXPECT_EQ (second.number, 58);
   EXPECT_EQ (second.how, RST_END_FAILED);
   EXPECT_STREQ (second.saved, "d");
--- a/test/unit/agent_test.cc
+++ b/test/unit/agent_test.cc
@@ -42,6 +42,13 @@
       static_cast<Agent *> (userdata)->calls.push_back (
           AgentCall{ false, call->deadline_ms, 0, 0, done, data });
     };
+    backend.pace = [] (void *userdata, const rst_instance_call *call,
+                       rst_instance_done done, void *data) {
+      auto *self = static_cast<Agent *> (userdata);
+
+      self->paces.push_back (call->percent);
+      self->calls.push_back (AgentCall{ false, 0, 0, 0, done, data });
+    };
     config.backend = &backend;
     config.now = [] { return agent_now; };
     config.send = [] (void *userdata, const void *data, size_t length) {
@@ -117,6 +124,7 @@
   rst_agent *agent = nullptr;
   std::vector<AgentCall> calls;
   std::vector<int> kinds;
+  std::vector<int> paces;
 };
 
 TEST_F (Agent, LooksAtOnceThenWaitsWithALease)
@@ -131,6 +139,28 @@
   EXPECT_EQ (calls[0].deadline, 5000 + 5900);
 }
 
+TEST_F (Agent, CarriesThePaceOfARunToAnInstanceThatItHolds)
+{
+  message (RST_MSG_PACE, { "i", "t" }, { 1, 40 });
+  EXPECT_TRUE (paces.empty ());
+  hold ();
+  answer (RST_RESULT_OK, 5000, 1);
+  message (RST_MSG_PACE, { "i", "t" }, { 1, 40 });
+  ASSERT_EQ (paces.size (), 1u);
+  EXPECT_EQ (paces[0], 40);
+}
+
+TEST_F (Agent, LetsLooksWaitAsLongAsThePlannerSays)
+{
+  hold ();
+  answer (RST_RESULT_OK, 5000, 1);
+  EXPECT_EQ (calls[0].wait, 2000);
+  message (RST_MSG_WATCH, { "i" }, { 500 });
+  answer (RST_RESULT_OK, 7000, 1);
+  ASSERT_EQ (calls.size (), 1u);
+  EXPECT_EQ (calls[0].wait, 500);
+}
+
 TEST_F (Agent, WaitsForTheStoreBeforeItLooksAgain)
 {
   hold ();
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -149,13 +149,14 @@
     rst_pack_array (&pack, runs.size ());
     for (const rst_run &run : runs)
       {
-        rst_pack_array (&pack, 6);
+        rst_pack_array (&pack, 7);
         rst_pack_int (&pack, run.number);
         rst_pack_text (&pack, run.task);
         rst_pack_int (&pack, run.attempt);
         rst_pack_int (&pack, run.how);
         rst_pack_text (&pack, run.saved);
         rst_pack_int (&pack, run.percent);
+        rst_pack_int (&pack, run.usage);
       }
     deliver (link, RST_MSG_REPORT, &pack);
   }
@@ -345,7 +346,8 @@
     char *id = rst_reader_text (&reader);
     message.id = id;
     g_free (id);
-    if (message.kind == RST_MSG_START || message.kind == RST_MSG_STOP)
+    if (message.kind == RST_MSG_START || message.kind == RST_MSG_STOP
+        || message.kind == RST_MSG_PACE)
       {
         char *task = rst_reader_text (&reader);
 
--- /dev/null
+++ b/test/unit/pace_test.cc
@@ -0,0 +1,105 @@
+// Tasks that fill beside tasks that serve: load that rises and falls.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "cell_harness.h"
+
+extern "C"
+{
+#include "cell/pace.h"
+}
+
+using harness::Planner;
+
+static const char *const serving = "00000000000000aa";
+static const char *const filling = "00000000000000bb";
+static const std::string serving_task = "00000000000000aa.0.0.0";
+static const std::string filling_task = "00000000000000bb.0.0.0";
+
+TEST (Pace, StopsAtTheBoundHalvesNearItAndReturnsSlowly)
+{
+  EXPECT_EQ (rst_pace_next (100, 100), 0);
+  EXPECT_EQ (rst_pace_next (100, 80), 50);
+  EXPECT_EQ (rst_pace_next (50, 70), 50);
+  EXPECT_EQ (rst_pace_next (0, 59), 10);
+  EXPECT_EQ (rst_pace_next (95, 0), 100);
+}
+
+// One task that serves with a bound of 50 ms and one that fills beside it.
+class PacedCell : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    rst_jobdesc *serves = Planner::job (1, 1000);
+    rst_jobdesc *fills = Planner::job (1, 1000);
+
+    serves->steps[0].lasting = true;
+    serves->steps[0].target_ms = 50;
+    fills->steps[0].fills = true;
+    cell.begin (1);
+    cell.call (7, RST_OPERATION_SUBMIT, serving, serves);
+    cell.call (8, RST_OPERATION_SUBMIT, filling, fills);
+    cell.settle ();
+    cell.sent.clear ();
+  }
+
+  // What the instance lists; @tail_ms is the serving task's response time.
+  void
+  report (int64_t tail_ms)
+  {
+    rst_run serves = Planner::running (serving_task, 1);
+    rst_run fills = Planner::running (filling_task, 1);
+
+    serves.usage = tail_ms;
+    serves.percent = 100;
+    fills.usage = 900;
+    cell.pass (RST_PACE_EVERY_MS);
+    cell.report (1, "i-0", { serves, fills });
+  }
+
+  int
+  paces () const
+  {
+    return (int)cell.of_kind (RST_MSG_PACE).size ();
+  }
+
+  Planner cell;
+};
+
+TEST_F (PacedCell, LooksMoreOftenWhereBothKindsRun)
+{
+  report (10);
+  ASSERT_EQ (cell.of_kind (RST_MSG_WATCH).size (), 1u);
+  EXPECT_EQ (cell.of_kind (RST_MSG_WATCH)[0].number, 500);
+  EXPECT_EQ (paces (), 0);
+}
+
+TEST_F (PacedCell, SlowsWhatFillsWhileItDisturbs)
+{
+  report (60);
+  ASSERT_EQ (paces (), 1);
+  EXPECT_EQ (cell.of_kind (RST_MSG_PACE)[0].task, filling_task);
+  // The order may have been lost: it is repeated.
+  report (60);
+  EXPECT_EQ (paces (), 2);
+}
+
+TEST_F (PacedCell, DoesNotTakeASlowedRunForAStuckOne)
+{
+  for (int i = 0; i < 12; i++)
+    report (60);
+  EXPECT_TRUE (cell.of_kind (RST_MSG_STOP).empty ());
+}
+
+TEST_F (PacedCell, LetsItWorkAgainStepByStepAndThenSaysNothing)
+{
+  report (60);
+  for (int i = 0; i < 10; i++)
+    report (10);
+  EXPECT_EQ (paces (), 11);
+  report (10);
+  EXPECT_EQ (paces (), 11);
+}
