--- /dev/null
+++ b/src/coordination/entry_message.c
@@ -0,0 +1,129 @@
+/* What schedulers say. */
+#include "coordination/entry_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+#define LOG_PREFIX "route"
+
+static void
+take_hello (struct rst_entry *entry, struct scheduler_peer *peer,
+            const struct rst_hello *hello)
+{
+  (void)entry;
+  peer->known = hello->role == RST_ROLE_SCHEDULER;
+  g_strlcpy (peer->incarnation, hello->incarnation, RST_NAME_SIZE);
+  g_strlcpy (peer->zone, hello->zone, RST_NAME_SIZE);
+  g_strlcpy (peer->address, hello->address, RST_ADDRESS_SIZE);
+}
+
+static void
+take_branch (struct rst_entry *entry, const struct rst_branch_message *branch)
+{
+  GString *problems = g_string_new ("");
+  int error
+      = rst_settings_apply (entry->settings, branch->key, branch->revision,
+                            branch->value.data, problems);
+  char revision[24];
+
+  g_snprintf (revision, sizeof revision, "%" G_GUINT64_FORMAT,
+              branch->revision);
+  if (error == RST_STATE_OK)
+    {
+      /* The schedulers report what this entry has in force. */
+      entry->digest_next_at = 0;
+      rst_info ("settings", "Branch is in force.", "key", branch->key,
+                "revision", revision);
+    }
+  else if (error == RST_STATE_INVALID)
+    rst_warning ("settings", "Branch was refused.", "key", branch->key,
+                 "problem", g_strchomp (problems->str));
+  g_string_free (problems, TRUE);
+}
+
+static void
+take_answer (struct rst_entry *entry, uint64_t link,
+             const struct rst_message *message)
+{
+  struct pending *pending = g_hash_table_lookup (entry->pending, &message->id);
+  const struct rst_answer *said = &message->answer;
+  struct rst_entry_reply reply = { 0 };
+
+  /* A late answer, or one to another request, reaches nobody. */
+  if (pending == NULL || pending->link != link
+      || pending->message.type != RST_QUERY)
+    return;
+  if (said->outcome == RST_NOT_RUN && said->status == 503
+      && rst_entry_retry (entry, pending))
+    return;
+  if (said->outcome != RST_ANSWERED)
+    {
+      rst_entry_end_refused (entry, pending, (unsigned)said->status,
+                             said->outcome, said->reason, said->detail);
+      return;
+    }
+  reply.status = (unsigned)said->status;
+  reply.body = said->body.data;
+  reply.length = RST_FAULT (RST_FAULT_CUT_ANSWER) ? said->body.length / 2
+                                                  : said->body.length;
+  rst_entry_count_outcome (entry, RST_ANSWERED);
+  entry->answer (pending->handle, &reply);
+  rst_entry_forget_pending (entry, pending);
+}
+
+static void
+take_job_reply (struct rst_entry *entry, uint64_t link,
+                const struct rst_message *message)
+{
+  struct pending *pending = g_hash_table_lookup (entry->pending, &message->id);
+  struct rst_entry_reply reply = { 0 };
+
+  if (pending == NULL || pending->link != link
+      || pending->message.type != RST_JOB_CALL)
+    return;
+  reply.status = (unsigned)message->job_reply.status;
+  reply.body = message->job_reply.body.data;
+  reply.length = message->job_reply.body.length;
+  reply.retry_after_s = reply.status == 503 ? 1 : 0;
+  rst_entry_count_outcome (entry, reply.status < 300   ? RST_ANSWERED
+                                  : reply.status < 504 ? RST_NOT_RUN
+                                                       : RST_UNKNOWN);
+  entry->answer (pending->handle, &reply);
+  rst_entry_forget_pending (entry, pending);
+}
+
+void
+rst_entry_message (struct rst_entry *entry, uint64_t link,
+                   const struct rst_message *message)
+{
+  struct scheduler_peer *peer = rst_entry_peer_by_link (entry, link);
+
+  if (peer == NULL)
+    return;
+  peer->heard_at = rst_entry_entry_now (entry);
+  switch (message->type)
+    {
+    case RST_HELLO:
+      take_hello (entry, peer, &message->hello);
+      break;
+    case RST_BRANCH:
+      take_branch (entry, &message->branch);
+      break;
+    case RST_LOAD:
+      peer->load = message->load;
+      peer->load.incarnation = NULL;
+      peer->load.zone = NULL;
+      peer->has_load = true;
+      peer->sent_since_load = 0;
+      break;
+    case RST_ANSWER:
+      take_answer (entry, link, message);
+      break;
+    case RST_JOB_REPLY:
+      take_job_reply (entry, link, message);
+      break;
+    default:
+      break;
+    }
+}
--- /dev/null
+++ b/src/coordination/entry_request.c
@@ -0,0 +1,200 @@
+/* Taking requests of callers. */
+#include "coordination/entry_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+#define LOG_PREFIX "route"
+
+/** Deadline of a request that names none. */
+#define DEFAULT_DEADLINE_MS 10000
+
+/** Time after the deadline at which the outcome is given up. */
+#define DEADLINE_GRACE_MS 1000
+
+/** Bound on a call about jobs. */
+#define JOB_CALL_MS 10000
+
+/** Word before the key in the Authorization header. */
+#define BEARER "Bearer "
+
+static const struct rst_team *
+team_of (const struct rst_entry *entry, const char *authorization)
+{
+  if (authorization == NULL || !g_str_has_prefix (authorization, BEARER))
+    return NULL;
+  if (RST_FAULT (RST_FAULT_WITHDRAWN_KEY))
+    {
+      char **parts = g_strsplit (authorization + strlen (BEARER), "/", 2);
+      const struct rst_team *team
+          = rst_settings_team (entry->settings, parts[0]);
+
+      g_strfreev (parts);
+      return team;
+    }
+  return rst_settings_key_team (entry->settings,
+                                authorization + strlen (BEARER));
+}
+
+/* Reads the headers of a query.  Returns the problem, or NULL. */
+static const char *
+read_headers (const struct rst_entry_request *request, struct rst_query *out,
+              rst_ms *deadline_ms)
+{
+  guint64 number;
+
+  if (request->idempotent != NULL && strcmp (request->idempotent, "true") != 0
+      && strcmp (request->idempotent, "false") != 0)
+    return "X-Idempotent: must be true or false";
+  out->idempotent = request->idempotent != NULL
+                    && strcmp (request->idempotent, "true") == 0;
+  if (request->urgency != NULL && strcmp (request->urgency, "urgent") != 0
+      && strcmp (request->urgency, "normal") != 0)
+    return "X-Urgency: must be urgent or normal";
+  out->urgent
+      = request->urgency != NULL && strcmp (request->urgency, "urgent") == 0;
+  if (request->request_id != NULL
+      && (request->request_id[0] == '\0'
+          || strlen (request->request_id) >= RST_NAME_SIZE))
+    return "Idempotency-Key: must have 1 to 63 bytes";
+  *deadline_ms = DEFAULT_DEADLINE_MS;
+  if (request->deadline_ms == NULL)
+    return NULL;
+  if (!g_ascii_string_to_unsigned (request->deadline_ms, 10, 1, INT32_MAX,
+                                   &number, NULL))
+    return "X-Deadline-Ms: must be a whole number of milliseconds";
+  *deadline_ms = (rst_ms)number;
+  return NULL;
+}
+
+static struct pending *
+add_pending (struct rst_entry *entry, void *handle, rst_ms deadline_ms)
+{
+  struct pending *pending = g_new0 (struct pending, 1);
+
+  pending->id = ++entry->next_id;
+  pending->handle = handle;
+  pending->deadline = rst_entry_entry_now (entry) + deadline_ms;
+  pending->give_up_at = pending->deadline + DEADLINE_GRACE_MS;
+  g_hash_table_insert (entry->pending, &pending->id, pending);
+  return pending;
+}
+
+static void
+take_query (struct rst_entry *entry, void *handle,
+            const struct rst_entry_request *request,
+            const struct rst_team *team)
+{
+  struct rst_query query = { 0 };
+  struct pending *pending;
+  rst_ms deadline_ms;
+  const char *problem = read_headers (request, &query, &deadline_ms);
+  rst_ms bound = rst_settings_cell (entry->settings)->max_deadline_ms;
+
+  if (problem != NULL)
+    {
+      rst_entry_answer_refusal (entry, handle, 400, RST_NOT_RUN, "bad-request",
+                                problem);
+      return;
+    }
+  pending = add_pending (entry, handle, MIN (deadline_ms, bound));
+  query.team
+      = g_strdup (RST_FAULT (RST_FAULT_WRONG_TEAM) ? "team0" : team->name);
+  query.keyed = request->request_id != NULL;
+  query.request_id = query.keyed
+                         ? g_strdup (request->request_id)
+                         : g_strdup_printf (
+                             "%s-%08x-%" G_GUINT64_FORMAT, entry->config.name,
+                             g_rand_int (entry->random), pending->id);
+  rst_blob_set (&query.body, request->body, request->length);
+  pending->message.type = RST_QUERY;
+  pending->message.query = query;
+  rst_budget_earn (&entry->retry_budget);
+  rst_entry_route_query (entry, pending);
+}
+
+/* The id of a submitted job, from its body or made here. */
+static char *
+job_id (struct rst_entry *entry, const struct rst_entry_request *request)
+{
+  struct json_object *root;
+  char *id = NULL;
+
+  if (request->operation != RST_JOB_SUBMIT)
+    return g_strdup (request->job != NULL ? request->job : "");
+  root = rst_json_parse (request->body);
+  if (rst_json_text (root, "id") != NULL)
+    id = g_strdup (rst_json_text (root, "id"));
+  json_object_put (root);
+  if (id == NULL && request->request_id != NULL)
+    id = g_strdup (request->request_id);
+  if (id == NULL)
+    id = g_strdup_printf ("job-%08x%08x", g_rand_int (entry->random),
+                          g_rand_int (entry->random));
+  return id;
+}
+
+static void
+take_job (struct rst_entry *entry, void *handle,
+          const struct rst_entry_request *request, const struct rst_team *team)
+{
+  struct rst_job_call *call;
+  struct pending *pending;
+  char *id = job_id (entry, request);
+  bool listed = request->operation == RST_JOB_LIST;
+
+  if (!listed
+      && (strlen (id) == 0 || strlen (id) > RST_JOB_ID_MAX
+          || strspn (id, G_CSET_A_2_Z G_CSET_a_2_z G_CSET_DIGITS "-_.")
+                 != strlen (id)))
+    {
+      rst_entry_answer_refusal (
+          entry, handle, 400, RST_NOT_RUN, "bad-request",
+          "id: must have 1 to 36 letters, digits, '-', '_', '.'");
+      g_free (id);
+      return;
+    }
+  pending = add_pending (entry, handle, JOB_CALL_MS);
+  pending->message.type = RST_JOB_CALL;
+  call = &pending->message.job_call;
+  call->operation = request->operation;
+  call->team = g_strdup (team->name);
+  call->job = id;
+  call->state = g_strdup (request->state != NULL ? request->state : "");
+  rst_blob_set (&call->body, request->body, request->length);
+  rst_entry_route_job (entry, pending);
+}
+
+void
+rst_entry_request (struct rst_entry *entry, void *handle,
+                   const struct rst_entry_request *request)
+{
+  const struct rst_team *team;
+
+  entry->counters.requests++;
+  if (entry->stopping || rst_settings_newest (entry->settings) == 0)
+    {
+      rst_entry_answer_refusal (entry, handle, 503, RST_NOT_RUN, "not-ready",
+                                "this entry takes no requests now");
+      return;
+    }
+  team = team_of (entry, request->key);
+  if (team == NULL)
+    {
+      entry->counters.unauthorized++;
+      rst_entry_answer_refusal (entry, handle, 401, RST_NOT_RUN,
+                                "unauthorized", "Authorization: no valid key");
+      return;
+    }
+  if (rst_entry_pending (entry) >= entry->config.max_pending)
+    {
+      rst_entry_answer_refusal (entry, handle, 429, RST_NOT_RUN, "overload",
+                                "too many requests are waiting here");
+      return;
+    }
+  if (request->operation == 0)
+    take_query (entry, handle, request, team);
+  else
+    take_job (entry, handle, request, team);
+}
--- /dev/null
+++ b/src/coordination/entry_send.c
@@ -0,0 +1,187 @@
+/* Which scheduler a request goes to. */
+#include "coordination/entry_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+#define LOG_PREFIX "route"
+
+/** Most attempts of one request. */
+#define ATTEMPTS_MAX 3
+
+/** A link that was silent for longer is not proven alive. */
+#define LINK_PROVEN_MS 1500
+
+static bool
+is_candidate (const struct rst_entry *entry, const struct scheduler_peer *peer,
+              const struct pending *pending)
+{
+  bool proven = rst_entry_entry_now (entry) - peer->heard_at <= LINK_PROVEN_MS;
+
+  bool query = pending->message.type == RST_QUERY;
+
+  if (!peer->known || !peer->open || !peer->has_load || !peer->load.ready
+      || peer->link == pending->link || (query && peer->load.slots_total == 0)
+      || rst_settings_zone_out (entry->settings, peer->zone))
+    return false;
+  return proven || (query && pending->message.query.idempotent);
+}
+
+static int64_t
+room_at (const struct scheduler_peer *peer)
+{
+  return (int64_t)peer->load.slots_free - (int64_t)peer->load.queued
+         - peer->sent_since_load;
+}
+
+/* Whether @a is a better place than @b; room in the own zone comes first. */
+static bool
+is_better (const struct rst_entry *entry, const struct scheduler_peer *a,
+           const struct scheduler_peer *b)
+{
+  int64_t room_a = room_at (a);
+  int64_t room_b = room_at (b);
+  bool own_a = strcmp (a->zone, entry->config.zone) == 0 && room_a > 0;
+  bool own_b = strcmp (b->zone, entry->config.zone) == 0 && room_b > 0;
+
+  if (own_a != own_b)
+    return own_a;
+  return room_a > room_b;
+}
+
+static struct scheduler_peer *
+choose_scheduler (struct rst_entry *entry, const struct pending *pending)
+{
+  struct scheduler_peer *best = NULL;
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, entry->peers);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct scheduler_peer *peer = value;
+
+      if (is_candidate (entry, peer, pending)
+          && (best == NULL || is_better (entry, peer, best)))
+        best = peer;
+    }
+  return best;
+}
+
+static void
+collect_members (const struct rst_zone *zone, void *userdata)
+{
+  GPtrArray *names = userdata;
+
+  for (int i = 0; i < zone->member_count; i++)
+    g_ptr_array_add (names, (gpointer)zone->members[i].incarnation);
+}
+
+/* The scheduler that keeps the record of a request or job: the same for
+   every entry that holds the same ownership records. */
+static struct scheduler_peer *
+home_scheduler (struct rst_entry *entry, const char *team, const char *id)
+{
+  GPtrArray *names = g_ptr_array_new ();
+  char *key = g_strdup_printf ("%s/%s", team, id);
+  struct scheduler_peer *home = NULL;
+  GHashTableIter iterator;
+  gpointer value;
+  int pick;
+
+  rst_settings_records (entry->settings, collect_members, names);
+  pick = rst_rendezvous (key, (const char *const *)names->pdata,
+                         (int)names->len);
+  g_hash_table_iter_init (&iterator, entry->peers);
+  while (pick >= 0 && g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct scheduler_peer *peer = value;
+
+      if (peer->known && peer->open
+          && strcmp (peer->incarnation, names->pdata[pick]) == 0)
+        home = peer;
+    }
+  g_free (key);
+  g_ptr_array_free (names, TRUE);
+  return home;
+}
+
+static void
+log_routed (const struct rst_entry *entry, const struct pending *pending,
+            const struct scheduler_peer *peer, const char *reason)
+{
+  const struct rst_message *message = &pending->message;
+  bool query = message->type == RST_QUERY;
+
+  (void)entry;
+  rst_info (LOG_PREFIX, "Request routed.", "request",
+            query ? message->query.request_id : message->job_call.job, "team",
+            query ? message->query.team : message->job_call.team, "zone",
+            peer->zone, "scheduler", peer->incarnation, "reason", reason);
+}
+
+static bool
+send_to (struct rst_entry *entry, struct pending *pending,
+         struct scheduler_peer *peer, const char *reason)
+{
+  struct rst_message message = pending->message;
+
+  message.id = pending->id;
+  if (message.type == RST_QUERY)
+    message.query.deadline_ms
+        = (uint64_t)MAX (pending->deadline - rst_entry_entry_now (entry), 1);
+  if (!entry->links->send (entry->links_data, peer->link, &message))
+    return false;
+  pending->link = peer->link;
+  pending->attempts++;
+  peer->sent_since_load++;
+  log_routed (entry, pending, peer, reason);
+  return true;
+}
+
+void
+rst_entry_route_query (struct rst_entry *entry, struct pending *pending)
+{
+  struct scheduler_peer *peer;
+  bool keyed = pending->message.query.keyed;
+
+  if (keyed)
+    peer = home_scheduler (entry, pending->message.query.team,
+                           pending->message.query.request_id);
+  else
+    peer = choose_scheduler (entry, pending);
+  if (peer == NULL
+      || !send_to (entry, pending, peer, keyed ? "home" : "most-room"))
+    rst_entry_end_refused (entry, pending, 503, RST_NOT_RUN, "no-scheduler",
+                           "no scheduler can take the request now");
+}
+
+void
+rst_entry_route_job (struct rst_entry *entry, struct pending *pending)
+{
+  const struct rst_job_call *call = &pending->message.job_call;
+  struct scheduler_peer *peer
+      = call->operation == RST_JOB_LIST
+            ? choose_scheduler (entry, pending)
+            : home_scheduler (entry, call->team, call->job);
+
+  if (peer == NULL || !send_to (entry, pending, peer, "home"))
+    rst_entry_end_refused (entry, pending, 503, RST_NOT_RUN, "no-scheduler",
+                           "the job's scheduler cannot be reached now");
+}
+
+/* Tries a request again that did not run, or that may run twice. */
+bool
+rst_entry_retry (struct rst_entry *entry, struct pending *pending)
+{
+  if (pending->message.type != RST_QUERY || pending->message.query.keyed
+      || pending->attempts >= ATTEMPTS_MAX || entry->stopping
+      || rst_entry_entry_now (entry) >= pending->deadline
+      || choose_scheduler (entry, pending) == NULL
+      || !rst_budget_spend (&entry->retry_budget))
+    return false;
+  entry->counters.retries++;
+  rst_entry_route_query (entry, pending);
+  return true;
+}
--- a/src/coordination/sched_member.c
+++ b/src/coordination/sched_member.c
@@ -5,7 +5,7 @@
  * of its own that arbitrates its tenure, and its entry in the ownership
  * record.  docs/OWNERSHIP.md gives the argument why no two owners arise.
  */
-#include "coordination/scheduler_private.h"
+#include "coordination/sched_member_private.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -15,20 +15,17 @@
 /** Renewals in one time to live of the lease. */
 #define RENEWALS_PER_LEASE 3
 
-/** Head start of each rank when several may end a tenure. */
-#define TAKEOVER_RANK_MS 400
-
-static void resolve_register (struct rst_scheduler *sched);
-
-static char *
-alive_key (const struct rst_scheduler *sched, const char *incarnation)
+char *
+sched_member_alive_key (const struct rst_scheduler *sched,
+                        const char *incarnation)
 {
   return g_strdup_printf ("shared/alive/%s/%s", sched->config.zone,
                           incarnation);
 }
 
-static char *
-register_key (const struct rst_scheduler *sched, const char *incarnation)
+char *
+sched_member_register_key (const struct rst_scheduler *sched,
+                           const char *incarnation)
 {
   return g_strdup_printf ("members/%s/%s", sched->config.zone, incarnation);
 }
@@ -108,8 +105,6 @@
   sched->load_changed = true;
 }
 
-/* ---- Own register ------------------------------------------------------ */
-
 static char *
 members_text (const struct rst_zone *zone)
 {
@@ -184,7 +179,7 @@
 static void
 resolve_register (struct rst_scheduler *sched)
 {
-  char *key = register_key (sched, sched->incarnation);
+  char *key = sched_member_register_key (sched, sched->incarnation);
 
   sched->counters.store_reads++;
   sched->platform->store_get (sched->platform_data, key, on_register_read,
@@ -228,7 +223,7 @@
   g_strlcpy (record.incarnation, sched->incarnation, RST_NAME_SIZE);
   record.view = sched->declaring_view;
   record.touch = ++sched->touch;
-  key = register_key (sched, sched->incarnation);
+  key = sched_member_register_key (sched, sched->incarnation);
   text = rst_member_record_format (&record);
   sched->counters.store_writes++;
   sched->platform->store_put (sched->platform_data, key, text,
@@ -238,8 +233,6 @@
   g_free (key);
 }
 
-/* ---- Lease ------------------------------------------------------------- */
-
 static void
 session_retry (struct rst_scheduler *sched)
 {
@@ -284,7 +277,7 @@
 static void
 put_alive (struct rst_scheduler *sched)
 {
-  char *key = alive_key (sched, sched->incarnation);
+  char *key = sched_member_alive_key (sched, sched->incarnation);
 
   sched->counters.store_writes++;
   sched->platform->store_put (sched->platform_data, key, "{}",
@@ -355,8 +348,6 @@
     }
 }
 
-/* ---- Ownership record -------------------------------------------------- */
-
 static bool
 add_self (struct rst_scheduler *sched, struct rst_zone *zone, void *data)
 {
@@ -379,8 +370,8 @@
               sched->incarnation);
 }
 
-static bool
-lease_held (const struct rst_scheduler *sched)
+bool
+sched_member_lease_held (const struct rst_scheduler *sched)
 {
   return sched->session == SESSION_CONFIRMED;
 }
@@ -390,7 +381,7 @@
 {
   const struct rst_zone *zone = sched_zone (sched);
 
-  if (sched->stopping || !lease_held (sched))
+  if (sched->stopping || !sched_member_lease_held (sched))
     return;
   if (zone == NULL || sched->joined_revision == 0)
     sched_zone_write (sched, add_self, NULL, on_joined);
@@ -403,7 +394,8 @@
   const struct rst_zone *zone = sched_zone (sched);
   char *members;
 
-  if (zone == NULL || sched->joined_revision == 0 || !lease_held (sched)
+  if (zone == NULL || sched->joined_revision == 0
+      || !sched_member_lease_held (sched)
       || zone->revision <= sched->declared_view)
     return;
   members = members_text (zone);
@@ -414,8 +406,9 @@
   g_free (members);
 }
 
-static void
-add_missing_takeover (struct rst_scheduler *sched, const char *incarnation)
+void
+sched_member_add_missing_takeover (struct rst_scheduler *sched,
+                                   const char *incarnation)
 {
   struct takeover *takeover;
 
@@ -493,279 +486,6 @@
   note_changed_members (sched, zone);
 }
 
-/* ---- Take-over --------------------------------------------------------- */
-
-static void
-takeover_pause (struct takeover *takeover)
-{
-  struct rst_scheduler *sched = takeover->sched;
-
-  takeover->busy = false;
-  takeover->next_at = sched_now (sched) + sched_jitter (sched, SCHED_RETRY_MS);
-  if (!takeover->fenced)
-    rst_promises_refuse (sched->promises, takeover->member, false);
-}
-
-static void
-on_fenced (const struct rst_platform_reply *reply, void *data)
-{
-  struct takeover *takeover = data;
-
-  if (reply->result == RST_PLATFORM_OK)
-    {
-      takeover->fenced = true;
-      takeover->busy = false;
-      rst_info (LOG_PREFIX, "Ended the tenure of a member.", "member",
-                takeover->member);
-      takeover->sched->counters.takeovers++;
-    }
-  else
-    takeover_pause (takeover);
-}
-
-static void
-write_fence (struct takeover *takeover)
-{
-  struct rst_scheduler *sched = takeover->sched;
-  struct rst_member_record record = { 0 };
-  char *key = register_key (sched, takeover->member);
-  char *text;
-
-  g_strlcpy (record.incarnation, takeover->member, RST_NAME_SIZE);
-  g_strlcpy (record.fenced_by, sched->incarnation, RST_NAME_SIZE);
-  text = rst_member_record_format (&record);
-  sched->counters.store_writes++;
-  sched->platform->store_put (sched->platform_data, key, text,
-                              (int64_t)takeover->revision, 0, on_fenced,
-                              takeover);
-  free (text);
-  g_free (key);
-}
-
-static bool
-is_certain (const struct takeover *takeover)
-{
-  return g_hash_table_contains (takeover->sched->certain, takeover->member);
-}
-
-static void
-on_alive_read (const struct rst_platform_reply *reply, void *data)
-{
-  struct takeover *takeover = data;
-
-  if (reply->result == RST_PLATFORM_NOT_FOUND)
-    write_fence (takeover);
-  else
-    takeover_pause (takeover);
-}
-
-static void
-read_alive (struct takeover *takeover)
-{
-  struct rst_scheduler *sched = takeover->sched;
-  char *key = alive_key (sched, takeover->member);
-
-  sched->counters.store_reads++;
-  sched->platform->store_get (sched->platform_data, key, on_alive_read,
-                              takeover);
-  g_free (key);
-}
-
-/* The member's register is read before its lease: had it come back between
-   the two, the write of the fence would find another revision. */
-static void
-on_member_read (const struct rst_platform_reply *reply, void *data)
-{
-  struct takeover *takeover = data;
-  struct rst_scheduler *sched = takeover->sched;
-  struct rst_member_record record;
-
-  if (reply->result == RST_PLATFORM_NOT_FOUND)
-    {
-      takeover->fenced = true;
-      takeover->busy = false;
-      return;
-    }
-  if (reply->result != RST_PLATFORM_OK || reply->kv_count != 1
-      || rst_member_record_parse (reply->kvs[0].value, &record) != RST_OK)
-    {
-      takeover_pause (takeover);
-      return;
-    }
-  takeover->revision = reply->kvs[0].revision;
-  if (record.fenced_by[0] != '\0')
-    {
-      takeover->fenced = true;
-      takeover->busy = false;
-    }
-  else if (is_certain (takeover))
-    write_fence (takeover);
-  else if (sched->joined_revision == 0 || sched->joined_revision > record.view)
-    takeover_pause (takeover);
-  else
-    read_alive (takeover);
-}
-
-static void
-begin_fence (struct takeover *takeover)
-{
-  struct rst_scheduler *sched = takeover->sched;
-  char *key = register_key (sched, takeover->member);
-
-  takeover->busy = true;
-  rst_promises_refuse (sched->promises, takeover->member, true);
-  sched->counters.store_reads++;
-  sched->platform->store_get (sched->platform_data, key, on_member_read,
-                              takeover);
-  g_free (key);
-}
-
-static bool
-remove_fenced (struct rst_scheduler *sched, struct rst_zone *zone, void *data)
-{
-  struct takeover *takeover;
-  bool changed = false;
-
-  (void)data;
-  CK_LIST_FOREACH (takeover, &sched->takeovers, entry)
-  if (takeover->fenced
-      && rst_zone_remove_member (zone, takeover->member) == RST_OK)
-    changed = true;
-  return changed;
-}
-
-static void
-on_removed (struct rst_scheduler *sched, bool ok)
-{
-  (void)sched;
-  (void)ok;
-}
-
-static void
-forget_register (struct rst_scheduler *sched, const char *incarnation)
-{
-  char *key = register_key (sched, incarnation);
-
-  sched->counters.store_writes++;
-  sched->platform->store_delete (sched->platform_data, key, RST_ANY_REVISION,
-                                 sched_ignore_reply, sched);
-  g_free (key);
-}
-
-/* Own place among the members that may end a tenure. */
-static int
-own_rank (const struct rst_scheduler *sched, const struct rst_zone *zone,
-          const char *without)
-{
-  int rank = 0;
-
-  for (int i = 0; i < zone->member_count; i++)
-    {
-      const char *incarnation = zone->members[i].incarnation;
-
-      if (strcmp (incarnation, sched->incarnation) == 0)
-        break;
-      if (strcmp (incarnation, without) != 0
-          && g_hash_table_contains (sched->alive, incarnation))
-        rank++;
-    }
-  return rank;
-}
-
-static void
-takeover_tick (struct takeover *takeover, const struct rst_zone *zone)
-{
-  struct rst_scheduler *sched = takeover->sched;
-  rst_ms now = sched_now (sched);
-  rst_ms wait = own_rank (sched, zone, takeover->member) * TAKEOVER_RANK_MS;
-
-  if (takeover->busy || takeover->fenced || now < takeover->next_at)
-    return;
-  if (is_certain (takeover))
-    begin_fence (takeover);
-  else if (now - takeover->noticed_at >= wait
-           && rst_promises_may_end (sched->promises, takeover->member, now))
-    begin_fence (takeover);
-}
-
-static void
-find_missing (struct rst_scheduler *sched, const struct rst_zone *zone)
-{
-  for (int i = 0; i < zone->member_count; i++)
-    {
-      const char *incarnation = zone->members[i].incarnation;
-
-      if (strcmp (incarnation, sched->incarnation) == 0)
-        continue;
-      if (!g_hash_table_contains (sched->alive, incarnation)
-          || g_hash_table_contains (sched->certain, incarnation))
-        add_missing_takeover (sched, incarnation);
-    }
-}
-
-static void
-drop_finished_takeovers (struct rst_scheduler *sched,
-                         const struct rst_zone *zone)
-{
-  struct takeover *takeover = CK_LIST_FIRST (&sched->takeovers);
-
-  while (takeover != NULL)
-    {
-      struct takeover *next = CK_LIST_NEXT (takeover, entry);
-      bool gone = rst_zone_find_member (zone, takeover->member) == NULL;
-      bool back = !takeover->fenced && !is_certain (takeover)
-                  && g_hash_table_contains (sched->alive, takeover->member);
-
-      if (!takeover->busy && (gone || back))
-        {
-          if (gone && takeover->fenced)
-            forget_register (sched, takeover->member);
-          CK_LIST_REMOVE (takeover, entry);
-          g_free (takeover);
-        }
-      takeover = next;
-    }
-}
-
-static void
-takeovers_tick (struct rst_scheduler *sched)
-{
-  const struct rst_zone *zone = sched_zone (sched);
-  struct takeover *takeover;
-  bool any_fenced = false;
-
-  if (zone == NULL || !sched->shared_watch.listed)
-    return;
-  drop_finished_takeovers (sched, zone);
-  /* A member acts as one only while its own lease stands. */
-  if (!lease_held (sched))
-    return;
-  find_missing (sched, zone);
-  CK_LIST_FOREACH (takeover, &sched->takeovers, entry)
-  {
-    takeover_tick (takeover, zone);
-    any_fenced = any_fenced || takeover->fenced;
-  }
-  if (any_fenced)
-    sched_zone_write (sched, remove_fenced, NULL, on_removed);
-}
-
-void
-sched_member_stopped (struct rst_scheduler *sched, const char *incarnation)
-{
-  if (strcmp (incarnation, sched->incarnation) == 0)
-    return;
-  rst_tenure_stopped (sched->tenure, incarnation, sched_now (sched));
-  if (!g_hash_table_contains (sched->certain, incarnation))
-    {
-      rst_info (LOG_PREFIX, "A member has certainly stopped.", "member",
-                incarnation);
-      g_hash_table_add (sched->certain, g_strdup (incarnation));
-    }
-}
-
-/* ---- Promises ---------------------------------------------------------- */
-
 static bool
 is_zone_peer (const struct rst_scheduler *sched, const struct peer *peer)
 {
@@ -831,8 +551,6 @@
                        (rst_ms)message->promise.duration_ms);
 }
 
-/* ---- Planned stop ------------------------------------------------------ */
-
 static bool
 remove_self (struct rst_scheduler *sched, struct rst_zone *zone, void *data)
 {
@@ -861,7 +579,7 @@
     return;
   rst_info (LOG_PREFIX, "Handed all instances over.");
   sched->stop_given = true;
-  forget_register (sched, sched->incarnation);
+  sched_member_forget_register (sched, sched->incarnation);
   sched->counters.store_writes++;
   sched->platform->lease_drop (sched->platform_data, sched->lease,
                                sched_ignore_reply, sched);
@@ -878,7 +596,7 @@
       || rst_zone_find_member (zone, sched->incarnation) == NULL
       || sched_now (sched) - sched->stop_at > SCHED_DRAIN_MS / 2)
     sched->stop_given = true;
-  else if (lease_held (sched))
+  else if (sched_member_lease_held (sched))
     sched_zone_write (sched, remove_self, NULL, on_given);
 }
 
@@ -900,6 +618,6 @@
     session_tick (sched);
   join_tick (sched);
   declare_tick (sched);
-  takeovers_tick (sched);
+  sched_member_takeovers_tick (sched);
   promises_tick (sched);
 }
--- /dev/null
+++ b/src/coordination/sched_member_private.h
@@ -0,0 +1,23 @@
+/**
+ * DOC: sched_member_private - membership of a zone, shared by the files
+ * sched_member*.c
+ */
+#ifndef RST_SCHED_MEMBER_PRIVATE_H
+#define RST_SCHED_MEMBER_PRIVATE_H
+
+#include "coordination/scheduler_private.h"
+
+/* sched_member.c */
+char *sched_member_alive_key (const struct rst_scheduler *sched,
+                              const char *incarnation);
+char *sched_member_register_key (const struct rst_scheduler *sched,
+                                 const char *incarnation);
+bool sched_member_lease_held (const struct rst_scheduler *sched);
+void sched_member_add_missing_takeover (struct rst_scheduler *sched,
+                                        const char *incarnation);
+/* sched_member_takeover.c */
+void sched_member_forget_register (struct rst_scheduler *sched,
+                                   const char *incarnation);
+void sched_member_takeovers_tick (struct rst_scheduler *sched);
+
+#endif
--- /dev/null
+++ b/src/coordination/sched_query_forward.c
@@ -0,0 +1,175 @@
+/* Queries passed on to the scheduler that can run them. */
+#include "coordination/sched_query_private.h"
+
+#include <string.h>
+
+#define LOG_PREFIX "query"
+
+/** Time after a forwarded query's deadline at which its outcome is given up.
+ */
+#define FORWARD_GRACE_MS 500
+
+#define STATUS_BAD_GATEWAY 502
+
+static int64_t
+room_at (const struct peer *peer)
+{
+  return (int64_t)peer->load.slots_free - (int64_t)peer->loaned
+         - (int64_t)peer->load.queued;
+}
+
+/* The peer with most room, the own zone before others. */
+struct peer *
+sched_query_choose_peer (struct rst_scheduler *sched)
+{
+  struct peer *best = NULL;
+  int64_t best_room = 0;
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, sched->peers);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct peer *peer = value;
+      int64_t room;
+
+      if (!peer->known || peer->role != RST_ROLE_SCHEDULER || !peer->has_load
+          || !peer->load.ready
+          || rst_settings_zone_out (sched->settings, peer->zone))
+        continue;
+      room = room_at (peer);
+      if (room <= 0)
+        continue;
+      if (strcmp (peer->zone, sched->config.zone) == 0)
+        room *= 2;
+      if (room > best_room)
+        {
+          best = peer;
+          best_room = room;
+        }
+    }
+  return best;
+}
+
+bool
+sched_query_has_free_slot (struct rst_scheduler *sched)
+{
+  return sched_may_start (sched) && sched_query_choose_runner (sched) != NULL;
+}
+
+bool
+sched_query_forward_query (struct query *query, struct peer *peer)
+{
+  struct rst_scheduler *sched = query->sched;
+  struct rst_message message = { 0 };
+
+  message.type = RST_QUERY;
+  message.id = sched_next_id (sched);
+  message.query.team = query->team->name;
+  message.query.request_id = query->request_id;
+  message.query.keyed = false;
+  message.query.idempotent = query->idempotent;
+  message.query.urgent = query->urgent;
+  message.query.deadline_ms
+      = (uint64_t)MAX (query->deadline - sched_now (sched), 1);
+  message.query.hops = query->hops + 1;
+  message.query.body = query->body;
+  if (!sched_send (sched, peer->link, &message))
+    return false;
+  query->forward_link = peer->link;
+  query->forward_id = message.id;
+  peer->loaned++;
+  g_hash_table_insert (sched->forwards, &query->forward_id, query);
+  rst_info (LOG_PREFIX, "Query forwarded.", "request", query->request_id,
+            "team", query->team->name, "zone", peer->zone, "scheduler",
+            peer->incarnation, "reason", "no free slot here");
+  return true;
+}
+
+static void
+forget_forward (struct query *query)
+{
+  struct peer *peer = sched_peer_by_link (query->sched, query->forward_link);
+
+  if (peer != NULL && peer->loaned > 0)
+    peer->loaned--;
+  g_hash_table_remove (query->sched->forwards, &query->forward_id);
+  query->forward_id = 0;
+  query->forward_link = 0;
+}
+
+void
+sched_query_answer (struct rst_scheduler *sched, uint64_t link,
+                    const struct rst_message *message)
+{
+  struct query *query = g_hash_table_lookup (sched->forwards, &message->id);
+
+  /* A late answer, or one to another request, reaches nobody. */
+  if (query == NULL || query->forward_link != link)
+    return;
+  forget_forward (query);
+  if (message->answer.outcome == RST_NOT_RUN
+      && sched_query_has_free_slot (sched)
+      && sched_now (sched) < query->deadline)
+    {
+      sched_query_enqueue (query, true);
+      sched_query_dispatch (sched);
+      return;
+    }
+  if (message->answer.outcome == RST_NOT_RUN)
+    sched_query_refuse_query (query, message->answer.status,
+                              message->answer.reason, message->answer.detail);
+  else
+    sched_query_end (query, &message->answer);
+}
+
+static void
+end_lost_forward (struct query *query)
+{
+  forget_forward (query);
+  query->may_have_run = true;
+  if (query->idempotent && sched_now (query->sched) < query->deadline
+      && rst_budget_spend (&query->sched->retry_budget))
+    sched_query_enqueue (query, true);
+  else
+    sched_query_end_unknown (query, STATUS_BAD_GATEWAY, "", 0,
+                             "the link to the scheduler that had it broke");
+}
+
+void
+sched_query_link_closed (struct rst_scheduler *sched, uint64_t link)
+{
+  GList *queries = g_hash_table_get_values (sched->forwards);
+
+  for (GList *item = queries; item != NULL; item = item->next)
+    {
+      struct query *query = item->data;
+
+      if (query->forward_link == link)
+        end_lost_forward (query);
+    }
+  g_list_free (queries);
+}
+
+void
+sched_query_expire_forwards (struct rst_scheduler *sched)
+{
+  rst_ms now = sched_now (sched);
+  GList *queries;
+
+  if (g_hash_table_size (sched->forwards) == 0)
+    return;
+  queries = g_hash_table_get_values (sched->forwards);
+  for (GList *item = queries; item != NULL; item = item->next)
+    {
+      struct query *query = item->data;
+
+      if (now >= query->deadline + FORWARD_GRACE_MS)
+        {
+          forget_forward (query);
+          sched_query_end_unknown (query, STATUS_TIMEOUT, "", 0,
+                                   "no answer before the deadline");
+        }
+    }
+  g_list_free (queries);
+}
--- /dev/null
+++ b/src/coordination/sched_query_intake.c
@@ -0,0 +1,266 @@
+/* Which queries are taken: keys, repeats, limits, homes. */
+#include "coordination/sched_query_private.h"
+
+#include <string.h>
+
+#define LOG_PREFIX "query"
+
+/** How long a message may arrive a second time. */
+#define DUPLICATE_MS 5000
+
+#define STATUS_CONFLICT 409
+
+#define STATUS_TOO_MANY 429
+
+/* Answers a repeat from the record of its request.  Returns false when the
+   request is new. */
+static bool
+answer_repeat (struct rst_scheduler *sched, uint64_t link,
+               const struct rst_message *message, const char *key)
+{
+  struct record *record = g_hash_table_lookup (sched->records, key);
+  struct rst_message answer;
+
+  if (record == NULL)
+    return false;
+  if (record->elsewhere)
+    {
+      sched_query_refuse_message (sched, link, message->id, STATUS_UNAVAILABLE,
+                                  "home-changed",
+                                  "another scheduler keeps this id now");
+      return true;
+    }
+  if (record->running != NULL)
+    {
+      sched_query_add_waiter (record->running, link, message->id);
+      return true;
+    }
+  answer = record->answer;
+  answer.id = message->id;
+  sched_send (sched, link, &answer);
+  return true;
+}
+
+/* Whether this very message was taken before. */
+static bool
+is_duplicate (struct rst_scheduler *sched, uint64_t link, uint64_t id)
+{
+  char key[48];
+  rst_ms *expires_at;
+
+  g_snprintf (key, sizeof key, "%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
+              link, id);
+  if (g_hash_table_contains (sched->taken, key))
+    return true;
+  expires_at = g_new (rst_ms, 1);
+  *expires_at = sched_now (sched) + DUPLICATE_MS;
+  g_hash_table_insert (sched->taken, g_strdup (key), expires_at);
+  return false;
+}
+
+static struct query *
+query_create (struct rst_scheduler *sched, uint64_t link,
+              const struct rst_message *message)
+{
+  const struct rst_query *asked = &message->query;
+  rst_ms bound = rst_settings_cell (sched->settings)->max_deadline_ms;
+  rst_ms now = sched_now (sched);
+  struct query *query = g_new0 (struct query, 1);
+
+  query->sched = sched;
+  query->team = sched_team (sched, asked->team);
+  query->keyed = asked->keyed;
+  query->idempotent = asked->idempotent;
+  query->urgent = asked->urgent;
+  query->hops = asked->hops;
+  query->deadline
+      = now + MIN ((rst_ms)MIN (asked->deadline_ms, INT32_MAX), bound);
+  g_strlcpy (query->request_id, asked->request_id, sizeof query->request_id);
+  rst_blob_set (&query->body, asked->body.data, asked->body.length);
+  CK_LIST_INIT (&query->waiters);
+  sched_query_add_waiter (query, link, message->id);
+  sched->running_queries++;
+  return query;
+}
+
+static void
+add_record (struct query *query, const char *key)
+{
+  struct record *record = g_new0 (struct record, 1);
+
+  g_strlcpy (record->key, key, sizeof record->key);
+  g_strlcpy (query->record_key, key, sizeof query->record_key);
+  record->running = query;
+  record->expires_at = INT64_MAX;
+  g_hash_table_insert (query->sched->records, record->key, record);
+}
+
+void
+sched_query_place (struct query *query)
+{
+  struct rst_scheduler *sched = query->sched;
+  int64_t bound = rst_settings_cell (sched->settings)->queue_per_team;
+  struct peer *peer;
+
+  if (query->hops == 0 && !sched_query_has_free_slot (sched))
+    {
+      peer = sched_query_choose_peer (sched);
+      if (peer != NULL && sched_query_forward_query (query, peer))
+        return;
+    }
+  if (!sched_may_start (sched))
+    {
+      sched_query_refuse_query (query, STATUS_UNAVAILABLE, "not-ready",
+                                "this scheduler takes no work now");
+      return;
+    }
+  if (query->team->queued >= bound)
+    {
+      sched_query_refuse_query (query, STATUS_TOO_MANY, "queue-full",
+                                "too many of the team's queries are waiting");
+      return;
+    }
+  sched_query_enqueue (query, false);
+  sched_query_dispatch (sched);
+}
+
+void
+sched_query_end_unsure (struct query *query, const char *detail)
+{
+  sched_query_end_unknown (query, STATUS_TIMEOUT, "", 0, detail);
+}
+
+/* A request with the caller's id runs only at its home, and only when no
+   earlier home can have run it. */
+static void
+place_keyed (struct query *query)
+{
+  switch (sched_record_check (query))
+    {
+    case RECORD_NEW:
+      sched_query_place (query);
+      break;
+    case RECORD_ASKED:
+      query->sched->asking = true;
+      break;
+    case RECORD_UNSURE:
+      sched_query_end_unsure (query, "an earlier home of this id is lost");
+      break;
+    case RECORD_ELSEWHERE:
+      sched_query_refuse_query (query, STATUS_UNAVAILABLE, "home-changed",
+                                "another scheduler keeps this id now");
+      break;
+    }
+}
+
+void
+sched_query_take (struct rst_scheduler *sched, uint64_t link,
+                  const struct rst_message *message)
+{
+  const struct rst_query *asked = &message->query;
+  char key[3 * RST_NAME_SIZE];
+  struct query *query;
+
+  sched->counters.queries++;
+  if (strlen (asked->request_id) >= RST_NAME_SIZE
+      || asked->request_id[0] == '\0')
+    {
+      sched_query_refuse_message (sched, link, message->id, STATUS_CONFLICT,
+                                  "bad-request-id",
+                                  "request_id: empty or too long");
+      return;
+    }
+  if (rst_settings_team (sched->settings, asked->team) == NULL)
+    {
+      sched_query_refuse_message (sched, link, message->id, STATUS_UNAVAILABLE,
+                                  "unknown-team",
+                                  "team: not in the settings in force");
+      return;
+    }
+  if (is_duplicate (sched, link, message->id))
+    return;
+  g_snprintf (key, sizeof key, "%s/%s", asked->team, asked->request_id);
+  if (asked->keyed && answer_repeat (sched, link, message, key))
+    return;
+  rst_budget_earn (&sched->retry_budget);
+  query = query_create (sched, link, message);
+  if (!query->keyed)
+    {
+      sched_query_place (query);
+      return;
+    }
+  add_record (query, key);
+  place_keyed (query);
+}
+
+/* Queries that wait here while peers have room go there. */
+static void
+spread_queue (struct rst_scheduler *sched, struct query_queue *queue)
+{
+  struct query *query = CK_STAILQ_FIRST (queue);
+  struct peer *peer;
+
+  while (query != NULL && query->hops == 0
+         && (peer = sched_query_choose_peer (sched)) != NULL)
+    {
+      sched_query_unqueue_head (queue);
+      if (!sched_query_forward_query (query, peer))
+        {
+          sched_query_enqueue (query, true);
+          return;
+        }
+      query = CK_STAILQ_FIRST (queue);
+    }
+}
+
+void
+sched_query_spread_all (struct rst_scheduler *sched)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  if (sched->queued == 0 || sched_query_choose_runner (sched) != NULL)
+    return;
+  g_hash_table_iter_init (&iterator, sched->teams);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct team *team = value;
+
+      spread_queue (sched, &team->urgent);
+      spread_queue (sched, &team->normal);
+    }
+}
+
+/* What cannot be started here goes elsewhere at once. */
+static void
+move_queue (struct rst_scheduler *sched, struct query_queue *queue)
+{
+  struct query *query;
+
+  while ((query = CK_STAILQ_FIRST (queue)) != NULL)
+    {
+      struct peer *peer
+          = query->hops == 0 ? sched_query_choose_peer (sched) : NULL;
+
+      sched_query_unqueue_head (queue);
+      if (peer == NULL || !sched_query_forward_query (query, peer))
+        sched_query_refuse_query (query, STATUS_UNAVAILABLE, "not-ready",
+                                  "this scheduler takes no work now");
+    }
+}
+
+void
+sched_query_move_all (struct rst_scheduler *sched)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, sched->teams);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct team *team = value;
+
+      move_queue (sched, &team->urgent);
+      move_queue (sched, &team->normal);
+    }
+}
--- /dev/null
+++ b/src/coordination/sched_query_run.c
@@ -0,0 +1,266 @@
+/* Where a query runs, and how its run ends. */
+#include "coordination/sched_query_private.h"
+
+#include <string.h>
+
+#define LOG_PREFIX "query"
+
+/** Most attempts of one query. */
+#define ATTEMPTS_MAX 4
+
+/** How long work whose end is unknown occupies its place after its
+ * deadline. */
+#define GHOST_MARGIN_MS 1000
+
+/* The runner with the least part of its slots in use. */
+struct instance *
+sched_query_choose_runner (struct rst_scheduler *sched)
+{
+  struct instance *best = NULL;
+  int64_t best_load = 0;
+
+  for (guint i = 0; i < sched->owned->len; i++)
+    {
+      struct instance *instance = g_ptr_array_index (sched->owned, i);
+      int64_t load;
+
+      if (instance->info.kind != RST_RUNNER
+          || instance->slots_used >= instance->info.slots
+          || !sched_instance_usable (sched, instance))
+        continue;
+      load = instance->slots_used * 1000 / instance->info.slots;
+      if (best == NULL || load < best_load)
+        {
+          best = instance;
+          best_load = load;
+        }
+    }
+  return best;
+}
+
+static uint64_t
+team_weight (const struct team *team)
+{
+  const struct rst_team *settings
+      = rst_settings_team (team->sched->settings, team->name);
+
+  return settings != NULL ? settings->share : 1;
+}
+
+/* The team that is furthest below its share, among those that may start. */
+static struct query_queue *
+choose_queue (struct rst_scheduler *sched, bool urgent)
+{
+  struct query_queue *best = NULL;
+  uint64_t best_rank = 0;
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, sched->teams);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct team *team = value;
+      struct query_queue *queue = urgent ? &team->urgent : &team->normal;
+      uint64_t rank;
+
+      if (CK_STAILQ_EMPTY (queue) || !sched_limit_allows (team))
+        continue;
+      rank = (uint64_t)team->used * 1000000 / team_weight (team);
+      if (best == NULL || rank < best_rank)
+        {
+          best = queue;
+          best_rank = rank;
+        }
+    }
+  return best;
+}
+
+static void
+give_back (struct work *work)
+{
+  work->calls--;
+  if (work->instance != NULL)
+    sched_work_remove (work);
+  else
+    g_free (work);
+}
+
+/* The work may still run: its place stays occupied until it must be over. */
+static void
+keep_ghost (struct work *work, const struct query *query)
+{
+  work->calls--;
+  if (work->instance == NULL)
+    {
+      g_free (work);
+      return;
+    }
+  work->ghost_until = query->deadline + GHOST_MARGIN_MS;
+}
+
+static void
+note_result (struct instance *instance, bool ok)
+{
+  if (instance != NULL)
+    rst_breaker_result (&instance->breaker, ok, sched_now (instance->sched));
+}
+
+/* Tries a query again that did not run, or that may run twice. */
+static bool
+retry (struct query *query)
+{
+  struct rst_scheduler *sched = query->sched;
+
+  if (query->attempts >= ATTEMPTS_MAX || sched_now (sched) >= query->deadline
+      || sched->stopping || !rst_budget_spend (&sched->retry_budget))
+    return false;
+  sched->counters.retries++;
+  query->work = NULL;
+  sched_query_enqueue (query, true);
+  return true;
+}
+
+static void
+end_answered (struct query *query, const struct rst_platform_reply *reply,
+              const char *instance, uint64_t epoch)
+{
+  struct rst_answer answer = { 0 };
+
+  answer.outcome = RST_ANSWERED;
+  answer.status = (uint64_t)reply->status;
+  answer.instance = (char *)instance;
+  answer.epoch = epoch;
+  answer.body.data = (char *)reply->body;
+  answer.body.length = reply->length;
+  sched_query_end (query, &answer);
+}
+
+static void
+run_failed (struct query *query, const struct rst_platform_reply *reply,
+            const char *instance, uint64_t epoch)
+{
+  bool may_have_run = reply->result == RST_PLATFORM_UNKNOWN
+                      && !RST_FAULT (RST_FAULT_FALSE_REFUSAL);
+
+  if (may_have_run)
+    query->may_have_run = true;
+  if ((!may_have_run || query->idempotent
+       || RST_FAULT (RST_FAULT_REQUEST_TWICE))
+      && retry (query))
+    return;
+  if (may_have_run)
+    sched_query_end_unknown (query, STATUS_TIMEOUT, instance, epoch,
+                             "the runner gave no whole answer");
+  else
+    sched_query_refuse_query (query, STATUS_UNAVAILABLE, "no-runner",
+                              "no runner took the request");
+}
+
+static void
+on_run (const struct rst_platform_reply *reply, void *data)
+{
+  struct query *query = data;
+  struct rst_scheduler *sched = query->sched;
+  struct work *work = query->work;
+  struct instance *instance = work->instance;
+  char name[RST_NAME_SIZE];
+  uint64_t epoch = query->epoch;
+
+  g_strlcpy (name, query->instance, sizeof name);
+  if (reply->result == RST_PLATFORM_OK
+      || reply->result == RST_PLATFORM_REFUSED)
+    note_result (instance, true);
+  else
+    note_result (instance, false);
+  if (reply->result == RST_PLATFORM_UNKNOWN)
+    keep_ghost (work, query);
+  else
+    give_back (work);
+  query->work = NULL;
+  if (reply->result == RST_PLATFORM_OK)
+    end_answered (query, reply, name, epoch);
+  else
+    run_failed (query, reply, name, epoch);
+  sched_query_dispatch (sched);
+}
+
+static void
+log_placed (const struct query *query, const struct instance *instance)
+{
+  char epoch[24];
+
+  if (!rst_log_enabled (G_LOG_LEVEL_INFO))
+    return;
+  g_snprintf (epoch, sizeof epoch, "%" G_GUINT64_FORMAT, instance->epoch);
+  rst_info (LOG_PREFIX, "Query placed.", "request", query->request_id, "team",
+            query->team->name, "zone", query->sched->config.zone, "instance",
+            instance->info.name, "epoch", epoch, "reason", "least-used");
+}
+
+static void
+start_query (struct query *query, struct instance *instance)
+{
+  struct rst_scheduler *sched = query->sched;
+  struct rst_work info = { 0 };
+  struct rst_run run = { 0 };
+  rst_ms now = sched_now (sched);
+
+  g_snprintf (info.id, sizeof info.id, "%s/%s", query->team->name,
+              query->request_id);
+  g_strlcpy (info.team, query->team->name, sizeof info.team);
+  query->work = sched_work_add (instance, &info);
+  query->work->calls++;
+  query->attempts++;
+  query->epoch = instance->epoch;
+  g_strlcpy (query->instance, instance->info.name, RST_NAME_SIZE);
+  rst_breaker_sent (&instance->breaker);
+  log_placed (query, instance);
+  run.id = query->work->info.id;
+  run.team = query->team->name;
+  run.epoch = instance->epoch;
+  run.idempotent = query->idempotent;
+  run.deadline_ms = query->deadline - now;
+  run.not_after = MIN (query->deadline, rst_tenure_until (sched->tenure, now));
+  run.body = query->body.data;
+  run.length = query->body.length;
+  sched->platform->runner_run (sched->platform_data, instance->info.address,
+                               &run, on_run, query);
+}
+
+static bool
+dispatch_one (struct rst_scheduler *sched)
+{
+  int64_t began_ns = rst_os_now_ns ();
+  struct query_queue *queue = choose_queue (sched, true);
+  struct instance *instance;
+  struct query *query;
+
+  if (queue == NULL)
+    queue = choose_queue (sched, false);
+  if (queue == NULL)
+    return false;
+  instance = sched_query_choose_runner (sched);
+  sched->counters.decisions++;
+  sched->counters.decision_ns += (uint64_t)(rst_os_now_ns () - began_ns);
+  if (instance == NULL)
+    return false;
+  query = CK_STAILQ_FIRST (queue);
+  sched_query_unqueue_head (queue);
+  if (sched_now (sched) >= query->deadline)
+    sched_query_refuse_query (query, STATUS_UNAVAILABLE, "deadline",
+                              "no slot became free before the deadline");
+  else
+    start_query (query, instance);
+  return true;
+}
+
+void
+sched_query_dispatch (struct rst_scheduler *sched)
+{
+  if (sched->dispatching || sched->queued == 0 || !sched_may_start (sched))
+    return;
+  sched->dispatching = true;
+  while (sched->queued > 0 && dispatch_one (sched))
+    continue;
+  sched->dispatching = false;
+}
--- a/src/coordination/sched_task.c
+++ b/src/coordination/sched_task.c
@@ -5,7 +5,7 @@
  * behalf of the owners of the jobs.  A start is repeated under the same id
  * until the worker has said yes or no; the worker runs one id once.
  */
-#include "coordination/scheduler_private.h"
+#include "coordination/sched_task_private.h"
 
 #include <string.h>
 
@@ -14,9 +14,6 @@
 /** How long the refusal of a start is remembered. */
 #define REFUSAL_KEEP_MS 60000
 
-/** How long a held place waits for the start. */
-#define HOLD_MS 4000
-
 /** Time between two reports of an end that was not confirmed. */
 #define END_EVERY_MS 1000
 
@@ -65,20 +62,17 @@
     g_hash_table_remove (tasks, work->info.id);
 }
 
-static void
-task_id (char *out, size_t size, const char *job, uint64_t index,
-         uint64_t attempt)
+void
+sched_task_task_id (char *out, size_t size, const char *job, uint64_t index,
+                    uint64_t attempt)
 {
   g_snprintf (out, size, "%s.%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT, job,
               index, attempt);
 }
 
-/* ---- Messages
- * ---------------------------------------------------------------- */
-
-static void
-fill_event (struct rst_message *message, uint64_t type,
-            const struct work *work, uint64_t result)
+void
+sched_task_fill_event (struct rst_message *message, uint64_t type,
+                       const struct work *work, uint64_t result)
 {
   message->type = type;
   message->task_event.job = (char *)work->info.job;
@@ -90,15 +84,15 @@
   message->task_event.reason = (char *)"";
 }
 
-static void
-reply_started (struct work *work, uint64_t result)
+void
+sched_task_reply_started (struct work *work, uint64_t result)
 {
   struct rst_message message = { 0 };
 
   if (!work->reply_due)
     return;
   work->reply_due = false;
-  fill_event (&message, RST_TASK_STARTED, work, result);
+  sched_task_fill_event (&message, RST_TASK_STARTED, work, result);
   message.id = work->reply_id;
   sched_send (work->team->sched, work->reply_link, &message);
 }
@@ -117,8 +111,9 @@
 }
 
 /* A request that arrives a second time must not start what was refused. */
-static void
-note_refusal (struct rst_scheduler *sched, const struct rst_task_start *task)
+void
+sched_task_note_refusal (struct rst_scheduler *sched,
+                         const struct rst_task_start *task)
 {
   char *key = task_key (task);
   struct refusal *refusal = g_hash_table_lookup (sched->refusals, key);
@@ -133,8 +128,9 @@
   g_free (key);
 }
 
-static bool
-was_refused (struct rst_scheduler *sched, const struct rst_task_start *task)
+bool
+sched_task_was_refused (struct rst_scheduler *sched,
+                        const struct rst_task_start *task)
 {
   char *key = task_key (task);
   const struct refusal *refusal = g_hash_table_lookup (sched->refusals, key);
@@ -150,19 +146,19 @@
   return ((struct refusal *)value)->expires_at <= *(const rst_ms *)userdata;
 }
 
-static void
-refuse_start (struct rst_scheduler *sched, uint64_t link,
-              const struct rst_message *asked, const char *reason)
+void
+sched_task_refuse_start (struct rst_scheduler *sched, uint64_t link,
+                         const struct rst_message *asked, const char *reason)
 {
   struct rst_message message = { 0 };
 
-  note_refusal (sched, &asked->task_start);
+  sched_task_note_refusal (sched, &asked->task_start);
   if (rst_log_enabled (G_LOG_LEVEL_INFO))
     {
       char id[2 * RST_NAME_SIZE];
 
-      task_id (id, sizeof id, asked->task_start.job, asked->task_start.index,
-               asked->task_start.attempt);
+      sched_task_task_id (id, sizeof id, asked->task_start.job,
+                          asked->task_start.index, asked->task_start.attempt);
       rst_info (LOG_PREFIX, "Task was refused.", "task", id, "team",
                 asked->task_start.team, "zone", sched->config.zone, "reason",
                 reason);
@@ -178,9 +174,6 @@
   sched_send (sched, link, &message);
 }
 
-/* ---- Choice
- * -------------------------------------------------------------------- */
-
 static bool
 fits (const struct instance *instance, const struct rst_task_start *task)
 {
@@ -246,8 +239,9 @@
   return rank - fullness (instance, task);
 }
 
-static struct instance *
-choose_worker (struct rst_scheduler *sched, const struct rst_task_start *task)
+struct instance *
+sched_task_choose_worker (struct rst_scheduler *sched,
+                          const struct rst_task_start *task)
 {
   struct instance *best = NULL;
   int64_t best_rank = 0;
@@ -270,328 +264,6 @@
   return best;
 }
 
-/* ---- Start
- * ---------------------------------------------------------------------- */
-
-static void send_start (struct work *work);
-
-static void
-log_start (const struct work *work, const char *message, const char *reason)
-{
-  char epoch[24];
-
-  if (!rst_log_enabled (G_LOG_LEVEL_INFO) || work->instance == NULL)
-    return;
-  g_snprintf (epoch, sizeof epoch, "%" G_GUINT64_FORMAT,
-              work->instance->epoch);
-  rst_info (LOG_PREFIX, message, "task", work->info.id, "team",
-            work->info.team, "zone", work->instance->info.zone, "instance",
-            work->instance->info.name, "epoch", epoch, "reason", reason);
-}
-
-/* The start was refused: nothing runs under this id. */
-static void
-start_refused (struct work *work, const char *result)
-{
-  struct rst_scheduler *sched = work->team->sched;
-
-  struct rst_task_start task = { 0 };
-
-  sched->counters.start_failures++;
-  log_start (work, "Task was not started.", result);
-  task.job = work->info.job;
-  task.index = (uint64_t)work->info.index;
-  task.attempt = (uint64_t)work->info.attempt;
-  note_refusal (sched, &task);
-  reply_started (work, RST_TASK_NOT_RUN);
-  if (work->instance != NULL)
-    sched_work_remove (work);
-  else
-    g_free (work);
-}
-
-static void
-on_stop_unsure (const struct rst_platform_reply *reply, void *data)
-{
-  struct work *work = data;
-
-  work->calls--;
-  if (work->instance == NULL)
-    {
-      reply_started (work, RST_TASK_UNSURE);
-      g_free (work);
-      return;
-    }
-  if (reply->result == RST_PLATFORM_NOT_FOUND)
-    {
-      start_refused (work, "not-started");
-      return;
-    }
-  work->starting = false;
-  if (reply->result == RST_PLATFORM_OK && reply->work_count == 1)
-    {
-      reply_started (work, RST_TASK_RUNNING);
-      sched_work_end (work, (uint64_t)reply->work[0].result);
-    }
-  else
-    {
-      /* Renewals will tell whether the worker has it. */
-      work->started_at = sched_now (work->team->sched);
-      reply_started (work, RST_TASK_UNSURE);
-    }
-}
-
-/* Asks the worker to stop what it may have started; a worker that does not
-   know the id will never start it. */
-static void
-stop_unsure (struct work *work)
-{
-  struct rst_scheduler *sched = work->team->sched;
-
-  work->calls++;
-  sched->platform->task_stop (
-      sched->platform_data, work->instance->info.address,
-      work->instance->epoch, work->info.id, false, on_stop_unsure, work);
-}
-
-/* The worker may have started this run-once task and have lost it since, so
-   the start is not sent again: its next report tells. */
-static void
-start_unsure (struct work *work)
-{
-  work->starting = false;
-  work->unsure = true;
-  work->started_at = sched_now (work->team->sched);
-  work->instance->next_renew = 0;
-  log_start (work, "Start of the task is unsure.", "no-answer");
-  reply_started (work, RST_TASK_UNSURE);
-}
-
-static void
-on_unsure_settled (const struct rst_platform_reply *reply, void *data)
-{
-  struct work *work = data;
-
-  work->calls--;
-  if (work->instance == NULL)
-    {
-      g_free (work);
-      return;
-    }
-  if (reply->result == RST_PLATFORM_NOT_FOUND)
-    sched_work_end (work, RST_TASK_LOST);
-  else if (reply->result == RST_PLATFORM_OK && reply->work_count == 1)
-    sched_work_end (work, (uint64_t)reply->work[0].result);
-}
-
-/* The worker did not report a task whose start is unsure: it is asked never
-   to start it. */
-void
-sched_task_settle_unsure (struct work *work)
-{
-  struct rst_scheduler *sched = work->team->sched;
-
-  work->calls++;
-  sched->platform->task_stop (
-      sched->platform_data, work->instance->info.address,
-      work->instance->epoch, work->info.id, false, on_unsure_settled, work);
-}
-
-static void
-start_confirmed (struct work *work)
-{
-  struct rst_scheduler *sched = work->team->sched;
-
-  work->starting = false;
-  work->started_at = sched_now (sched);
-  sched->counters.starts++;
-  log_start (work, "Task was started.",
-             rst_policy_name ((uint64_t)work->info.policy));
-  reply_started (work, RST_TASK_RUNNING);
-  if (work->instance == NULL)
-    g_free (work);
-}
-
-static void
-on_started (const struct rst_platform_reply *reply, void *data)
-{
-  struct work *work = data;
-  struct rst_scheduler *sched = work->team->sched;
-
-  work->calls--;
-  /* A start gives a lease as a renewal does. */
-  if (work->instance != NULL)
-    work->instance->last_renewal_at = sched_now (sched);
-  if (work->instance != NULL)
-    rst_breaker_result (&work->instance->breaker,
-                        reply->result == RST_PLATFORM_OK, sched_now (sched));
-  if (reply->result == RST_PLATFORM_OK)
-    start_confirmed (work);
-  else if (reply->result != RST_PLATFORM_UNKNOWN)
-    start_refused (work, rst_platform_result_name (reply->result));
-  else if (work->instance == NULL)
-    {
-      reply_started (work, RST_TASK_UNSURE);
-      g_free (work);
-    }
-  else if (work->run_once)
-    start_unsure (work);
-  else if (sched_now (sched) < work->start_deadline && sched_may_start (sched))
-    send_start (work);
-  else
-    stop_unsure (work);
-}
-
-static void
-send_start (struct work *work)
-{
-  struct rst_scheduler *sched = work->team->sched;
-  rst_ms now = sched_now (sched);
-  rst_ms until = rst_tenure_until (sched->tenure, now);
-
-  work->calls++;
-  sched->platform->task_start (
-      sched->platform_data, work->instance->info.address,
-      work->instance->epoch, &work->info, sched->config.task_lease_ms,
-      MIN (work->start_deadline, until), on_started, work);
-}
-
-static void
-begin_start (struct work *work, uint64_t link, const struct rst_message *asked)
-{
-  work->held = false;
-  work->starting = true;
-  work->reply_due = true;
-  work->reply_link = link;
-  work->reply_id = asked->id;
-  work->run_once = asked->task_start.run_once;
-  work->start_deadline
-      = sched_now (work->team->sched)
-        + (rst_ms)MIN (asked->task_start.deadline_ms, INT32_MAX);
-  rst_breaker_sent (&work->instance->breaker);
-  log_start (work, "Task is placed.",
-             rst_policy_name (asked->task_start.policy));
-  send_start (work);
-}
-
-static void
-fill_work (struct rst_work *info, const struct rst_task_start *task)
-{
-  memset (info, 0, sizeof *info);
-  task_id (info->id, sizeof info->id, task->job, task->index, task->attempt);
-  g_strlcpy (info->team, task->team, RST_NAME_SIZE);
-  g_strlcpy (info->job, task->job, RST_NAME_SIZE);
-  g_strlcpy (info->owner, task->owner, RST_NAME_SIZE);
-  info->index = (int64_t)task->index;
-  info->attempt = (int64_t)task->attempt;
-  info->policy = (int64_t)task->policy;
-  info->cpu = (int64_t)task->cpu;
-  info->memory_mb = (int64_t)task->memory_mb;
-  info->accelerators = (int64_t)task->accelerators;
-  info->run_ms = (int64_t)task->run_ms;
-}
-
-/* A request for a task that is already here. */
-static void
-repeat_start (struct work *work, uint64_t link,
-              const struct rst_message *asked)
-{
-  struct rst_scheduler *sched = work->team->sched;
-
-  if (work->held && !asked->task_start.hold_only)
-    {
-      if (sched_may_start (sched))
-        begin_start (work, link, asked);
-      else
-        {
-          refuse_start (sched, link, asked, "not-ready");
-          sched_work_remove (work);
-        }
-      return;
-    }
-  work->reply_due = true;
-  work->reply_link = link;
-  work->reply_id = asked->id;
-  if (work->held)
-    reply_started (work, RST_TASK_HELD);
-  else if (!work->starting)
-    reply_started (work, work->ended ? (uint64_t)work->info.result
-                                     : RST_TASK_RUNNING);
-}
-
-/* An owner of the job that another has replaced must start nothing more. */
-static bool
-is_outdated (struct rst_scheduler *sched, const struct rst_task_start *task)
-{
-  const uint64_t *generation
-      = g_hash_table_lookup (sched->generations, task->job);
-
-  return generation != NULL
-         && task->attempt / RST_ATTEMPTS_PER_GENERATION < *generation;
-}
-
-static const char *
-why_not (struct rst_scheduler *sched, const struct rst_task_start *task,
-         struct team *team)
-{
-  if (!sched_may_start (sched))
-    return "not-ready";
-  if (is_outdated (sched, task))
-    return "outdated";
-  if (was_refused (sched, task))
-    return "refused-before";
-  if (rst_settings_team (sched->settings, task->team) == NULL)
-    return "unknown-team";
-  if (!sched_limit_allows (team))
-    {
-      sched_limit_wanted (team);
-      return "upper-limit";
-    }
-  return NULL;
-}
-
-void
-sched_task_start (struct rst_scheduler *sched, uint64_t link,
-                  const struct rst_message *message)
-{
-  const struct rst_task_start *task = &message->task_start;
-  struct team *team = sched_team (sched, task->team);
-  const char *reason = why_not (sched, task, team);
-  struct instance *instance;
-  struct rst_work info;
-  struct work *work;
-
-  fill_work (&info, task);
-  work = g_hash_table_lookup (sched->tasks, info.id);
-  if (work != NULL)
-    {
-      repeat_start (work, link, message);
-      return;
-    }
-  instance = reason == NULL ? choose_worker (sched, task) : NULL;
-  if (instance == NULL)
-    {
-      refuse_start (sched, link, message,
-                    reason != NULL ? reason : "no-capacity");
-      return;
-    }
-  work = sched_work_add (instance, &info);
-  if (!task->hold_only)
-    {
-      begin_start (work, link, message);
-      return;
-    }
-  work->held = true;
-  work->hold_until = sched_now (sched) + HOLD_MS;
-  work->reply_due = true;
-  work->reply_link = link;
-  work->reply_id = message->id;
-  reply_started (work, RST_TASK_HELD);
-}
-
-/* ---- Stop
- * ------------------------------------------------------------------------- */
-
 static void
 on_stopped (const struct rst_platform_reply *reply, void *data)
 {
@@ -629,8 +301,8 @@
   work->stopping = true;
   work->stop_checkpoint = checkpoint;
   work->calls++;
-  log_start (work, "Task is being stopped.",
-             checkpoint ? "checkpoint" : "cancelled");
+  sched_task_log_start (work, "Task is being stopped.",
+                        checkpoint ? "checkpoint" : "cancelled");
   sched->platform->task_stop (
       sched->platform_data, work->instance->info.address,
       work->instance->epoch, work->info.id, checkpoint, on_stopped, work);
@@ -646,7 +318,7 @@
   char id[2 * RST_NAME_SIZE];
   struct work *work;
 
-  task_id (id, sizeof id, event->job, event->index, event->attempt);
+  sched_task_task_id (id, sizeof id, event->job, event->index, event->attempt);
   work = g_hash_table_lookup (sched->tasks, id);
   if (work != NULL && !work->held)
     {
@@ -658,7 +330,7 @@
   stopped.job = event->job;
   stopped.index = event->index;
   stopped.attempt = event->attempt;
-  note_refusal (sched, &stopped);
+  sched_task_note_refusal (sched, &stopped);
   reply = *message;
   reply.type = RST_TASK_END;
   reply.id = 0;
@@ -667,102 +339,6 @@
   sched_send (sched, link, &reply);
 }
 
-/* ---- Finding
- * ------------------------------------------------------------------------ */
-
-static void
-note_generation (struct rst_scheduler *sched, const char *job,
-                 uint64_t generation)
-{
-  uint64_t *known = g_hash_table_lookup (sched->generations, job);
-
-  if (known == NULL)
-    {
-      known = g_new0 (uint64_t, 1);
-      g_hash_table_insert (sched->generations, g_strdup (job), known);
-    }
-  *known = MAX (*known, generation);
-}
-
-static bool
-all_adopted (const struct rst_scheduler *sched)
-{
-  const struct rst_zone *zone = sched_zone (sched);
-
-  if (zone == NULL || !sched->list_known)
-    return false;
-  for (int i = 0; i < zone->owned_count; i++)
-    if (zone->owned[i].owner[0] == '\0')
-      return false;
-  for (guint i = 0; i < sched->owned->len; i++)
-    {
-      const struct instance *instance = g_ptr_array_index (sched->owned, i);
-      bool runner = instance->listed && instance->info.kind == RST_RUNNER;
-
-      if (instance->phase == INSTANCE_ADOPTING && !runner)
-        return false;
-    }
-  return true;
-}
-
-static bool
-is_starting (struct rst_scheduler *sched, const char *job)
-{
-  GHashTableIter iterator;
-  gpointer value;
-
-  g_hash_table_iter_init (&iterator, sched->tasks);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    {
-      const struct work *work = value;
-
-      if (work->starting && strcmp (work->info.job, job) == 0)
-        return true;
-    }
-  return false;
-}
-
-void
-sched_task_find (struct rst_scheduler *sched, uint64_t link,
-                 const struct rst_message *message)
-{
-  const char *job = message->task_event.job;
-  struct rst_message reply = { 0 };
-  GHashTableIter iterator;
-  gpointer value;
-
-  note_generation (sched, job, message->task_event.attempt);
-  g_hash_table_iter_init (&iterator, sched->tasks);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    {
-      struct work *work = value;
-
-      if (strcmp (work->info.job, job) != 0 || work->held)
-        continue;
-      fill_event (&reply, RST_TASK_FOUND, work,
-                  work->ended ? (uint64_t)work->info.result
-                              : RST_TASK_RUNNING);
-      work->end_seen = false;
-      sched_send (sched, link, &reply);
-    }
-  /* The last message says whether all was known. */
-  memset (&reply, 0, sizeof reply);
-  reply.type = RST_TASK_FOUND;
-  reply.id = message->id;
-  reply.task_event.job = (char *)job;
-  reply.task_event.index = UINT64_MAX;
-  reply.task_event.attempt
-      = sched_zone (sched) != NULL ? sched_zone (sched)->revision : 0;
-  reply.task_event.result = all_adopted (sched) && !is_starting (sched, job)
-                                ? RST_TASK_DONE
-                                : RST_TASK_RUNNING;
-  sched_send (sched, link, &reply);
-}
-
-/* ---- Ends
- * -----------------------------------------------------------------------------
- */
-
 void
 sched_task_end_seen (struct rst_scheduler *sched,
                      const struct rst_message *message)
@@ -771,7 +347,7 @@
   char id[2 * RST_NAME_SIZE];
   struct work *work;
 
-  task_id (id, sizeof id, event->job, event->index, event->attempt);
+  sched_task_task_id (id, sizeof id, event->job, event->index, event->attempt);
   work = g_hash_table_lookup (sched->tasks, id);
   if (work != NULL && work->ended)
     work->end_seen = true;
@@ -786,7 +362,8 @@
   GHashTableIter iterator;
   gpointer value;
 
-  fill_event (&message, RST_TASK_END, work, (uint64_t)work->info.result);
+  sched_task_fill_event (&message, RST_TASK_END, work,
+                         (uint64_t)work->info.result);
   if (link != 0)
     {
       sched_send (sched, link, &message);
--- /dev/null
+++ b/src/coordination/sched_task_find.c
@@ -0,0 +1,95 @@
+/* What this scheduler knows of a job for its new owner. */
+#include "coordination/sched_task_private.h"
+
+#include <string.h>
+
+#define LOG_PREFIX "task"
+
+static void
+note_generation (struct rst_scheduler *sched, const char *job,
+                 uint64_t generation)
+{
+  uint64_t *known = g_hash_table_lookup (sched->generations, job);
+
+  if (known == NULL)
+    {
+      known = g_new0 (uint64_t, 1);
+      g_hash_table_insert (sched->generations, g_strdup (job), known);
+    }
+  *known = MAX (*known, generation);
+}
+
+static bool
+all_adopted (const struct rst_scheduler *sched)
+{
+  const struct rst_zone *zone = sched_zone (sched);
+
+  if (zone == NULL || !sched->list_known)
+    return false;
+  for (int i = 0; i < zone->owned_count; i++)
+    if (zone->owned[i].owner[0] == '\0')
+      return false;
+  for (guint i = 0; i < sched->owned->len; i++)
+    {
+      const struct instance *instance = g_ptr_array_index (sched->owned, i);
+      bool runner = instance->listed && instance->info.kind == RST_RUNNER;
+
+      if (instance->phase == INSTANCE_ADOPTING && !runner)
+        return false;
+    }
+  return true;
+}
+
+static bool
+is_starting (struct rst_scheduler *sched, const char *job)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, sched->tasks);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct work *work = value;
+
+      if (work->starting && strcmp (work->info.job, job) == 0)
+        return true;
+    }
+  return false;
+}
+
+void
+sched_task_find (struct rst_scheduler *sched, uint64_t link,
+                 const struct rst_message *message)
+{
+  const char *job = message->task_event.job;
+  struct rst_message reply = { 0 };
+  GHashTableIter iterator;
+  gpointer value;
+
+  note_generation (sched, job, message->task_event.attempt);
+  g_hash_table_iter_init (&iterator, sched->tasks);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct work *work = value;
+
+      if (strcmp (work->info.job, job) != 0 || work->held)
+        continue;
+      sched_task_fill_event (&reply, RST_TASK_FOUND, work,
+                             work->ended ? (uint64_t)work->info.result
+                                         : RST_TASK_RUNNING);
+      work->end_seen = false;
+      sched_send (sched, link, &reply);
+    }
+  /* The last message says whether all was known. */
+  memset (&reply, 0, sizeof reply);
+  reply.type = RST_TASK_FOUND;
+  reply.id = message->id;
+  reply.task_event.job = (char *)job;
+  reply.task_event.index = UINT64_MAX;
+  reply.task_event.attempt
+      = sched_zone (sched) != NULL ? sched_zone (sched)->revision : 0;
+  reply.task_event.result = all_adopted (sched) && !is_starting (sched, job)
+                                ? RST_TASK_DONE
+                                : RST_TASK_RUNNING;
+  sched_send (sched, link, &reply);
+}
