--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -138,6 +138,8 @@
   int64_t value = step->start_by_ms - planner->unix_ms + BAND_PRIORITY / 2;
   int64_t urgent = queue->priority == 0 ? 0 : BAND_PRIORITY;
 
+  if (planner->order == RST_ORDER_FIFO)
+    return step->occurrence->due_ms;
   if (step->spec->lasting)
     return 0;
   if (planner->unix_ms
@@ -159,6 +161,16 @@
   return left->rank < right->rank ? -1 : left->rank > right->rank;
 }
 
+/* Any number, the same for the same two. */
+static double
+any_number (const struct instance *instance, const struct task *task)
+{
+  guint mixed = g_str_hash (instance->entry.id) * 2654435761u
+                ^ (guint)(task->index * 40503 + task->step->rank);
+
+  return (double)(mixed % 65536);
+}
+
 /* Lower is better: the tightest fit that suits the step. */
 static double
 score (const struct instance *instance, const struct step *step,
@@ -193,7 +205,10 @@
       if (!rst_plan_allowed (instance, step) || !rst_plan_fits (instance, step)
           || rst_plan_ticket (planner, step, instance) == NULL)
         continue;
-      now = score (instance, step, task);
+      if (planner->fit == RST_FIT_FIRST)
+        return instance;
+      now = planner->fit == RST_FIT_RANDOM ? any_number (instance, task)
+                                           : score (instance, step, task);
       if (best == NULL || now < best_score)
         {
           best = instance;
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -68,6 +68,14 @@
   return planner;
 }
 
+void
+rst_planner_set_policy (struct rst_planner *planner, enum rst_order order,
+                        enum rst_fit fit)
+{
+  planner->order = order;
+  planner->fit = fit;
+}
+
 void
 rst_planner_destroy (struct rst_planner *planner)
 {
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -76,6 +76,38 @@
 rst_planner_create (const struct rst_planner_ops *ops,
                     const struct rst_planner_bounds *bounds, int64_t epoch);
 
+/**
+ * enum rst_order - In which order waiting steps are served.
+ * @RST_ORDER_RANKED: What can still be on time first, see plan_place.c.
+ * @RST_ORDER_FIFO: The oldest first.
+ */
+enum rst_order
+{
+  RST_ORDER_RANKED,
+  RST_ORDER_FIFO,
+};
+
+/**
+ * enum rst_fit - On which of the instances with room a task starts.
+ * @RST_FIT_TIGHTEST: The one that is left with the least room.
+ * @RST_FIT_FIRST: The first one.
+ * @RST_FIT_RANDOM: Any.
+ */
+enum rst_fit
+{
+  RST_FIT_TIGHTEST,
+  RST_FIT_FIRST,
+  RST_FIT_RANDOM,
+};
+
+/**
+ * rst_planner_set_policy() - Takes another policy than the usual one.
+ *
+ * For comparisons on a load; a new planner ranks and takes the tightest.
+ */
+void rst_planner_set_policy (struct rst_planner *planner, enum rst_order order,
+                             enum rst_fit fit);
+
 /** rst_planner_destroy() - Frees a planner, or ignores NULL. */
 void rst_planner_destroy (struct rst_planner *planner);
 
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -244,6 +244,8 @@
 {
   struct rst_planner_ops ops;
   struct rst_planner_bounds bounds;
+  enum rst_order order;
+  enum rst_fit fit;
   int64_t epoch;
   rst_ms now;
   int64_t unix_ms;
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -22,6 +22,8 @@
   std::string id;
   std::string task;
   int64_t number;
+  int attempt = 0;
+  std::vector<std::string> ids; // those that advice is asked for
 };
 
 struct Reply
@@ -330,6 +332,20 @@
     rst_pack_clear (pack);
   }
 
+  static void
+  read_ids (rst_reader *reader, Sent *message)
+  {
+    rst_reader rows = rst_reader_array (reader);
+
+    for (uint32_t i = 0; i < rows.count; i++)
+      {
+        char *id = rst_reader_text (&rows);
+
+        message->ids.push_back (id);
+        g_free (id);
+      }
+  }
+
   static void
   on_send (void *userdata, uint64_t link, const void *data, size_t length)
   {
@@ -356,6 +372,10 @@
       }
     if (message.kind != RST_MSG_ADVISE && message.kind != RST_MSG_HOLD)
       message.number = rst_reader_int (&reader);
+    if (message.kind == RST_MSG_START || message.kind == RST_MSG_STOP)
+      message.attempt = (int)message.number;
+    if (message.kind == RST_MSG_ADVISE)
+      read_ids (&reader, &message);
     self->sent.push_back (message);
     msgpack_unpacked_destroy (&unpacked);
   }
