--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -374,8 +374,10 @@
   removed = choose_removed (planner, remove);
   others = pack_others (planner, NULL);
   rst_pack_init (&pack, planner->dirty->len + (size_t)others);
-  pack_others (planner, &pack);
+  /* Jobs first: the record of an instance that is out names tasks, and the
+     earlier records of their jobs may go with this commit. */
   pack_jobs (planner, &pack);
+  pack_others (planner, &pack);
   mark_others (planner);
   for (int i = 0; i < removed; i++)
     g_hash_table_remove (planner->segments, &remove[i]);
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -587,27 +587,27 @@
   EXPECT_FALSE (rst_planner_restore (heir.planner, 2, "none", 4));
 }
 
-TEST (Journal, RewritesOldSegmentsAndLosesNothing)
+// Hands in and cancels a job that fits nowhere: two commits.
+static void
+add_segments (Planner &former, int number)
+{
+  char id[17];
+
+  snprintf (id, sizeof id, "%016x", 0x1000 + number);
+  former.call (100, RST_OPERATION_SUBMIT, id, Planner::job (1, 9000));
+  former.pass (35);
+  former.store ();
+  former.call (101, RST_OPERATION_CANCEL, id);
+  former.pass (35);
+  former.store ();
+}
+
+// The segments that are left in the store.
+static std::vector<harness::Commit>
+left_segments (const Planner &former)
 {
-  Planner former;
-  Planner heir (2);
   std::vector<harness::Commit> kept;
 
-  former.begin (1);
-  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 9000));
-  former.settle ();
-  for (int i = 0; i < 700; i++)
-    {
-      char id[17];
-
-      snprintf (id, sizeof id, "%016x", 0x1000 + i);
-      former.call (100, RST_OPERATION_SUBMIT, id, Planner::job (1, 9000));
-      former.pass (35);
-      former.store ();
-      former.call (101, RST_OPERATION_CANCEL, id);
-      former.pass (35);
-      former.store ();
-    }
   for (const auto &commit : former.commits)
     {
       for (int64_t removed : commit.removed)
@@ -616,8 +616,56 @@
         });
       kept.push_back (commit);
     }
-  EXPECT_LT (kept.size (), 700u);
-  former.commits = kept;
+  return kept;
+}
+
+TEST (Journal, RewritesWhatMayRunBehindTheJobsThatItNames)
+{
+  Planner former;
+  Planner heir (2);
+
+  former.begin (2);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 3000));
+  former.settle ();
+  std::string lost = former.of_kind (RST_MSG_START)[0].id;
+  std::string other = lost == "i-0" ? "i-1" : "i-0";
+
+  for (int i = 0; former.commits.size () < 596; i++)
+    {
+      rst_run run = Planner::running (task_a0, 1);
+
+      run.percent = i % 100;
+      former.report (1, lost, { run });
+      add_segments (former, i);
+    }
+  former.report (1, lost, {}, 1, RST_RESULT_UNKNOWN, 5000);
+  for (int i = 300; i < 306; i++)
+    add_segments (former, i);
+  former.commits = left_segments (former);
+  ASSERT_GT (former.commits[0].segment, 1);
+  heir.set_time (former.now);
+  restore_all (heir, former);
+  heir.configure ();
+  heir.agent (1);
+  heir.instance (other);
+  rst_planner_restored (heir.planner);
+  heir.report (1, other, {});
+  heir.settle ();
+  EXPECT_TRUE (heir.of_kind (RST_MSG_START).empty ());
+}
+
+TEST (Journal, RewritesOldSegmentsAndLosesNothing)
+{
+  Planner former;
+  Planner heir (2);
+
+  former.begin (1);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 9000));
+  former.settle ();
+  for (int i = 0; i < 700; i++)
+    add_segments (former, i);
+  former.commits = left_segments (former);
+  EXPECT_LT (former.commits.size (), 700u);
   restore_all (heir, former);
   heir.configure ();
   rst_planner_restored (heir.planner);
