Use no attempt again that a predecessor may have used

Starts have no record, so a successor numbered a gang's start 1 although attempt 1 had run and ended unseen on an instance born anew; such a run makes no progress and its next step never began. Mend: a successor adds 100 to the attempts of tasks that are not done; whether a job has begun gets a flag in its record, which an attempt above 0 stood for. Ruled out: room, advice, limits (no call for step 1 in the log).

--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -35,7 +35,7 @@
   g_byte_array_append (bytes, pair, sizeof pair);
 }
 
-/* A task is its done flag and count of failed runs, its last attempt and
+/* A task is its flags and count of failed runs, its last attempt and
    the attempts that failed. */
 static void
 pack_tasks (struct rst_pack *pack, const struct step *step)
@@ -46,8 +46,12 @@
     {
       const struct task *task = &step->tasks[i];
       int failed = MIN (task->failed, RST_FAILED_MAX);
-      guint8 head[2] = { task->done ? 1 : 0, (guint8)failed };
+      guint8 head[2] = { 0, (guint8)failed };
 
+      if (task->done)
+        head[0] |= RST_TASK_DONE_FLAG;
+      if (step->occurrence->job->begun)
+        head[0] |= RST_TASK_BEGUN_FLAG;
       g_byte_array_append (bytes, head, sizeof head);
       add_number (bytes, task->attempt);
       for (int k = 0; k < failed; k++)
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -6,6 +6,15 @@
 /** Margin for clocks that differ between machines, in milliseconds. */
 #define CLOCKS_DIFFER_MS 3000
 
+/** Added to the attempts of tasks that are not done: the predecessor's last
+    starts have no record, and a number must not be used twice.  A start is
+    repeated after 100 ms at the least, and a planner that starts a task a
+    hundred times without any record of its job does so for 10 s. */
+#define ATTEMPTS_UNSEEN 100
+
+/** Bound on an attempt; it is stored in two bytes. */
+#define ATTEMPT_MAX 65000
+
 static int
 read_number (const guint8 *bytes, size_t length, size_t *at)
 {
@@ -25,14 +34,15 @@
   for (int i = 0; i < step->spec->count && at + 4 <= length; i++)
     {
       struct task *task = &step->tasks[i];
-      bool done = bytes[at] & 1;
+      bool done = bytes[at] & RST_TASK_DONE_FLAG;
+      bool begun = bytes[at] & RST_TASK_BEGUN_FLAG;
       int attempt;
 
       task->failed = MIN (bytes[at + 1], RST_FAILED_MAX);
       at += 2;
       attempt = read_number (bytes, length, &at);
       task->attempt = MAX (task->attempt, attempt);
-      if (task->attempt > 0)
+      if (begun)
         rst_plan_job_begun (step->occurrence->job);
       for (int k = 0; k < task->failed; k++)
         task->failed_attempts[k] = (uint16_t)read_number (bytes, length, &at);
@@ -293,6 +303,19 @@
   return good;
 }
 
+static void
+skip_attempts (struct job *job, struct occurrence *occurrence)
+{
+  for (int i = 0; i < job->desc->step_count; i++)
+    for (int t = 0; t < job->desc->steps[i].count; t++)
+      {
+        struct task *task = &occurrence->steps[i].tasks[t];
+
+        if (!task->done)
+          task->attempt = MIN (task->attempt + ATTEMPTS_UNSEEN, ATTEMPT_MAX);
+      }
+}
+
 static void
 settle_job (struct rst_planner *planner, struct job *job)
 {
@@ -303,7 +326,12 @@
   if (over)
     return;
   for (guint k = 0; k < job->occurrences->len; k++)
-    rst_plan_steps_ready (planner, g_ptr_array_index (job->occurrences, k));
+    {
+      struct occurrence *occurrence = g_ptr_array_index (job->occurrences, k);
+
+      skip_attempts (job, occurrence);
+      rst_plan_steps_ready (planner, occurrence);
+    }
 }
 
 void
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -26,6 +26,10 @@
 /** Bound on the failed runs of a task that are told apart. */
 #define RST_FAILED_MAX 16
 
+/** Flags of a task in the journal: it is done; its job has begun. */
+#define RST_TASK_DONE_FLAG 1
+#define RST_TASK_BEGUN_FLAG 2
+
 /**
  * enum rst_record_kind - First member of a record of the journal.
  */
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -375,6 +375,49 @@
   EXPECT_EQ (heir.reply_to (8)->reply.state, RST_JOB_COMPLETED);
 }
 
+TEST (Succession, UsesNoAttemptThatThePredecessorMayHaveUsed)
+{
+  Planner former;
+  Planner heir (2);
+
+  former.begin (1);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  former.settle ();
+  ASSERT_EQ (former.of_kind (RST_MSG_START)[0].attempt, 1);
+  restore_all (heir, former);
+  heir.configure ();
+  heir.agent (1);
+  heir.instance ("i-0");
+  rst_planner_restored (heir.planner);
+  // The run has ended in an earlier life that nobody saw.
+  heir.report (1, "i-0", {}, 2);
+  heir.settle ();
+  ASSERT_EQ (heir.of_kind (RST_MSG_START).size (), 1u);
+  EXPECT_GT (heir.of_kind (RST_MSG_START)[0].attempt, 1);
+}
+
+TEST (Succession, CountsAJobThatNobodyStartedAsWaiting)
+{
+  Planner former;
+  Planner heir (2);
+  Planner third (3);
+
+  former.begin (1);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 9000));
+  former.settle ();
+  restore_all (heir, former);
+  heir.configure ();
+  rst_planner_restored (heir.planner);
+  heir.call (8, RST_OPERATION_SUBMIT, job_b, Planner::job (1, 9000));
+  heir.settle ();
+  restore_all (third, former);
+  restore_all (third, heir);
+  third.configure ();
+  rst_planner_restored (third.planner);
+  third.call (9, RST_OPERATION_READ, "");
+  EXPECT_EQ (third.reply_to (9)->reply.count, 2);
+}
+
 TEST (Succession, CountsWhatMayStillRunAgainstACustomersLimit)
 {
   Planner former;
