--- a/src/cell/agent.c
+++ b/src/cell/agent.c
@@ -331,6 +331,28 @@
   g_free (order);
 }
 
+/* Reads which run of which instance an order is for, and aims the call at it.
+   Returns what is held of the instance, or NULL. */
+static struct held *
+aim_order (struct order *order, struct rst_reader *reader,
+           struct rst_instance_call *call)
+{
+  struct held *held;
+
+  rst_reader_copy (reader, order->id, sizeof order->id);
+  rst_reader_copy (reader, order->task, sizeof order->task);
+  order->attempt = (int)rst_reader_int (reader);
+  held = g_hash_table_lookup (order->agent->held, order->id);
+  if (held == NULL)
+    return NULL;
+  call->id = held->id;
+  call->address = held->address;
+  call->fence = held->fence;
+  call->task = order->task;
+  call->attempt = order->attempt;
+  return held;
+}
+
 static void
 carry (struct rst_agent *agent, int kind, struct rst_reader *reader)
 {
@@ -344,10 +366,7 @@
 
   order->agent = agent;
   order->kind = kind == RST_MSG_START ? RST_MSG_STARTED : RST_MSG_STOPPED;
-  rst_reader_copy (reader, order->id, sizeof order->id);
-  rst_reader_copy (reader, order->task, sizeof order->task);
-  order->attempt = (int)rst_reader_int (reader);
-  held = g_hash_table_lookup (agent->held, order->id);
+  held = aim_order (order, reader, &call);
   /* Without the instance's clock a start could carry no lease. */
   if (held == NULL || reader->bad
       || (kind == RST_MSG_START && held->clock_ms == 0))
@@ -356,11 +375,6 @@
       g_free (order);
       return;
     }
-  call.id = held->id;
-  call.address = held->address;
-  call.fence = held->fence;
-  call.task = order->task;
-  call.attempt = order->attempt;
   if (kind == RST_MSG_START)
     {
       call.spec = spec = rst_reader_text (reader);
@@ -400,21 +414,14 @@
 
   order->agent = agent;
   order->kind = RST_MSG_PACE;
-  rst_reader_copy (reader, order->id, sizeof order->id);
-  rst_reader_copy (reader, order->task, sizeof order->task);
-  call.attempt = (int)rst_reader_int (reader);
+  held = aim_order (order, reader, &call);
+  call.paces = true;
   call.percent = (int)rst_reader_int (reader);
-  held = g_hash_table_lookup (agent->held, order->id);
   if (held == NULL || reader->bad)
     {
       g_free (order);
       return;
     }
-  call.id = held->id;
-  call.address = held->address;
-  call.fence = held->fence;
-  call.task = order->task;
-  call.paces = true;
   backend->pace (backend->userdata, &call, on_pace, order);
 }
 
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -3,10 +3,10 @@
  *
  * plan_jobs.c: callers' calls, jobs and their steps.  plan_instances.c:
  * instances, agents and reports.  plan_runs.c: single runs, from order to end.
- * plan_place.c: which waiting task goes where.  plan_pace.c: pace of
- * tasks that fill.  plan_limit.c: upper
- * limits of customers.  plan_advice.c: whom to ask for which step.
- * plan_journal.c: records in the store, plan_restore.c: reading them.
+ * plan_place.c: which waiting task goes where.  plan_limit.c: upper limits
+ * of customers.  plan_pace.c: pace of tasks that fill.  plan_advice.c: whom
+ * to ask for which step.  plan_journal.c: records in the store,
+ * plan_restore.c: reading them.
  */
 #ifndef RST_PLANNER_PRIVATE_H
 #define RST_PLANNER_PRIVATE_H
--- a/src/daemon/cell_loop.c
+++ b/src/daemon/cell_loop.c
@@ -158,10 +158,23 @@
   return rst_net_create (&config, &loop->net);
 }
 
-struct rst_net *
-rst_cell_loop_net (struct rst_cell_loop *loop)
+uint64_t
+rst_cell_loop_open_link (void *loop, const char *address)
 {
-  return loop->net;
+  return rst_net_connect (((struct rst_cell_loop *)loop)->net, address);
+}
+
+void
+rst_cell_loop_close_link (void *loop, uint64_t link)
+{
+  rst_net_close (((struct rst_cell_loop *)loop)->net, link);
+}
+
+void
+rst_cell_loop_send_frame (void *loop, uint64_t link, const void *data,
+                          size_t length)
+{
+  rst_net_send (((struct rst_cell_loop *)loop)->net, link, data, length);
 }
 
 static struct answer_event *
--- a/src/daemon/cell_loop.h
+++ b/src/daemon/cell_loop.h
@@ -52,8 +52,16 @@
  */
 int rst_cell_loop_listen (struct rst_cell_loop *loop, const char *address);
 
-/** rst_cell_loop_net() - The net. */
-struct rst_net *rst_cell_loop_net (struct rst_cell_loop *loop);
+/** rst_cell_loop_open_link() - Opens a link; @loop is a struct rst_cell_loop,
+    so that this and the next two serve as callbacks. */
+uint64_t rst_cell_loop_open_link (void *loop, const char *address);
+
+/** rst_cell_loop_close_link() - Closes a link. */
+void rst_cell_loop_close_link (void *loop, uint64_t link);
+
+/** rst_cell_loop_send_frame() - Sends a frame over a link. */
+void rst_cell_loop_send_frame (void *loop, uint64_t link, const void *data,
+                               size_t length);
 
 /** rst_cell_loop_post() - Posts an event, from any thread. */
 void rst_cell_loop_post (struct rst_cell_loop *loop,
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -40,7 +40,8 @@
 }
 
 char *
-rst_call_metrics_page (const struct rst_call_stats *stats, bool ready)
+rst_call_metrics_page (const struct rst_call_stats *stats, unsigned waiting,
+                       bool ready)
 {
   static const char *const operations[RST_OPERATION_KINDS]
       = { "submit", "read", "cancel" };
@@ -48,7 +49,7 @@
 
   rst_metrics_gauge (page, "ready", "Whether callers can be served.", ready);
   rst_metrics_gauge (page, "calls_waiting", "Calls without an answer so far.",
-                     (double)stats->waiting);
+                     waiting);
   rst_metrics_family (page, "answers_total", "counter",
                       "Answers by operation and status; 0 is any other.");
   for (int i = 0; i < RST_OPERATION_KINDS; i++)
--- a/src/daemon/cell_metrics.h
+++ b/src/daemon/cell_metrics.h
@@ -18,13 +18,11 @@
  * struct rst_call_stats - Callers' calls as one entry instance answered them.
  * @answers: Answers by operation and status, see rst_call_stats_add().
  * @answer_ms: Time to the answer, by operation.
- * @waiting: Calls without an answer so far.
  */
 struct rst_call_stats
 {
   uint64_t answers[RST_OPERATION_KINDS][RST_STATUS_KINDS];
   struct rst_histogram answer_ms[RST_OPERATION_KINDS];
-  uint64_t waiting;
 };
 
 /** rst_call_stats_add() - Counts an answered call. */
@@ -32,8 +30,14 @@
                          enum rst_operation operation, unsigned status,
                          int64_t took_ms);
 
-/** rst_call_metrics_page() - jobd's page, to be freed with g_free(). */
-char *rst_call_metrics_page (const struct rst_call_stats *stats, bool ready);
+/**
+ * rst_call_metrics_page() - jobd's page, to be freed with g_free().
+ * @stats: Calls answered.
+ * @waiting: Calls without an answer so far.
+ * @ready: Whether callers can be served.
+ */
+char *rst_call_metrics_page (const struct rst_call_stats *stats,
+                             unsigned waiting, bool ready);
 
 /** rst_cell_metrics_page() - celld's page, to be freed with g_free(). */
 char *rst_cell_metrics_page (const struct rst_cell_node *node);
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -97,30 +97,6 @@
   return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
-static uint64_t
-open_link (void *userdata, const char *address)
-{
-  struct celld *celld = userdata;
-
-  return rst_net_connect (rst_cell_loop_net (celld->loop), address);
-}
-
-static void
-close_link (void *userdata, uint64_t link)
-{
-  struct celld *celld = userdata;
-
-  rst_net_close (rst_cell_loop_net (celld->loop), link);
-}
-
-static void
-send_frame (void *userdata, uint64_t link, const void *data, size_t length)
-{
-  struct celld *celld = userdata;
-
-  rst_net_send (rst_cell_loop_net (celld->loop), link, data, length);
-}
-
 static void
 on_link (void *userdata, enum rst_net_event event, uint64_t link,
          const void *data, size_t length)
@@ -183,10 +159,10 @@
       celld->loop, rst_adapter_backend (celld->adapter));
   config.now = rst_os_now;
   config.unix_now = unix_now;
-  config.connect = open_link;
-  config.close = close_link;
-  config.send = send_frame;
-  config.userdata = celld;
+  config.connect = rst_cell_loop_open_link;
+  config.close = rst_cell_loop_close_link;
+  config.send = rst_cell_loop_send_frame;
+  config.userdata = celld->loop;
   config.name = settings->name;
   config.zone = settings->zone;
   config.address = settings->listen;
--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -282,8 +282,9 @@
   struct jobd *jobd = userdata;
   char *page;
 
-  jobd->stats.waiting = g_hash_table_size (jobd->pending);
-  page = rst_call_metrics_page (&jobd->stats, atomic_load (&jobd->ready));
+  page
+      = rst_call_metrics_page (&jobd->stats, g_hash_table_size (jobd->pending),
+                               atomic_load (&jobd->ready));
   rst_http_reply (request, 200, "text/plain", page, strlen (page), 0);
   g_free (page);
 }
@@ -500,7 +501,7 @@
 {
   struct jobd *jobd = userdata;
 
-  return rst_net_connect (rst_cell_loop_net (jobd->loop), address);
+  return rst_cell_loop_open_link (jobd->loop, address);
 }
 
 static void
@@ -508,7 +509,7 @@
 {
   struct jobd *jobd = userdata;
 
-  rst_net_close (rst_cell_loop_net (jobd->loop), link);
+  rst_cell_loop_close_link (jobd->loop, link);
 }
 
 static void
@@ -516,7 +517,7 @@
 {
   struct jobd *jobd = userdata;
 
-  rst_net_send (rst_cell_loop_net (jobd->loop), link, data, length);
+  rst_cell_loop_send_frame (jobd->loop, link, data, length);
 }
 
 static void
--- a/test/unit/metrics_test.cc
+++ b/test/unit/metrics_test.cc
@@ -57,7 +57,7 @@
   rst_call_stats_add (&stats, RST_OPERATION_SUBMIT, 200, 12);
   rst_call_stats_add (&stats, RST_OPERATION_SUBMIT, 504, 2900);
   rst_call_stats_add (&stats, RST_OPERATION_READ, 499, 1);
-  char *page = rst_call_metrics_page (&stats, true);
+  char *page = rst_call_metrics_page (&stats, 0, true);
   std::string text = page;
 
   g_free (page);
