--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -30,9 +30,9 @@
 static void
 add_number (GByteArray *bytes, int number)
 {
-  guint8 pair[2] = { (guint8)(number >> 8), (guint8)(number & 255) };
+  guint32 ordered = g_htonl ((guint32)number);
 
-  g_byte_array_append (bytes, pair, sizeof pair);
+  g_byte_array_append (bytes, (const guint8 *)&ordered, sizeof ordered);
 }
 
 /* A task is its flags and count of failed runs, its last attempt and
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -12,18 +12,18 @@
     hundred times without any record of its job does so for 10 s. */
 #define ATTEMPTS_UNSEEN 100
 
-/** Bound on an attempt; it is stored in two bytes. */
-#define ATTEMPT_MAX 65000
+/** Bytes of a task without failed runs: flags, their count, its attempt. */
+#define TASK_BYTES 6
 
 static int
 read_number (const guint8 *bytes, size_t length, size_t *at)
 {
-  int number = 0;
+  guint32 ordered = 0;
 
-  if (*at + 2 <= length)
-    number = bytes[*at] << 8 | bytes[*at + 1];
-  *at += 2;
-  return number;
+  if (*at + sizeof ordered <= length)
+    memcpy (&ordered, bytes + *at, sizeof ordered);
+  *at += sizeof ordered;
+  return (int)g_ntohl (ordered);
 }
 
 static void
@@ -31,7 +31,7 @@
 {
   size_t at = 0;
 
-  for (int i = 0; i < step->spec->count && at + 4 <= length; i++)
+  for (int i = 0; i < step->spec->count && at + TASK_BYTES <= length; i++)
     {
       struct task *task = &step->tasks[i];
       bool done = bytes[at] & RST_TASK_DONE_FLAG;
@@ -45,7 +45,7 @@
       if (begun)
         rst_plan_job_begun (step->occurrence->job);
       for (int k = 0; k < task->failed; k++)
-        task->failed_attempts[k] = (uint16_t)read_number (bytes, length, &at);
+        task->failed_attempts[k] = read_number (bytes, length, &at);
       if (!done || task->done)
         continue;
       task->done = true;
@@ -312,7 +312,7 @@
         struct task *task = &occurrence->steps[i].tasks[t];
 
         if (!task->done)
-          task->attempt = MIN (task->attempt + ATTEMPTS_UNSEEN, ATTEMPT_MAX);
+          task->attempt += ATTEMPTS_UNSEEN;
       }
 }
 
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -333,7 +333,7 @@
     if (task->failed_attempts[i] == attempt)
       return false;
   if (task->failed < RST_FAILED_MAX)
-    task->failed_attempts[task->failed] = (uint16_t)attempt;
+    task->failed_attempts[task->failed] = attempt;
   task->failed++;
   return true;
 }
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -134,7 +134,7 @@
   bool done;
   /* Failed runs; each counts once, in whatever order instances list them. */
   int failed;
-  uint16_t failed_attempts[RST_FAILED_MAX];
+  int failed_attempts[RST_FAILED_MAX];
   int attempt;
   bool unsure;
   char saved[RST_TOKEN_SIZE];
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -396,6 +396,28 @@
   EXPECT_GT (heir.of_kind (RST_MSG_START)[0].attempt, 1);
 }
 
+TEST (Succession, LetsAttemptsRiseBeyondTwoBytes)
+{
+  Planner former;
+  Planner heir (2);
+
+  former.begin (1);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  former.settle ();
+  former.report (1, "i-0",
+                 { Planner::ended (1, task_a0, 70000, RST_END_FAILED) });
+  former.settle ();
+  restore_all (heir, former);
+  heir.configure ();
+  heir.agent (1);
+  heir.instance ("i-0");
+  rst_planner_restored (heir.planner);
+  heir.report (1, "i-0", {}, 2);
+  heir.settle ();
+  ASSERT_EQ (heir.of_kind (RST_MSG_START).size (), 1u);
+  EXPECT_GT (heir.of_kind (RST_MSG_START)[0].attempt, 70000);
+}
+
 TEST (Succession, CountsAJobThatNobodyStartedAsWaiting)
 {
   Planner former;
