Wait in the scripted run until the entry sees the slots that were handed over

In both the stopped scheduler owned both runners; the other adopted them 10 and 17 ms after the hand-over, and the request came in between. The script waited for the ownership record only; the entry learns of slots from the scheduler's load, as start_cell() has always awaited. The refusal was true: nothing ran. Ruled out: a hand-over that gets stuck, the mend of handed-over work. The request must still be answered with 200; the room must be seen within 20 s.

--- a/test/run/calls.sh
+++ b/test/run/calls.sh
@@ -77,6 +77,7 @@
 stop schedd-e2
 echo "scheduler status $?"
 wait_for 10 all_owned 4 || echo "not handed over"
+wait_for 20 sees_slots e1 16 || echo "e1 sees no slots"
 entry=e1
 call "$beta" /v1/requests -d '{"n":8}'
 echo "overcommitted $(fleet_sum overcommitted) doubled $(fleet_sum doubled) twice $(ran_twice)"
