Wait in scripted runs until no scheduler has more than its share

The script took 'all owned, 16 slots seen' for settled, which holds before the second scheduler has joined. Shown by a script that sends queries while the second scheduler joins: one of six runs moved both runners at once, and a query in that time was refused. Ruled out: a race reported by the sanitizer (none); 90 runs of the script under ThreadSanitizer, 8 and 16 at a time, did not show it, since names are random. The refusal was true and the check stays as it was: 200 for the first query. After: both scripts as expected.

--- a/test/run/lib.sh
+++ b/test/run/lib.sh
@@ -39,6 +39,9 @@
     start_schedd z1 "e$i" && start_entryd z1 "e$i" || exit 1
   done
   ctl zone in z1 >/dev/null
+  # A scheduler that joins late takes instances over; meanwhile nobody may
+  # have a slot, and a request is refused.
+  wait_for 20 are_shared "$1" $(($2 + $3)) || echo "instances are not shared"
   wait_for 20 all_owned $(($2 + $3)) || echo "instances are not owned"
   for i in $(seq 1 "$1")
   do
@@ -46,6 +49,21 @@
   done
 }
 
+# are_shared ENTRIES INSTANCES - whether no scheduler of e1, e2, ... has more
+# than its share and none has yet to join.
+are_shared ()
+{
+  local i owned
+
+  for i in $(seq 1 "$1")
+  do
+    owned=$(get "${status_of[schedd-e$i]}" /status \
+      | jq '[.instances[] | select(.ready)] | length')
+    [ "${owned:-0}" -ge 1 ] && [ "$owned" -le $((($2 + $1 - 1) / $1)) ] \
+      || return 1
+  done
+}
+
 # sees_slots NAME COUNT - whether an entry knows of that many free slots.
 sees_slots ()
 {
