Give each life of an instance a fencing token of its own

Cause: an order without an answer, sent to one life of an instance and carried out by the next life under the same id, carried the present token and was taken; the planner had restarted the task at once when it saw the new life. Named in docs/PLATFORM.md as a known gap. The planner now raises the instance's token when it sees another life, and gives up what the earlier life ran only after a list under the new token. Reports carry the token that they were taken under. An ack names the life whose ends it counts. Ruled out: waiting for late orders to be over (12 s without a restart). Test: Planner.RaisesTheTokenBeforeItGivesUpWhatAnEarlierLifeRan, Planner.TakesNoReportUnderAnEarlierToken, Agent.IgnoresAnAckForTheEndsOfAnotherLife, fault 11 of the cell's oracle.

--- a/src/cell/agent.c
+++ b/src/cell/agent.c
@@ -131,13 +131,14 @@
 {
   struct rst_pack pack;
 
-  rst_pack_init (&pack, 7);
+  rst_pack_init (&pack, 8);
   rst_pack_int (&pack, RST_MSG_REPORT);
   rst_pack_text (&pack, held->id);
   rst_pack_int (&pack, answer->result);
   rst_pack_int (&pack, answer->clock_ms);
   rst_pack_int (&pack, answer->born);
   rst_pack_int (&pack, MAX (held->lease_until - now, 0));
+  rst_pack_int (&pack, held->fence);
   rst_pack_array (&pack, answer->runs->len);
   for (guint i = 0; i < answer->runs->len; i++)
     pack_run (&pack, &g_array_index (answer->runs, struct rst_run, i));
@@ -275,11 +276,15 @@
   char id[RST_ID_SIZE];
   struct held *held;
   int64_t number;
+  int64_t born;
 
   rst_reader_copy (reader, id, sizeof id);
   number = rst_reader_int (reader);
+  born = rst_reader_int (reader);
   held = g_hash_table_lookup (agent->held, id);
-  if (reader->bad || held == NULL || number > held->listed)
+  /* Another life has numbered its ends anew. */
+  if (reader->bad || held == NULL || born != held->born
+      || number > held->listed)
     return;
   held->last_seen = MAX (held->last_seen, number);
   if (!held->looking)
--- a/src/cell/fault_private.h
+++ b/src/cell/fault_private.h
@@ -21,6 +21,7 @@
  * @RST_CELL_FAULT_EARLY_END: A job completes with its first step.
  * @RST_CELL_FAULT_HASTY_HEIR: A successor does not wait for instances.
  * @RST_CELL_FAULT_NO_LIMIT: Customers' upper limits do not count.
+ * @RST_CELL_FAULT_ONE_FENCE: All lives of an instance share a token.
  */
 enum rst_cell_fault_kind
 {
@@ -35,6 +36,7 @@
   RST_CELL_FAULT_EARLY_END,
   RST_CELL_FAULT_HASTY_HEIR,
   RST_CELL_FAULT_NO_LIMIT,
+  RST_CELL_FAULT_ONE_FENCE,
 };
 
 #ifdef RST_FAULTS
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -17,11 +17,12 @@
  * @RST_MSG_DROP: id; another agent holds it now.
  * @RST_MSG_START: id, task, attempt, spec, checkpoint, ticket.
  * @RST_MSG_STOP: id, task, attempt.
- * @RST_MSG_ACK: id, number of the last stored end.
+ * @RST_MSG_ACK: id, number of the last stored end, birth of the life that
+ *   numbered it.
  * @RST_MSG_PACE: id, task, attempt, hundredths; how fast a run may work.
  * @RST_MSG_WATCH: id, milliseconds; how long looks may wait for an end.
  * @RST_MSG_ADVISE: handle, step, ids.
- * @RST_MSG_REPORT: id, result, clock, birth, lease left, runs.
+ * @RST_MSG_REPORT: id, result, clock, birth, lease left, fence, runs.
  * @RST_MSG_STARTED: id, task, attempt, result, clock.
  * @RST_MSG_STOPPED: id, task, attempt, result, clock.
  * @RST_MSG_ADVICE: handle, result, rows of id and ticket.
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -19,6 +19,9 @@
     time for which leases are extended without it. */
 #define STARTS_MAX_MS 4000
 
+/** Tokens that one planner has for the lives of one instance. */
+#define FENCES_PER_EPOCH 1000
+
 /** Time between attempts to hold an instance that has no agent's report. */
 #define HOLD_AGAIN_MS 700
 
@@ -87,6 +90,17 @@
   return best;
 }
 
+/* Raised with the planner and with each life of the instance: an order to an
+   earlier life that is carried out late is turned away. */
+static int64_t
+fence (const struct rst_planner *planner, const struct instance *instance)
+{
+  if (RST_CELL_FAULT (RST_CELL_FAULT_ONE_FENCE))
+    return planner->epoch * FENCES_PER_EPOCH;
+  return planner->epoch * FENCES_PER_EPOCH
+         + MIN (instance->lives, FENCES_PER_EPOCH - 1);
+}
+
 static void
 send_hold (struct rst_planner *planner, struct instance *instance)
 {
@@ -97,7 +111,7 @@
   rst_pack_int (&pack, RST_MSG_HOLD);
   rst_pack_text (&pack, instance->entry.id);
   rst_pack_text (&pack, instance->entry.address);
-  rst_pack_int (&pack, planner->epoch);
+  rst_pack_int (&pack, fence (planner, instance));
   rst_pack_int (&pack, instance->acked);
   planner->ops.send (planner->ops.userdata, instance->agent->link,
                      pack.buffer.data, pack.buffer.size);
@@ -469,16 +483,31 @@
   g_hash_table_destroy (listed);
 }
 
+/* What ran in the earlier life may start elsewhere only once the new life
+   turns late orders away, and has said since what it runs. */
+static bool
+raise_fence (struct rst_planner *planner, struct instance *instance,
+             int64_t born)
+{
+  if (instance->born == 0 || instance->raised_for == born)
+    return false;
+  rst_info (RST_PLAN_LOG, "Instance was born anew.", "instance",
+            instance->entry.id);
+  instance->raised_for = born;
+  instance->lives++;
+  instance->acked = 0;
+  instance->committing = 0;
+  set_unknown (planner, instance);
+  send_hold (planner, instance);
+  return true;
+}
+
 static void
 begin_life (struct rst_planner *planner, struct instance *instance,
             int64_t born)
 {
   if (instance->born != 0)
-    {
-      rst_info (RST_PLAN_LOG, "Instance was born anew.", "instance",
-                instance->entry.id);
-      lose_runs (planner, instance, "born anew");
-    }
+    lose_runs (planner, instance, "born anew");
   instance->born = born;
   instance->life_at = planner->now;
   instance->seen = 0;
@@ -498,16 +527,19 @@
   int64_t clock_ms;
   int64_t born;
   int64_t lease_left;
+  int64_t held_with;
 
   rst_reader_copy (reader, id, sizeof id);
   result = (enum rst_result)rst_reader_int (reader);
   clock_ms = rst_reader_int (reader);
   born = rst_reader_int (reader);
   lease_left = rst_reader_int (reader);
+  held_with = rst_reader_int (reader);
   runs = rst_reader_array (reader);
   instance = g_hash_table_lookup (planner->instances, id);
   if (reader->bad || instance == NULL || instance->agent == NULL
-      || instance->agent->link != link)
+      || instance->agent->link != link
+      || held_with != fence (planner, instance))
     return;
   if (result != RST_RESULT_OK)
     {
@@ -523,6 +555,8 @@
     }
   if (born < instance->born)
     return;
+  if (born > instance->born && raise_fence (planner, instance, born))
+    return;
   if (born > instance->born)
     begin_life (planner, instance, born);
   instance->known = true;
@@ -591,6 +625,23 @@
     settle_unsure (planner);
 }
 
+static void
+send_ack (struct rst_planner *planner, const struct instance *instance)
+{
+  struct rst_pack pack;
+
+  if (instance->agent == NULL)
+    return;
+  rst_pack_init (&pack, 4);
+  rst_pack_int (&pack, RST_MSG_ACK);
+  rst_pack_text (&pack, instance->entry.id);
+  rst_pack_int (&pack, instance->acked);
+  rst_pack_int (&pack, instance->born);
+  planner->ops.send (planner->ops.userdata, instance->agent->link,
+                     pack.buffer.data, pack.buffer.size);
+  rst_pack_clear (&pack);
+}
+
 /* Ends that are in the store may be forgotten by the instances. */
 void
 rst_plan_acks (struct rst_planner *planner)
@@ -606,6 +657,6 @@
       if (instance->committing <= instance->acked)
         continue;
       instance->acked = instance->committing;
-      rst_plan_send_id (planner, instance, RST_MSG_ACK, instance->acked);
+      send_ack (planner, instance);
     }
 }
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -65,6 +65,10 @@
   struct agent *agent;
   GHashTable *runs;
   int64_t born;
+  /* Lives that this planner has seen; each has a token of its own. */
+  int64_t lives;
+  /* The newest life that a token was raised for. */
+  int64_t raised_for;
   int64_t seen;
   int64_t acked;
   int64_t committing;
--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -1,6 +1,7 @@
 // Runs a cell under faults drawn from a seed; the oracle judges.
 //
 //   cell-fuzz --seed N [--seconds N] [--seeds COUNT] [--log info] [--fault N]
+//             [--outlive 1]
 #include "world.h"
 
 #include <cstdio>
@@ -152,7 +153,7 @@
 }
 
 static bool
-play (uint64_t seed, int seconds)
+play (uint64_t seed, int seconds, bool outlive)
 {
   World world (seed, 5, 12);
   Millis start = world.now ();
@@ -160,6 +161,7 @@
   int jobs = 0;
   int unfinished;
 
+  world.orders_outlive = outlive;
   world.run_until (start + 3000);
   while (world.now () < end)
     {
@@ -203,6 +205,7 @@
   int seconds = 60;
   int seeds = 1;
   int failed = 0;
+  bool outlive = false;
   rst_log_config log = { false, "error", false };
 
   for (int i = 1; i + 1 < argc; i += 2)
@@ -215,12 +218,14 @@
         seeds = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--fault") == 0)
         rst_cell_fault = atoi (argv[i + 1]);
+      else if (strcmp (argv[i], "--outlive") == 0)
+        outlive = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--log") == 0)
         g_strlcpy (log.level, argv[i + 1], sizeof log.level);
     }
   rst_log_init ("cell-fuzz", &log);
   for (int i = 0; i < seeds; i++)
-    if (!play (seed + (uint64_t)i, seconds))
+    if (!play (seed + (uint64_t)i, seconds, outlive))
       failed++;
   if (failed > 0)
     printf ("%d of %d seeds failed\n", failed, seeds);
--- a/test/cell/workers.cc
+++ b/test/cell/workers.cc
@@ -336,6 +336,7 @@
   at (now () + down_ms, [this, &worker] {
     worker.up = true;
     worker.born = now ();
+    worker.lives++;
     worker.fence = 0;
     worker.next_end = 1;
     worker.lease = 0;
@@ -408,10 +409,13 @@
       return;
     }
   copy.born = worker->born;
+  copy.life = worker->lives;
   if (chance () < faults.late_order)
     {
+      // The next life under the same id may take it for its own.
       at (now () + 2000 + below (10000), [this, worker, copy] {
-        if (worker->up && worker->born == copy.born)
+        if (worker->up
+            && worker->lives - copy.life <= (orders_outlive ? 1 : 0))
           rst_instance_answer_free (apply (*worker, copy));
       });
       lose (700, RST_RESULT_UNKNOWN);
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -73,6 +73,7 @@
   int64_t fence = 0;
   Millis deadline = 0;
   int64_t last_seen = 0;
+  int life = 0;
   int64_t born = 0;
 };
 
@@ -83,6 +84,7 @@
   std::string zone;
   bool up = true;
   bool cut = false;
+  int lives = 0;
   int64_t born = 0;
   int64_t fence = 0;
   int64_t next_end = 1;
@@ -142,6 +144,8 @@
   ~World ();
 
   Faults faults;
+  // Whether an order that is carried out late may reach the next life.
+  bool orders_outlive = false;
   std::vector<std::string> breaches;
   std::map<std::string, Job> jobs;
   std::vector<std::unique_ptr<Node> > nodes;
--- a/test/unit/agent_test.cc
+++ b/test/unit/agent_test.cc
@@ -166,7 +166,7 @@
   hold ();
   answer (RST_RESULT_OK, 5000, 1, 3);
   EXPECT_TRUE (calls.empty ());
-  message (RST_MSG_ACK, { "i" }, { 3 });
+  message (RST_MSG_ACK, { "i" }, { 3, 1 });
   ASSERT_EQ (calls.size (), 1u);
   EXPECT_EQ (calls[0].last_seen, 3);
   EXPECT_GT (calls[0].wait, 0);
@@ -176,7 +176,7 @@
 {
   hold ();
   answer (RST_RESULT_OK, 5000, 1, 3);
-  message (RST_MSG_ACK, { "i" }, { 3 });
+  message (RST_MSG_ACK, { "i" }, { 3, 1 });
   answer (RST_RESULT_UNKNOWN);
   agent_now += 400;
   rst_agent_run (agent);
@@ -185,6 +185,17 @@
   EXPECT_EQ (calls[0].wait, 0);
 }
 
+TEST_F (Agent, IgnoresAnAckForTheEndsOfAnotherLife)
+{
+  hold ();
+  answer (RST_RESULT_OK, 5000, 2, 3);
+  message (RST_MSG_ACK, { "i" }, { 3, 1 });
+  EXPECT_TRUE (calls.empty ());
+  message (RST_MSG_ACK, { "i" }, { 3, 2 });
+  ASSERT_EQ (calls.size (), 1u);
+  EXPECT_EQ (calls[0].last_seen, 3);
+}
+
 TEST_F (Agent, ExtendsNoLeaseLongAfterTheStoresLastWord)
 {
   hold ();
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -3,6 +3,7 @@
 #define RST_TEST_CELL_HARNESS_H
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,8 @@
   rst_ms now = 0;
   int64_t clock = 5000;
   bool confirms = true;
+  // Token of the last hold of each instance.
+  std::map<std::string, int64_t> fences;
 
   void
   set_time (rst_ms time)
@@ -133,21 +136,36 @@
                        zone);
   }
 
-  // What an instance lists: runs without a number, ends with one.
+  // What an instance lists: runs without a number, ends with one.  When the
+  // planner raises the token for another life, the agent looks again.
   void
   report (uint64_t link, const std::string &id,
           const std::vector<rst_run> &runs, int64_t born = 1,
           rst_result result = RST_RESULT_OK, int64_t lease_left = 0)
+  {
+    int64_t fence = fences[id];
+
+    report_once (link, id, runs, born, result, lease_left);
+    if (fences[id] != fence)
+      report_once (link, id, runs, born, result, lease_left);
+  }
+
+  // The same under the token that the agent has now.
+  void
+  report_once (uint64_t link, const std::string &id,
+               const std::vector<rst_run> &runs, int64_t born = 1,
+               rst_result result = RST_RESULT_OK, int64_t lease_left = 0)
   {
     rst_pack pack;
 
     clock += 10;
-    rst_pack_init (&pack, 6);
+    rst_pack_init (&pack, 7);
     rst_pack_text (&pack, id.c_str ());
     rst_pack_int (&pack, result);
     rst_pack_int (&pack, clock);
     rst_pack_int (&pack, born);
     rst_pack_int (&pack, lease_left);
+    rst_pack_int (&pack, fences[id]);
     rst_pack_array (&pack, runs.size ());
     for (const rst_run &run : runs)
       {
@@ -370,7 +388,12 @@
         message.task = task;
         g_free (task);
       }
-    if (message.kind != RST_MSG_ADVISE && message.kind != RST_MSG_HOLD)
+    if (message.kind == RST_MSG_HOLD)
+      {
+        g_free (rst_reader_text (&reader));
+        self->fences[message.id] = rst_reader_int (&reader);
+      }
+    else if (message.kind != RST_MSG_ADVISE)
       message.number = rst_reader_int (&reader);
     if (message.kind == RST_MSG_START || message.kind == RST_MSG_STOP)
       message.attempt = (int)message.number;
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -101,6 +101,46 @@
   EXPECT_EQ (cell.of_kind (RST_MSG_START)[0].number, 2);
 }
 
+TEST (Planner, RaisesTheTokenBeforeItGivesUpWhatAnEarlierLifeRan)
+{
+  Planner cell;
+  int64_t fence;
+
+  cell.begin (2);
+  fence = cell.fences["i-0"];
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.settle ();
+  ASSERT_EQ (cell.of_kind (RST_MSG_START).size (), 1u);
+  std::string id = cell.of_kind (RST_MSG_START)[0].id;
+
+  cell.answer (1, RST_MSG_STARTED, id, task_a0, 1, RST_RESULT_OK);
+  cell.sent.clear ();
+  /* The new life is seen under the token that late orders carry too. */
+  cell.report_once (1, id, {}, 2);
+  cell.pass (200);
+  EXPECT_GT (cell.fences[id], fence);
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+  /* A start to the earlier life was carried out in between. */
+  cell.report_once (1, id, { Planner::running (task_a0, 1) }, 2);
+  cell.settle ();
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+}
+
+TEST (Planner, TakesNoReportUnderAnEarlierToken)
+{
+  Planner cell;
+
+  cell.begin (1);
+  cell.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  cell.settle ();
+  cell.report (1, "i-0", { Planner::running (task_a0, 1) });
+  cell.sent.clear ();
+  cell.fences["i-0"] -= 1;
+  cell.report_once (1, "i-0", {});
+  cell.settle ();
+  EXPECT_TRUE (cell.of_kind (RST_MSG_START).empty ());
+}
+
 TEST (Planner, KeepsWithinAnInstancesRoomUntilAnEndIsListed)
 {
   Planner cell;
