--- a/src/cell/pack.c
+++ b/src/cell/pack.c
@@ -3,13 +3,26 @@
 #include <string.h>
 
 void
-rst_pack_init (struct rst_pack *pack, size_t count)
+rst_pack_open (struct rst_pack *pack)
 {
   msgpack_sbuffer_init (&pack->buffer);
   msgpack_packer_init (&pack->packer, &pack->buffer, msgpack_sbuffer_write);
+}
+
+void
+rst_pack_init (struct rst_pack *pack, size_t count)
+{
+  rst_pack_open (pack);
   msgpack_pack_array (&pack->packer, count);
 }
 
+void
+rst_pack_join (struct rst_pack *pack, const struct rst_pack *sequence)
+{
+  msgpack_sbuffer_write (&pack->buffer, sequence->buffer.data,
+                         sequence->buffer.size);
+}
+
 void
 rst_pack_clear (struct rst_pack *pack)
 {
--- a/src/cell/pack.h
+++ b/src/cell/pack.h
@@ -28,6 +28,12 @@
 /** rst_pack_init() - Begins a message whose top is an array of @count. */
 void rst_pack_init (struct rst_pack *pack, size_t count);
 
+/** rst_pack_open() - Begins a sequence that is no message by itself. */
+void rst_pack_open (struct rst_pack *pack);
+
+/** rst_pack_join() - Writes the members of a sequence behind the others. */
+void rst_pack_join (struct rst_pack *pack, const struct rst_pack *sequence);
+
 /** rst_pack_clear() - Frees a message's bytes. */
 void rst_pack_clear (struct rst_pack *pack);
 
--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -166,14 +166,40 @@
   return best;
 }
 
+static void
+ask_name (const struct ask *ask, char *out, size_t size)
+{
+  g_snprintf (out, size, "%s.%" PRId64 ".%d", ask->id, ask->occurrence,
+              ask->step);
+}
+
+/* One line a call: which step, over how many instances, with what outcome. */
+static void
+log_ask (const struct ask *ask, const char *sentence, int64_t took_ms,
+         int approved)
+{
+  char name[RST_TASK_NAME_SIZE];
+  char named[16];
+  char took[24];
+  char yes[16];
+
+  if (!rst_log_enabled (G_LOG_LEVEL_INFO))
+    return;
+  ask_name (ask, name, sizeof name);
+  g_snprintf (named, sizeof named, "%u", ask->ids->len);
+  g_snprintf (took, sizeof took, "%" PRId64, took_ms);
+  g_snprintf (yes, sizeof yes, "%d", approved);
+  rst_info (RST_PLAN_LOG, sentence, "step", name, "named", named, "ms", took,
+            "approved", yes);
+}
+
 static void
 send_ask (struct rst_planner *planner, struct ask *ask)
 {
   struct rst_pack pack;
   char name[RST_TASK_NAME_SIZE];
 
-  g_snprintf (name, sizeof name, "%s.%" PRId64 ".%d", ask->id, ask->occurrence,
-              ask->step);
+  ask_name (ask, name, sizeof name);
   rst_pack_init (&pack, 4);
   rst_pack_int (&pack, RST_MSG_ADVISE);
   rst_pack_int (&pack, (int64_t)ask->handle);
@@ -233,6 +259,7 @@
   step->asked = true;
   g_hash_table_insert (planner->asks, &ask->handle, ask);
   planner->stats.advice_calls++;
+  log_ask (ask, "Advice is asked for.", cost_ms, 0);
   send_ask (planner, ask);
   g_array_free (found, TRUE);
 }
@@ -375,6 +402,7 @@
       end_ask (planner, ask, ASK_FAILED_MS);
       return;
     }
+  log_ask (ask, "Advice came.", planner->now - ask->sent_at, (int)rows.count);
   step = find_step (planner, ask);
   if (step != NULL)
     take_answer (planner, ask, step, &rows);
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -15,6 +15,13 @@
 /** Segments removed with one commit; bounded by the store's entries. */
 #define REMOVE_MAX 16
 
+/** Oldest segments whose jobs are written again together. */
+#define REWRITE_SEGMENTS 16
+
+/** Jobs are added to a segment below this size; a quarter of the largest
+    value that the store takes, so that one large job more fits too. */
+#define SEGMENT_BYTES_MAX 262144
+
 /** An instance that was not reached for this long is recorded as out. */
 #define OUT_AFTER_MS 300
 
@@ -27,128 +34,6 @@
   g_ptr_array_add (planner->dirty, job);
 }
 
-static void
-add_number (GByteArray *bytes, int number)
-{
-  guint32 ordered = g_htonl ((guint32)number);
-
-  g_byte_array_append (bytes, (const guint8 *)&ordered, sizeof ordered);
-}
-
-/* A task is its flags and count of failed runs, its last attempt and
-   the attempts that failed. */
-static void
-pack_tasks (struct rst_pack *pack, const struct step *step)
-{
-  GByteArray *bytes = g_byte_array_new ();
-
-  for (int i = 0; i < step->spec->count; i++)
-    {
-      const struct task *task = &step->tasks[i];
-      int failed = MIN (task->failed, RST_FAILED_MAX);
-      guint8 head[2] = { 0, (guint8)failed };
-
-      if (task->done)
-        head[0] |= RST_TASK_DONE_FLAG;
-      if (step->occurrence->job->begun)
-        head[0] |= RST_TASK_BEGUN_FLAG;
-      g_byte_array_append (bytes, head, sizeof head);
-      add_number (bytes, task->attempt);
-      for (int k = 0; k < failed; k++)
-        add_number (bytes, task->failed_attempts[k]);
-    }
-  rst_pack_bytes (pack, bytes->data, bytes->len);
-  g_byte_array_free (bytes, TRUE);
-}
-
-static void
-pack_progress (struct rst_pack *pack, const struct job *job)
-{
-  bool over = rst_plan_job_over (job);
-
-  rst_pack_array (pack, 4);
-  rst_pack_int (pack, job->state);
-  rst_pack_int (pack, job->occurrences_left);
-  rst_pack_int (pack, job->next_occurrence);
-  rst_pack_array (pack, over ? 0 : job->occurrences->len);
-  for (guint k = 0; !over && k < job->occurrences->len; k++)
-    {
-      const struct occurrence *occurrence
-          = g_ptr_array_index (job->occurrences, k);
-
-      rst_pack_array (pack, 1 + (size_t)job->desc->step_count);
-      rst_pack_int (pack, occurrence->number);
-      for (int i = 0; i < job->desc->step_count; i++)
-        pack_tasks (pack, &occurrence->steps[i]);
-    }
-}
-
-static void
-pack_job (struct rst_pack *pack, const struct job *job)
-{
-  rst_pack_array (pack, 8);
-  rst_pack_int (pack, RST_RECORD_JOB);
-  rst_pack_text (pack, job->id);
-  rst_pack_text (pack, job->queue->set.name);
-  rst_pack_text (pack, job->customer->set.name);
-  rst_pack_int (pack, job->submitted_ms);
-  rst_pack_int (pack, job->beyond_share ? 1 : 0);
-  rst_jobdesc_pack (pack, job->desc);
-  pack_progress (pack, job);
-}
-
-static void
-pack_instance (struct rst_pack *pack, const struct instance *instance)
-{
-  rst_pack_array (pack, 4);
-  rst_pack_int (pack, RST_RECORD_INSTANCE);
-  rst_pack_text (pack, instance->entry.id);
-  rst_pack_text (pack, instance->entry.address);
-  rst_pack_text (pack, instance->entry.zone);
-}
-
-/* An instance that can't be reached: what it may run, and until when. */
-static void
-pack_instance_out (const struct rst_planner *planner, struct rst_pack *pack,
-                   const struct instance *instance)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  rst_pack_array (pack, 6);
-  rst_pack_int (pack, RST_RECORD_INSTANCE_OUT);
-  rst_pack_text (pack, instance->entry.id);
-  rst_pack_text (pack, instance->entry.address);
-  rst_pack_text (pack, instance->entry.zone);
-  rst_pack_int (pack, planner->unix_ms + (instance->lapse_at - planner->now));
-  rst_pack_array (pack, g_hash_table_size (instance->runs));
-  g_hash_table_iter_init (&iter, instance->runs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct run *run = value;
-
-      rst_pack_array (pack, 2);
-      rst_pack_text (pack, run->name);
-      rst_pack_int (pack, run->attempt);
-    }
-}
-
-static void
-pack_queue (struct rst_pack *pack, const struct queue *queue)
-{
-  rst_pack_array (pack, 10);
-  rst_pack_int (pack, RST_RECORD_QUEUE);
-  rst_pack_text (pack, queue->set.name);
-  rst_pack_text (pack, queue->set.pool);
-  rst_pack_int (pack, queue->set.priority);
-  rst_pack_int (pack, queue->set.attempts);
-  rst_pack_int (pack, queue->set.slack);
-  rst_pack_int (pack, queue->set.target_ms);
-  rst_pack_int (pack, queue->set.advised ? queue->set.advice_ms : -1);
-  rst_pack_int (pack, queue->set.advice_each_us);
-  rst_pack_int (pack, queue->set.advice_valid_ms);
-}
-
 void
 rst_plan_count_segment (struct rst_planner *planner, int64_t segment)
 {
@@ -177,27 +62,12 @@
       = !instance->known && g_hash_table_size (instance->runs) > 0;
 }
 
-static bool
-has_runs (const struct job *job)
-{
-  for (guint k = 0; k < job->occurrences->len; k++)
-    {
-      const struct occurrence *occurrence
-          = g_ptr_array_index (job->occurrences, k);
-
-      for (int i = 0; i < job->desc->step_count; i++)
-        for (int t = 0; t < job->desc->steps[i].count; t++)
-          if (occurrence->steps[i].tasks[t].run != NULL)
-            return true;
-    }
-  return false;
-}
-
-/* The oldest segments, whose jobs are written again with this commit. */
+/* Segments that no job's records stand in any more, oldest first. */
 static int
-choose_removed (struct rst_planner *planner, int64_t *remove)
+choose_removed (const struct rst_planner *planner, int64_t *remove)
 {
   int64_t oldest = planner->next_segment;
+  int64_t needed = planner->next_segment;
   int count = 0;
   GHashTableIter iter;
   gpointer key;
@@ -206,37 +76,68 @@
   if (g_hash_table_size (planner->segments) <= SEGMENTS_MAX
       || g_hash_table_find (planner->instances, is_leaving, NULL) != NULL)
     return 0;
+  g_hash_table_iter_init (&iter, planner->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct job *job = value;
+
+      if (job->segment_full > 0)
+        needed = MIN (needed, MIN (job->segment_full, job->segment_last));
+    }
   g_hash_table_iter_init (&iter, planner->segments);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     oldest = MIN (oldest, *(int64_t *)key);
-  for (int64_t at = oldest;
-       count < REMOVE_MAX && at < planner->next_segment - 1; at++)
+  for (int64_t at = oldest; count < REMOVE_MAX && at < needed; at++)
     if (g_hash_table_contains (planner->segments, &at))
       remove[count++] = at;
-  if (count == 0)
-    return 0;
+  return count;
+}
+
+/* Has the jobs of the oldest segments written again, or forgets them. */
+static void
+rewrite_oldest (struct rst_planner *planner)
+{
+  int64_t last = planner->next_segment
+                 - (int64_t)g_hash_table_size (planner->segments)
+                 + REWRITE_SEGMENTS;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (g_hash_table_size (planner->segments) <= SEGMENTS_MAX)
+    return;
   g_hash_table_iter_init (&iter, planner->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct job *job = value;
 
-      if (!job->stored
-          || MIN (job->segment_full, job->segment_last) > remove[count - 1])
+      if (!job->stored || job->rewrite
+          || MIN (job->segment_full, job->segment_last) >= last)
         continue;
-      job->segment_full = 0;
-      if (!rst_plan_job_over (job) || has_runs (job)
-          || planner->now - job->ended_at < planner->bounds.status_ms)
-        rst_plan_mark (planner, job);
-      else
-        g_hash_table_iter_remove (&iter);
+      if (rst_plan_job_over (job) && !job->dirty
+          && !rst_plan_job_has_runs (job)
+          && planner->now - job->ended_at >= planner->bounds.status_ms)
+        {
+          g_hash_table_iter_remove (&iter);
+          continue;
+        }
+      job->rewrite = true;
+      rst_plan_mark (planner, job);
     }
+}
+
+/* Instances and queues are written again where old segments go. */
+static void
+rewrite_others (struct rst_planner *planner)
+{
+  GHashTableIter iter;
+  gpointer value;
+
   g_hash_table_iter_init (&iter, planner->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     rewrite_instance (value);
   g_hash_table_iter_init (&iter, planner->queues);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     ((struct queue *)value)->recorded = false;
-  return count;
 }
 
 static bool
@@ -270,13 +171,13 @@
       if (wants_in_record (instance))
         {
           if (pack != NULL)
-            pack_instance (pack, instance);
+            rst_plan_pack_instance (pack, instance);
           count++;
         }
       else if (wants_out_record (planner, instance))
         {
           if (pack != NULL)
-            pack_instance_out (planner, pack, instance);
+            rst_plan_pack_instance_out (planner, pack, instance);
           count++;
         }
     }
@@ -288,7 +189,7 @@
       if (queue->recorded || queue->set.pool == NULL)
         continue;
       if (pack != NULL)
-        pack_queue (pack, queue);
+        rst_plan_pack_queue (pack, queue);
       count++;
     }
   return count;
@@ -305,7 +206,6 @@
     {
       struct instance *instance = value;
 
-      instance->committing = instance->seen;
       if (wants_in_record (instance))
         instance->recording = true;
       else if (wants_out_record (planner, instance))
@@ -320,69 +220,70 @@
     }
 }
 
+/* Ends listed up to now may be forgotten with the commit under way. */
 static void
+note_ends (struct rst_planner *planner)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, planner->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct instance *instance = value;
+
+      instance->committing = instance->seen;
+    }
+}
+
+/* Writes changed jobs, the first ones first, as far as a segment holds them.
+   Returns their number. */
+static guint
 pack_jobs (struct rst_planner *planner, struct rst_pack *pack)
 {
-  for (guint i = 0; i < planner->dirty->len; i++)
+  guint count = 0;
+
+  while (count < planner->dirty->len && pack->buffer.size < SEGMENT_BYTES_MAX)
     {
-      struct job *job = g_ptr_array_index (planner->dirty, i);
+      struct job *job = g_ptr_array_index (planner->dirty, count++);
 
+      rst_plan_pack_job (planner, pack, job);
       job->dirty = false;
       job->committing = job->state;
       job->segment_last = planner->next_segment;
-      if (job->segment_full == 0)
-        {
-          job->segment_full = planner->next_segment;
-          pack_job (pack, job);
-        }
-      else
-        {
-          rst_pack_array (pack, 3);
-          rst_pack_int (pack, RST_RECORD_PROGRESS);
-          rst_pack_text (pack, job->id);
-          pack_progress (pack, job);
-        }
+      if (job->segment_full == 0 || job->rewrite)
+        job->segment_full = planner->next_segment;
+      job->rewrite = false;
       g_ptr_array_add (planner->committing, job);
     }
-  g_ptr_array_set_size (planner->dirty, 0);
+  if (count > 0)
+    g_ptr_array_remove_range (planner->dirty, 0, count);
+  return count;
 }
 
-/* Commits what changed, when it has gathered for a moment. */
-void
-rst_plan_commit (struct rst_planner *planner)
+/* Hands the next segment over, with the old ones that it makes needless. */
+static void
+commit_segment (struct rst_planner *planner)
 {
   int64_t remove[REMOVE_MAX];
+  struct rst_pack records;
+  struct rst_pack pack;
   int removed;
+  guint jobs;
   int others;
-  struct rst_pack pack;
 
-  if (RST_CELL_FAULT (RST_CELL_FAULT_EARLY_ACK))
-    {
-      mark_others (planner);
-      rst_plan_acks (planner);
-    }
-  if (planner->commit_busy || planner->now - planner->last_commit < GATHER_MS)
-    return;
-  others = pack_others (planner, NULL);
-  if (planner->dirty->len == 0 && others == 0 && !planner->acks_wait)
-    return;
-  planner->last_commit = planner->now;
-  planner->acks_wait = false;
-  if (planner->dirty->len == 0 && others == 0)
-    {
-      /* Nothing of these ends has to last. */
-      mark_others (planner);
-      rst_plan_acks (planner);
-      return;
-    }
-  removed = choose_removed (planner, remove);
-  others = pack_others (planner, NULL);
-  rst_pack_init (&pack, planner->dirty->len + (size_t)others);
+  rewrite_oldest (planner);
+  rst_pack_open (&records);
   /* Jobs first: the record of an instance that is out names tasks, and the
      earlier records of their jobs may go with this commit. */
-  pack_jobs (planner, &pack);
-  pack_others (planner, &pack);
+  jobs = pack_jobs (planner, &records);
+  removed = choose_removed (planner, remove);
+  if (removed > 0)
+    rewrite_others (planner);
+  others = pack_others (planner, &records);
   mark_others (planner);
+  rst_pack_init (&pack, jobs + (guint)others);
+  rst_pack_join (&pack, &records);
   for (int i = 0; i < removed; i++)
     g_hash_table_remove (planner->segments, &remove[i]);
   rst_plan_count_segment (planner, planner->next_segment);
@@ -391,9 +292,54 @@
   planner->ops.commit (planner->ops.userdata, planner->next_segment,
                        pack.buffer.data, pack.buffer.size, remove, removed);
   planner->next_segment++;
+  rst_pack_clear (&records);
   rst_pack_clear (&pack);
 }
 
+/* Commits what changed, when it has gathered for a moment. */
+void
+rst_plan_commit (struct rst_planner *planner)
+{
+  bool any;
+
+  if (RST_CELL_FAULT (RST_CELL_FAULT_EARLY_ACK))
+    {
+      note_ends (planner);
+      rst_plan_acks (planner);
+    }
+  if (planner->commit_busy || planner->now - planner->last_commit < GATHER_MS)
+    return;
+  any = planner->dirty->len > 0 || pack_others (planner, NULL) > 0;
+  if (!any && !planner->acks_wait)
+    return;
+  planner->last_commit = planner->now;
+  if (any)
+    commit_segment (planner);
+  /* Ends whose jobs wait for the next segment are not stored yet. */
+  planner->acks_wait = planner->dirty->len > 0;
+  if (!planner->acks_wait)
+    note_ends (planner);
+  /* Nothing of the ends has to last. */
+  if (!any)
+    rst_plan_acks (planner);
+}
+
+bool
+rst_plan_job_has_runs (const struct job *job)
+{
+  for (guint k = 0; k < job->occurrences->len; k++)
+    {
+      const struct occurrence *occurrence
+          = g_ptr_array_index (job->occurrences, k);
+
+      for (int i = 0; i < job->desc->step_count; i++)
+        for (int t = 0; t < job->desc->steps[i].count; t++)
+          if (occurrence->steps[i].tasks[t].run != NULL)
+            return true;
+    }
+  return false;
+}
+
 static void
 set_recorded (struct rst_planner *planner)
 {
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -135,6 +135,47 @@
   g_free (customer);
 }
 
+/* A job without steps: an instance that still lists a task of it is told to
+   stop the task. */
+static void
+restore_job_over (struct rst_planner *planner, struct rst_reader *in,
+                  int64_t segment)
+{
+  char id[RST_JOB_ID_SIZE];
+  char *queue;
+  char *customer;
+  int64_t submitted_ms;
+  enum rst_job_state state;
+  struct job *job;
+
+  rst_reader_copy (in, id, sizeof id);
+  queue = rst_reader_text (in);
+  customer = rst_reader_text (in);
+  submitted_ms = rst_reader_int (in);
+  state = (enum rst_job_state)rst_reader_int (in);
+  job = g_hash_table_lookup (planner->jobs, id);
+  if (job == NULL && !in->bad)
+    {
+      struct rst_jobdesc *desc = rst_jobdesc_create (0);
+
+      desc->spec = g_strdup ("");
+      job = rst_plan_job_new (planner, id, rst_plan_queue (planner, queue),
+                              rst_plan_customer (planner, customer), desc);
+    }
+  if (!in->bad)
+    {
+      job->submitted_ms = submitted_ms;
+      job->stored = true;
+      job->state = state;
+      job->shown = state;
+      job->ended_at = planner->now;
+      job->segment_full = segment;
+      job->segment_last = segment;
+    }
+  g_free (queue);
+  g_free (customer);
+}
+
 static struct instance *
 restore_place (struct rst_planner *planner, struct rst_reader *in)
 {
@@ -268,6 +309,9 @@
           restore_progress (planner, job, &in);
         }
       break;
+    case RST_RECORD_JOB_OVER:
+      restore_job_over (planner, &in, segment);
+      break;
     case RST_RECORD_INSTANCE:
       restore_instance (planner, &in);
       break;
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -5,8 +5,8 @@
  * instances, agents and reports.  plan_runs.c: single runs, from order to end.
  * plan_place.c: which waiting task goes where.  plan_limit.c: upper limits
  * of customers.  plan_pace.c: pace of tasks that fill.  plan_advice.c: whom
- * to ask for which step.  plan_journal.c: records in the store,
- * plan_restore.c: reading them.
+ * to ask for which step.  plan_journal.c: which records go to the store when,
+ * plan_record.c: writing a record, plan_restore.c: reading them.
  */
 #ifndef RST_PLANNER_PRIVATE_H
 #define RST_PLANNER_PRIVATE_H
@@ -40,6 +40,7 @@
   RST_RECORD_INSTANCE,
   RST_RECORD_QUEUE,
   RST_RECORD_INSTANCE_OUT,
+  RST_RECORD_JOB_OVER,
 };
 
 struct agent
@@ -232,6 +233,8 @@
   bool ordered;
   bool stored;
   bool dirty;
+  /* Its next record is a whole one, since an old segment goes. */
+  bool rewrite;
   bool beyond_share;
   GArray *waiters;
   int64_t segment_full;
@@ -383,7 +386,18 @@
 void rst_plan_asks_of_link_end (struct rst_planner *planner, uint64_t link);
 void rst_plan_ask_free (gpointer data);
 
+/* plan_record.c */
+void rst_plan_pack_job (const struct rst_planner *planner,
+                        struct rst_pack *pack, const struct job *job);
+void rst_plan_pack_instance (struct rst_pack *pack,
+                             const struct instance *instance);
+void rst_plan_pack_instance_out (const struct rst_planner *planner,
+                                 struct rst_pack *pack,
+                                 const struct instance *instance);
+void rst_plan_pack_queue (struct rst_pack *pack, const struct queue *queue);
+
 /* plan_journal.c */
+bool rst_plan_job_has_runs (const struct job *job);
 void rst_plan_mark (struct rst_planner *planner, struct job *job);
 void rst_plan_commit (struct rst_planner *planner);
 void rst_plan_count_segment (struct rst_planner *planner, int64_t segment);
--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -300,9 +300,12 @@
 commit_failed (struct rst_term *term, enum rst_result result)
 {
   rst_ms now = term->config.now ();
+  char bytes[16];
 
+  g_snprintf (bytes, sizeof bytes, "%u",
+              term->sent.segment != NULL ? term->sent.segment->len : 0);
   rst_info (LOG_PREFIX, "Commit is sent again.", "result",
-            rst_result_text (result));
+            rst_result_text (result), "bytes", bytes);
   send_alive (term, MAX (now - term->committed_at, TROUBLED_AGE_MS));
   term->next_alive = now + ALIVE_MS;
 }
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -62,6 +62,8 @@
   rst_ms now = 0;
   int64_t clock = 5000;
   bool confirms = true;
+  // Segments of the journal that could not be read.
+  int unreadable = 0;
   // Token of the last hold of each instance.
   std::map<std::string, int64_t> fences;
 
@@ -297,6 +299,33 @@
     replies.clear ();
   }
 
+  // Reads the journal of another planner.
+  void
+  restore (const Planner &former)
+  {
+    for (const Commit &commit : former.commits)
+      if (!rst_planner_restore (planner, commit.segment, commit.data.data (),
+                                commit.data.size ()))
+        unreadable++;
+  }
+
+  // Leaves only the segments that have not been removed since.
+  void
+  drop_removed ()
+  {
+    std::vector<Commit> kept;
+
+    for (const Commit &commit : commits)
+      {
+        for (int64_t removed : commit.removed)
+          std::erase_if (kept, [removed] (const Commit &segment) {
+            return segment.segment == removed;
+          });
+        kept.push_back (commit);
+      }
+    commits = kept;
+  }
+
   std::vector<Sent>
   of_kind (int kind) const
   {
