Write a job that was read without its steps without them again

A job that it had read without steps and that had ended, to its knowledge, less than 15 s ago was written whole, with no steps, which no reader takes; and a reader skipped the rest of a segment behind a record that it could not read. Ruled out: removal of segments too soon; forgetting of ended jobs (120 s). A job without steps is written in the short form always; a record that can't be read costs no other record.

--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -90,6 +90,15 @@
   pack_progress (pack, job);
 }
 
+/* A job that was read without its steps has none to write. */
+static bool
+may_leave_steps_out (const struct rst_planner *planner, const struct job *job)
+{
+  return job->desc->step_count == 0
+         || (rst_plan_job_over (job) && !rst_plan_job_has_runs (job)
+             && planner->now - job->ended_at > STEPS_KEEP_MS);
+}
+
 void
 rst_plan_pack_job (const struct rst_planner *planner, struct rst_pack *pack,
                    const struct job *job)
@@ -101,8 +110,7 @@
       rst_pack_text (pack, job->id);
       pack_progress (pack, job);
     }
-  else if (rst_plan_job_over (job) && !rst_plan_job_has_runs (job)
-           && planner->now - job->ended_at > STEPS_KEEP_MS)
+  else if (may_leave_steps_out (planner, job))
     pack_job_over (pack, job);
   else
     pack_job_whole (pack, job);
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -336,10 +336,11 @@
   struct rst_reader reader;
   bool good = rst_reader_open (&reader, &unpacked, data, length);
 
-  for (uint32_t i = 0; good && i < reader.count; i++)
+  for (uint32_t i = 0; i < reader.count; i++)
     {
       restore_record (planner, &reader, segment);
-      good = !reader.bad;
+      good &= !reader.bad;
+      reader.bad = false;
     }
   msgpack_unpacked_destroy (&unpacked);
   rst_plan_count_segment (planner, segment);
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -122,7 +122,7 @@
 /**
  * rst_planner_restore() - Takes a segment of the journal, in order.
  *
- * Return: false when it can't be read; the rest of it is skipped.
+ * Return: false when a record can't be read; the others are taken.
  */
 bool rst_planner_restore (struct rst_planner *planner, int64_t segment,
                           const void *data, size_t length);
--- a/test/unit/journal_test.cc
+++ b/test/unit/journal_test.cc
@@ -174,6 +174,43 @@
     }
 }
 
+TEST (Journal, RewritesAJobThatWasReadWithoutItsSteps)
+{
+  Planner former;
+  Planner heir (2);
+  Planner third (3);
+
+  former.begin (1);
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  former.settle ();
+  former.report (1, "i-0", { Planner::ended (1, task_a0, 1, RST_END_DONE) });
+  former.settle ();
+  for (int i = 0; i < 560; i++)
+    add_segments (former, i);
+  former.drop_removed ();
+  heir.set_time (former.now);
+  heir.restore (former);
+  EXPECT_EQ (heir.unreadable, 0);
+  heir.configure ();
+  heir.agent (1);
+  heir.instance ("i-0");
+  rst_planner_restored (heir.planner);
+  heir.report (1, "i-0", {});
+  /* Its record is among the oldest again soon after the change. */
+  for (int i = 1000; i < 1060; i++)
+    add_segments (heir, i);
+  heir.commits.insert (heir.commits.begin (), former.commits.begin (),
+                       former.commits.end ());
+  heir.drop_removed ();
+  third.set_time (heir.now);
+  third.restore (heir);
+  EXPECT_EQ (third.unreadable, 0);
+  third.configure ();
+  rst_planner_restored (third.planner);
+  third.call (8, RST_OPERATION_READ, job_a);
+  EXPECT_EQ (third.reply_to (8)->reply.state, RST_JOB_COMPLETED);
+}
+
 TEST (Journal, KeepsTheStateOfAJobWhoseStepsWereLeftOut)
 {
   Planner former;
--- a/test/unit/succession_test.cc
+++ b/test/unit/succession_test.cc
@@ -321,6 +321,28 @@
   EXPECT_EQ (heir.reply_to (9)->reply.state, RST_JOB_FAILED);
 }
 
+TEST (Succession, TakesTheOtherRecordsOfASegmentWithABadOne)
+{
+  Planner former;
+  Planner heir (2);
+
+  former.begin (1);
+  former.commits.clear ();
+  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
+  former.pass (40);
+  ASSERT_EQ (former.commits.size (), 1u);
+  ASSERT_EQ (former.commits[0].data[0], '\x91');
+  /* A record of an unknown kind stands before the job's. */
+  std::string data = "\x92\x91\x63" + former.commits[0].data.substr (1);
+
+  EXPECT_FALSE (
+      rst_planner_restore (heir.planner, 1, data.data (), data.size ()));
+  heir.configure ();
+  rst_planner_restored (heir.planner);
+  heir.call (8, RST_OPERATION_READ, job_a);
+  EXPECT_EQ (heir.reply_to (8)->reply.outcome, RST_OUTCOME_STATE);
+}
+
 TEST (Succession, SkipsASegmentThatCantBeRead)
 {
   Planner heir (2);
