--- a/src/daemon/cell_loop.c
+++ b/src/daemon/cell_loop.c
@@ -158,6 +158,12 @@
   return rst_net_create (&config, &loop->net);
 }
 
+const char *
+rst_cell_loop_address (const struct rst_cell_loop *loop)
+{
+  return rst_net_address (loop->net);
+}
+
 uint64_t
 rst_cell_loop_open_link (void *loop, const char *address)
 {
--- a/src/daemon/cell_loop.h
+++ b/src/daemon/cell_loop.h
@@ -52,6 +52,9 @@
  */
 int rst_cell_loop_listen (struct rst_cell_loop *loop, const char *address);
 
+/** rst_cell_loop_address() - The listening address with its real port. */
+const char *rst_cell_loop_address (const struct rst_cell_loop *loop);
+
 /** rst_cell_loop_open_link() - Opens a link; @loop is a struct rst_cell_loop,
     so that this and the next two serve as callbacks. */
 uint64_t rst_cell_loop_open_link (void *loop, const char *address);
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -165,7 +165,7 @@
   config.userdata = celld->loop;
   config.name = settings->name;
   config.zone = settings->zone;
-  config.address = settings->listen;
+  config.address = rst_cell_loop_address (celld->loop);
   config.bounds.keep_ms = KEEP_MS;
   config.bounds.lease_ms = settings->hold_max_ms;
   config.bounds.status_ms = settings->status_s * 1000;
@@ -204,13 +204,14 @@
     goto out;
   celld.adapter = rst_adapter_create (celld.client, celld.settings.store,
                                       celld.settings.advice);
-  create_node (&celld);
   if (rst_cell_loop_listen (celld.loop, celld.settings.listen)
       != RST_TRANSPORT_OK)
     {
       rst_warning (LOG_PREFIX, "listen: the address can't be used.");
       goto out;
     }
+  /* Events of links wait in the loop until it runs. */
+  create_node (&celld);
   if (rst_cell_loop_serve_page (celld.loop, celld.settings.metrics, on_metrics,
                                 &celld)
       != RST_TRANSPORT_OK)
@@ -219,7 +220,7 @@
       goto out;
     }
   rst_info (LOG_PREFIX, "Started.", "name", celld.settings.name, "zone",
-            celld.settings.zone, "listen", celld.settings.listen);
+            celld.settings.zone, "listen", rst_cell_loop_address (celld.loop));
   rst_cell_loop_await_stop (celld.loop, begin_stop, &celld);
   rst_cell_loop_run (celld.loop);
   rst_info (LOG_PREFIX, "Stopped.");
--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -611,7 +611,7 @@
       || !open_servers (&jobd))
     return EXIT_FAILURE;
   rst_info (LOG_PREFIX, "Started.", "name", jobd.settings.name, "listen",
-            jobd.settings.listen);
+            rst_http_server_address (jobd.callers));
   rst_cell_loop_await_stop (jobd.loop, begin_stop, &jobd);
   rst_cell_loop_run (jobd.loop);
   rst_http_server_destroy (jobd.callers);
--- /dev/null
+++ b/standin/platform.c
@@ -0,0 +1,563 @@
+/**
+ * DOC: platform - stand-in for the users' platform
+ *
+ * The store, the advice service and a few instances that run tasks under
+ * leases, all over HTTP.  A task's text is the time in milliseconds that it
+ * takes.  Instances count by themselves what must never happen.
+ */
+#include <inttypes.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <pthread.h>
+
+#include "platform_store.h"
+#include "state/json.h"
+#include "transport/transport.h"
+#include "util/os.h"
+#include "util/program.h"
+
+/** Time between two looks at what is due. */
+#define TICK_US 2000
+
+/** Bound on a request's body in bytes. */
+#define BODY_MAX (4 * 1024 * 1024)
+
+/** Longest lease in milliseconds. */
+#define LEASE_MAX_MS 6000
+
+struct settings
+{
+  char listen[RST_ADDRESS_SIZE];
+  int64_t instances;
+  int64_t cpu;
+  int64_t memory_mb;
+};
+
+static const struct rst_conf_field fields[] = {
+  RST_CONF_TEXT ("listen", RST_CONF_ADDRESS, true, struct settings, listen),
+  RST_CONF_INT ("instances.count", false, struct settings, instances, 1, 100),
+  RST_CONF_INT ("instances.cpu_milli", false, struct settings, cpu, 1,
+                1000000),
+  RST_CONF_INT ("instances.memory_mb", false, struct settings, memory_mb, 1,
+                10000000),
+};
+
+static const struct rst_program program = {
+  "standin-platform",
+  "Stands in for the users' platform: store, advice service, instances.",
+  fields,
+  G_N_ELEMENTS (fields),
+  NULL,
+};
+
+struct run
+{
+  char *task;
+  int64_t attempt;
+  rst_ms ends_at;
+  bool stopped;
+};
+
+struct end
+{
+  int64_t number;
+  char *task;
+  int64_t attempt;
+  const char *how;
+};
+
+/* A look that waits for an end. */
+struct look
+{
+  struct rst_http_request *request;
+  rst_ms until;
+};
+
+struct instance
+{
+  char id[RST_NAME_SIZE];
+  struct rst_http_server *server;
+  int64_t born;
+  int64_t fence;
+  int64_t lease;
+  int64_t next_end;
+  GHashTable *runs;
+  GHashTable *highest;
+  GQueue ends;
+  GPtrArray *looks;
+};
+
+static struct
+{
+  pthread_mutex_t lock;
+  struct platform_store *store;
+  GPtrArray *instances;
+  /* Names of tasks whose end "done" was listed. */
+  GHashTable *done;
+  int64_t done_count;
+  int64_t twice;
+  int64_t advice_calls;
+  atomic_bool stop;
+} platform = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
+static void
+run_free (gpointer data)
+{
+  struct run *run = data;
+
+  g_free (run->task);
+  g_free (run);
+}
+
+static void
+reply (struct rst_http_request *request, unsigned status,
+       struct json_object *body)
+{
+  char *text = rst_json_release (body);
+
+  rst_http_reply_text (request, status, text);
+  free (text);
+}
+
+/* What each answer of an instance holds. */
+static struct json_object *
+answer_new (const struct instance *instance)
+{
+  struct json_object *body = json_object_new_object ();
+
+  rst_json_set_number (body, "clock_ms", rst_os_now ());
+  rst_json_set_number (body, "born", instance->born);
+  return body;
+}
+
+static void
+refuse (const struct instance *instance, struct rst_http_request *request,
+        const char *reason)
+{
+  struct json_object *body = answer_new (instance);
+
+  rst_json_set_text (body, "reason", reason);
+  reply (request, 409, body);
+}
+
+static void
+reply_lists (struct instance *instance, struct rst_http_request *request)
+{
+  struct json_object *body = answer_new (instance);
+  struct json_object *running = json_object_new_array ();
+  struct json_object *finished = json_object_new_array ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, instance->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct run *run = value;
+      struct json_object *row = json_object_new_array ();
+
+      json_object_array_add (row, json_object_new_string (run->task));
+      json_object_array_add (row, json_object_new_int64 (run->attempt));
+      json_object_array_add (row, json_object_new_string (""));
+      json_object_array_add (row, json_object_new_int64 (100));
+      json_object_array_add (row, json_object_new_int64 (0));
+      json_object_array_add (running, row);
+    }
+  for (GList *at = instance->ends.head; at != NULL; at = at->next)
+    {
+      const struct end *end = at->data;
+      struct json_object *row = json_object_new_array ();
+
+      json_object_array_add (row, json_object_new_int64 (end->number));
+      json_object_array_add (row, json_object_new_string (end->task));
+      json_object_array_add (row, json_object_new_int64 (end->attempt));
+      json_object_array_add (row, json_object_new_string (end->how));
+      json_object_array_add (row, json_object_new_string (""));
+      json_object_array_add (finished, row);
+    }
+  json_object_object_add (body, "running", running);
+  json_object_object_add (body, "finished", finished);
+  reply (request, 200, body);
+}
+
+static void
+forget_ends (struct instance *instance, int64_t last_seen)
+{
+  struct end *end = g_queue_peek_head (&instance->ends);
+
+  while (end != NULL && end->number <= last_seen)
+    {
+      g_queue_pop_head (&instance->ends);
+      g_free (end->task);
+      g_free (end);
+      end = g_queue_peek_head (&instance->ends);
+    }
+}
+
+static void
+hold (struct instance *instance, struct rst_http_request *request,
+      struct json_object *call)
+{
+  struct look *look;
+
+  forget_ends (instance, rst_json_number (call, "last_seen", 0));
+  if (rst_json_number (call, "wait_ms", 0) == 0 || instance->ends.length > 0)
+    {
+      reply_lists (instance, request);
+      return;
+    }
+  look = g_new0 (struct look, 1);
+  look->request = request;
+  look->until = rst_os_now () + rst_json_number (call, "wait_ms", 0);
+  g_ptr_array_add (instance->looks, look);
+}
+
+/* Counts a task that runs elsewhere or has ended as done before. */
+static void
+count_twice (const char *task)
+{
+  bool twice = g_hash_table_contains (platform.done, task);
+
+  for (guint i = 0; i < platform.instances->len; i++)
+    {
+      const struct instance *other = g_ptr_array_index (platform.instances, i);
+
+      twice |= g_hash_table_contains (other->runs, task);
+    }
+  if (twice)
+    platform.twice++;
+}
+
+static int64_t
+highest (const struct instance *instance, const char *task)
+{
+  return GPOINTER_TO_INT (g_hash_table_lookup (instance->highest, task));
+}
+
+static void
+raise_highest (struct instance *instance, const char *task, int64_t attempt)
+{
+  if (attempt > highest (instance, task))
+    g_hash_table_replace (instance->highest, g_strdup (task),
+                          GINT_TO_POINTER ((int)attempt));
+}
+
+static void
+start (struct instance *instance, struct rst_http_request *request,
+       struct json_object *call)
+{
+  const char *task = rst_json_text (call, "task");
+  const char *spec = rst_json_text (call, "spec");
+  int64_t attempt = rst_json_number (call, "attempt", 0);
+  const struct run *there = g_hash_table_lookup (instance->runs, task);
+  struct run *run;
+
+  if (there != NULL && there->attempt == attempt)
+    {
+      reply (request, 200, answer_new (instance));
+      return;
+    }
+  if (there != NULL || attempt <= highest (instance, task))
+    {
+      refuse (instance, request, "old");
+      return;
+    }
+  if (instance->lease <= rst_os_now ())
+    {
+      refuse (instance, request, "late");
+      return;
+    }
+  count_twice (task);
+  run = g_new0 (struct run, 1);
+  run->task = g_strdup (task);
+  run->attempt = attempt;
+  run->ends_at = rst_os_now () + (spec != NULL ? strtoll (spec, NULL, 10) : 0);
+  g_hash_table_replace (instance->runs, run->task, run);
+  reply (request, 200, answer_new (instance));
+}
+
+static void
+stop (struct instance *instance, struct rst_http_request *request,
+      struct json_object *call)
+{
+  const char *task = rst_json_text (call, "task");
+  int64_t attempt = rst_json_number (call, "attempt", 0);
+  struct run *run = g_hash_table_lookup (instance->runs, task);
+
+  raise_highest (instance, task, attempt);
+  if (run != NULL && run->attempt <= attempt)
+    {
+      run->stopped = true;
+      run->ends_at = rst_os_now ();
+    }
+  reply (request, 200, answer_new (instance));
+}
+
+static void
+serve_order (struct instance *instance, struct rst_http_request *request,
+             struct json_object *call)
+{
+  const char *path = rst_http_path (request);
+  int64_t fence = rst_json_number (call, "fencing_token", 0);
+  int64_t until = rst_json_number (call, "deadline_ms", 0);
+
+  if (fence < instance->fence)
+    {
+      refuse (instance, request, "fence");
+      return;
+    }
+  instance->fence = fence;
+  instance->lease
+      = MAX (instance->lease, MIN (until, rst_os_now () + LEASE_MAX_MS));
+  if (strcmp (path, "/-/hold") == 0)
+    hold (instance, request, call);
+  else if (rst_json_text (call, "task") == NULL)
+    rst_http_reply_text (request, 400, "{\"error\":\"task: missing\"}");
+  else if (strcmp (path, "/-/run-start") == 0)
+    start (instance, request, call);
+  else if (strcmp (path, "/-/run-stop") == 0)
+    stop (instance, request, call);
+  else
+    rst_http_reply_text (request, 404, "{\"error\":\"no such call\"}");
+}
+
+static void
+serve_instance (struct rst_http_request *request, void *userdata)
+{
+  struct instance *instance = userdata;
+  struct json_object *call = rst_json_parse (rst_http_body (request, NULL));
+  const char *expected
+      = rst_http_header (request, "X-Rosemarystile-Expect-Instance");
+
+  pthread_mutex_lock (&platform.lock);
+  if (call == NULL)
+    rst_http_reply_text (request, 400, "{\"error\":\"not JSON\"}");
+  else if (expected != NULL && strcmp (expected, instance->id) != 0)
+    rst_http_reply_text (request, 421, "{\"error\":\"another instance\"}");
+  else
+    serve_order (instance, request, call);
+  pthread_mutex_unlock (&platform.lock);
+  json_object_put (call);
+}
+
+static void
+end_run (struct instance *instance, struct run *run, const char *how)
+{
+  struct end *end = g_new0 (struct end, 1);
+
+  end->number = instance->next_end++;
+  end->task = g_strdup (run->task);
+  end->attempt = run->attempt;
+  end->how = how;
+  g_queue_push_tail (&instance->ends, end);
+  raise_highest (instance, run->task, run->attempt);
+  if (strcmp (how, "done") == 0)
+    {
+      g_hash_table_add (platform.done, g_strdup (run->task));
+      platform.done_count++;
+    }
+}
+
+static void
+end_due_runs (struct instance *instance, rst_ms now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, instance->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct run *run = value;
+
+      if (instance->lease <= now)
+        end_run (instance, run, "lapsed");
+      else if (run->ends_at <= now)
+        end_run (instance, run, run->stopped ? "stopped" : "done");
+      else
+        continue;
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+static void
+answer_looks (struct instance *instance, rst_ms now)
+{
+  for (guint i = instance->looks->len; i-- > 0;)
+    {
+      struct look *look = g_ptr_array_index (instance->looks, i);
+
+      if (instance->ends.length == 0 && now < look->until)
+        continue;
+      reply_lists (instance, look->request);
+      g_ptr_array_remove_index_fast (instance->looks, i);
+    }
+}
+
+static void *
+tick_main (void *userdata)
+{
+  (void)userdata;
+  while (!atomic_load (&platform.stop))
+    {
+      rst_ms now = rst_os_now ();
+
+      usleep (TICK_US);
+      pthread_mutex_lock (&platform.lock);
+      for (guint i = 0; i < platform.instances->len; i++)
+        {
+          end_due_runs (g_ptr_array_index (platform.instances, i), now);
+          answer_looks (g_ptr_array_index (platform.instances, i), now);
+        }
+      pthread_mutex_unlock (&platform.lock);
+      platform_store_tick (platform.store);
+    }
+  return NULL;
+}
+
+/* Approves every instance. */
+static void
+advise (struct rst_http_request *request)
+{
+  struct json_object *call = rst_json_parse (rst_http_body (request, NULL));
+  struct json_object *workers = rst_json_array (call, "workers");
+  struct json_object *body = json_object_new_object ();
+  struct json_object *rows = json_object_new_array ();
+
+  for (size_t i = 0; workers != NULL && i < json_object_array_length (workers);
+       i++)
+    {
+      struct json_object *row = json_object_new_array ();
+
+      json_object_array_add (
+          row, json_object_get (json_object_array_get_idx (workers, i)));
+      json_object_array_add (row, json_object_new_string ("ticket"));
+      json_object_array_add (rows, row);
+    }
+  json_object_object_add (body, "approved", rows);
+  reply (request, 200, body);
+  json_object_put (call);
+  pthread_mutex_lock (&platform.lock);
+  platform.advice_calls++;
+  pthread_mutex_unlock (&platform.lock);
+}
+
+static void
+account (struct rst_http_request *request)
+{
+  struct json_object *body = json_object_new_object ();
+
+  pthread_mutex_lock (&platform.lock);
+  rst_json_set_number (body, "done", platform.done_count);
+  rst_json_set_number (body, "twice", platform.twice);
+  rst_json_set_number (body, "advice_calls", platform.advice_calls);
+  pthread_mutex_unlock (&platform.lock);
+  reply (request, 200, body);
+}
+
+static void
+serve (struct rst_http_request *request, void *userdata)
+{
+  const char *path = rst_http_path (request);
+
+  (void)userdata;
+  if (platform_store_serve (platform.store, request))
+    return;
+  if (strcmp (path, "/-/advise") == 0)
+    advise (request);
+  else if (strcmp (path, "/account") == 0)
+    account (request);
+  else
+    rst_http_reply_text (request, 404, "{\"error\":\"no such call\"}");
+}
+
+/* Writes the entry under which an instance registers. */
+static void
+register_instance (const struct settings *settings,
+                   const struct instance *instance)
+{
+  char *key = g_strdup_printf ("servers/%s", instance->id);
+  char *entry = g_strdup_printf (
+      "{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"z1\","
+      "\"version\":\"1\",\"slots\":8,\"state\":\"ready\",\"seq\":1,"
+      "\"born\":%" PRId64 ",\"capacity\":{\"cpu\":%" PRId64
+      ",\"mem_mb\":%" PRId64 ",\"gpu\":0},\"labels\":[\"a\",\"r1-1\"]}",
+      rst_http_server_address (instance->server), instance->born,
+      settings->cpu, settings->memory_mb);
+
+  platform_store_put (platform.store, key, entry);
+  g_free (key);
+  g_free (entry);
+}
+
+static bool
+start_instance (const struct settings *settings, int number)
+{
+  struct instance *instance = g_new0 (struct instance, 1);
+  struct rst_http_server_config config = { 0 };
+
+  g_snprintf (instance->id, sizeof instance->id, "i-%d", number);
+  instance->born = g_get_real_time () / 1000;
+  instance->next_end = 1;
+  instance->runs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, run_free);
+  instance->highest
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  instance->looks = g_ptr_array_new_with_free_func (g_free);
+  g_queue_init (&instance->ends);
+  config.address = "127.0.0.1:0";
+  config.max_body = BODY_MAX;
+  config.max_connections = 64;
+  config.idle_timeout_s = 120;
+  config.handler = serve_instance;
+  config.userdata = instance;
+  if (rst_http_server_create (&config, &instance->server) != RST_TRANSPORT_OK)
+    return false;
+  g_ptr_array_add (platform.instances, instance);
+  register_instance (settings, instance);
+  return true;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct settings settings = { "", 4, 4000, 16000 };
+  struct rst_http_server_config config = { 0 };
+  struct rst_http_server *server;
+  pthread_t thread;
+  bool started = true;
+  int early = rst_program_start (&program, argc, argv, &settings);
+
+  if (early >= 0)
+    return early;
+  rst_os_block_signals ();
+  platform.store = platform_store_create ();
+  platform.instances = g_ptr_array_new ();
+  platform.done
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  config.address = settings.listen;
+  config.max_body = BODY_MAX;
+  config.max_connections = 1000;
+  config.idle_timeout_s = 120;
+  config.handler = serve;
+  pthread_mutex_lock (&platform.lock);
+  for (int i = 0; started && i < settings.instances; i++)
+    started = start_instance (&settings, i);
+  pthread_mutex_unlock (&platform.lock);
+  if (!started || rst_http_server_create (&config, &server) != RST_TRANSPORT_OK
+      || pthread_create (&thread, NULL, tick_main, NULL) != 0)
+    {
+      fprintf (stderr, "%s: listen: address cannot be used\n", program.name);
+      return EXIT_FAILURE;
+    }
+  printf ("ready http=%s\n", rst_http_server_address (server));
+  fflush (stdout);
+  rst_os_wait_stop ();
+  atomic_store (&platform.stop, true);
+  pthread_join (thread, NULL);
+  rst_http_server_destroy (server);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/standin/platform_store.h
@@ -0,0 +1,38 @@
+/**
+ * DOC: platform_store - key-value store of the users' platform, in memory
+ *
+ * Keys with revisions, pages, watches and transactions, as docs/PLATFORM.md's
+ * adapter speaks them.  All functions may be called from any thread.
+ */
+#ifndef STANDIN_PLATFORM_STORE_H
+#define STANDIN_PLATFORM_STORE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "transport/http_server.h"
+
+struct platform_store;
+
+/** platform_store_create() - An empty store. */
+struct platform_store *platform_store_create (void);
+
+/**
+ * platform_store_serve() - Answers a call if it is one of the store's.
+ *
+ * Return: false when the path is not the store's; the request is untouched.
+ */
+bool platform_store_serve (struct platform_store *store,
+                           struct rst_http_request *request);
+
+/**
+ * platform_store_put() - Writes a key as the platform's own parts do.
+ * @text: The value, or NULL to remove the key.
+ */
+void platform_store_put (struct platform_store *store, const char *key,
+                         const char *text);
+
+/** platform_store_tick() - Ends watches whose wait is over. */
+void platform_store_tick (struct platform_store *store);
+
+#endif
--- a/tools/lib/cluster.sh
+++ b/tools/lib/cluster.sh
@@ -34,6 +34,81 @@
   return 1
 }
 
+# start_logged NAME PROGRAM SETTINGS - starts a daemon that logs to standard
+# output, and waits for its line "Started.".
+start_logged ()
+{
+  local name=$1 program=$2 settings=$3
+  local line i
+
+  "$bin/$program" --settings "$settings" >"$run/$name.log" 2>&1 &
+  pid_of[$name]=$!
+  for i in $(seq 1 500)
+  do
+    line=$(grep -m 1 'Started\.' "$run/$name.log" 2>/dev/null)
+    if [ -n "$line" ]
+    then
+      status_of[$name]=$(echo "$line" | sed -n 's/.*listen=\([^ ]*\).*/\1/p')
+      return 0
+    fi
+    kill -0 "${pid_of[$name]}" 2>/dev/null || break
+    sleep 0.02
+  done
+  echo "$name did not start:"
+  cat "$run/$name.log"
+  return 1
+}
+
+# start_platform INSTANCES
+start_platform ()
+{
+  echo "{ \"listen\": \"127.0.0.1:0\", \"instances\": { \"count\": $1 } }" \
+    >"$run/platform.json"
+  start platform standin-platform "$run/platform.json"
+}
+
+# put_operators KEY JSON - writes a key as the operators do.
+put_operators ()
+{
+  local value
+
+  value=$(printf '%s' "$2" | base64 -w 0)
+  curl -sS --max-time 5 -o /dev/null \
+    -d "{\"expected_rev\":[],\"writes\":[{\"key\":\"$1\",\"value\":\"$value\"}],\"remove\":[]}" \
+    "http://${status_of[platform]}/-/kv-txn"
+}
+
+# start_celld NAME
+start_celld ()
+{
+  cat >"$run/celld-$1.json" <<EOF
+{
+  "name": "$1",
+  "availability_zone": "z1",
+  "listen": "127.0.0.1:0",
+  "store": "${status_of[platform]}",
+  "advice": "${status_of[platform]}",
+  "early_ms": 250
+}
+EOF
+  start_logged "celld-$1" rosemarystile-celld "$run/celld-$1.json"
+}
+
+# start_jobd NAME
+start_jobd ()
+{
+  cat >"$run/jobd-$1.json" <<EOF
+{
+  "name": "$1",
+  "availability_zone": "z1",
+  "listen": "127.0.0.1:0",
+  "readiness": "127.0.0.1:0",
+  "store": "${status_of[platform]}"
+}
+EOF
+  start_logged "jobd-$1" rosemarystile-jobd "$run/jobd-$1.json"
+}
+
 # stop NAME - stops a process by SIGTERM; returns its exit status.
 stop ()
 {
