--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -1,28 +1,9 @@
-#include "daemon/term.h"
+#include "daemon/term_private.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "adapter.h"
-#include "daemon/follow.h"
-#include "daemon/observe.h"
-#include "util/log.h"
-
-#define LOG_PREFIX "term"
-
-/** Prefix of the journal's segments. */
-#define SEGMENT_PREFIX "rosemarystile/log/"
-
-/** Wait of a watch; with its margin it finds a silent connection in time. */
-#define WATCH_WAIT_MS 1000
-
-/** Pause between two watches of the instances' entries, in milliseconds. */
-#define INSTANCES_EVERY_MS 200
-
-/** Pause after a call that failed, in milliseconds. */
-#define AGAIN_MS 100
-
 /** The planner's key is renewed when nothing was committed for this long. */
 #define RENEW_MS 250
 
@@ -32,57 +13,6 @@
 /** Age said of the store's last word when a commit failed. */
 #define TROUBLED_AGE_MS 1000
 
-/** Writes of one commit: the planner's key, a segment and those removed. */
-#define WRITES_MAX 20
-
-enum reading
-{
-  READING_JOURNAL,
-  READING_OPERATORS,
-  READING_INSTANCES,
-  READING_DONE,
-};
-
-/* What a commit changes beside the planner's key. */
-struct change
-{
-  char key[64];
-  GByteArray *segment;
-  char removed[WRITES_MAX][64];
-  int removed_count;
-};
-
-struct rst_term
-{
-  struct rst_term_config config;
-  struct rst_seat seat;
-  int64_t revision;
-  bool won;
-  bool ended;
-  bool over;
-  bool resigning;
-  bool resigned;
-  bool serving;
-  struct rst_planner *planner;
-  enum reading reading;
-  /* When to read the journal's next page again; 0 for not. */
-  rst_ms read_at;
-  char after[256];
-  struct rst_follow *operators;
-  struct rst_follow *instances;
-  GHashTable *links;
-  int calls;
-  bool committing;
-  bool commit_sent;
-  rst_ms commit_next;
-  rst_ms sent_at;
-  rst_ms committed_at;
-  struct change waiting;
-  struct change sent;
-  rst_ms next_alive;
-  rst_ms next_run;
-};
-
 static void
 free_term (struct rst_term *term)
 {
@@ -96,8 +26,8 @@
 }
 
 /* Counts an answered call; true when the term goes on. */
-static bool
-call_ended (struct rst_term *term)
+bool
+rst_term_call_ended (struct rst_term *term)
 {
   term->calls--;
   if (!term->ended)
@@ -113,7 +43,7 @@
   if (term->over)
     return;
   term->over = true;
-  rst_info (LOG_PREFIX, "Term ended.", "why", why);
+  rst_info (RST_TERM_LOG, "Term ended.", "why", why);
   term->config.ended (term->config.userdata);
 }
 
@@ -138,7 +68,7 @@
 static void
 segment_key (char *out, size_t size, int64_t segment)
 {
-  g_snprintf (out, size, SEGMENT_PREFIX "%016" PRIx64, segment);
+  g_snprintf (out, size, RST_SEGMENT_PREFIX "%016" PRIx64, segment);
 }
 
 static void
@@ -178,7 +108,7 @@
 static void
 send_commit (struct rst_term *term)
 {
-  struct rst_store_write writes[WRITES_MAX] = { 0 };
+  struct rst_store_write writes[RST_TERM_WRITES_MAX] = { 0 };
   struct rst_pack pack;
   int count = 1;
 
@@ -304,7 +234,7 @@
 
   g_snprintf (bytes, sizeof bytes, "%u",
               term->sent.segment != NULL ? term->sent.segment->len : 0);
-  rst_info (LOG_PREFIX, "Commit is sent again.", "result",
+  rst_info (RST_TERM_LOG, "Commit is sent again.", "result",
             rst_result_text (result), "bytes", bytes);
   send_alive (term, MAX (now - term->committed_at, TROUBLED_AGE_MS));
   term->next_alive = now + ALIVE_MS;
@@ -315,10 +245,10 @@
 {
   struct rst_term *term = userdata;
 
-  if (call_ended (term))
+  if (rst_term_call_ended (term))
     {
       term->commit_sent = false;
-      term->commit_next = term->config.now () + AGAIN_MS;
+      term->commit_next = term->config.now () + RST_TERM_AGAIN_MS;
       if (answer->result == RST_RESULT_OK)
         commit_done (term, answer->revision);
       else if (answer->result == RST_RESULT_CONFLICT)
@@ -343,7 +273,7 @@
   segment_key (change->key, sizeof change->key, segment);
   change->segment = g_byte_array_new ();
   g_byte_array_append (change->segment, data, (guint)length);
-  change->removed_count = MIN (remove_count, WRITES_MAX - 2);
+  change->removed_count = MIN (remove_count, RST_TERM_WRITES_MAX - 2);
   for (int i = 0; i < change->removed_count; i++)
     segment_key (change->removed[i], sizeof change->removed[i], remove[i]);
   if (!term->committing)
@@ -380,119 +310,13 @@
   rst_pack_clear (&pack);
 }
 
-static void
-set_time (struct rst_term *term)
+void
+rst_term_set_time (struct rst_term *term)
 {
   rst_planner_set_time (term->planner, term->config.now (),
                         term->config.unix_now ());
 }
 
-static void
-apply_operators (void *userdata, const struct rst_item *item)
-{
-  struct rst_term *term = userdata;
-
-  set_time (term);
-  rst_observe_operators (term->planner, item);
-}
-
-static void
-apply_instance (void *userdata, const struct rst_item *item)
-{
-  struct rst_term *term = userdata;
-
-  set_time (term);
-  rst_observe_instance (term->planner, item);
-}
-
-static void next_reading (struct rst_term *term);
-
-static void read_journal (struct rst_term *term);
-
-static void
-on_journal (struct rst_store_answer *answer, void *userdata)
-{
-  struct rst_term *term = userdata;
-
-  if (!call_ended (term))
-    {
-      rst_store_answer_free (answer);
-      return;
-    }
-  set_time (term);
-  for (guint i = 0; answer->result == RST_RESULT_OK && i < answer->items->len;
-       i++)
-    {
-      const struct rst_item *item = g_ptr_array_index (answer->items, i);
-      int64_t segment
-          = (int64_t)strtoull (item->key + strlen (SEGMENT_PREFIX), NULL, 16);
-
-      g_strlcpy (term->after, item->key, sizeof term->after);
-      if (!rst_planner_restore (term->planner, segment, item->value,
-                                item->length))
-        rst_warning (LOG_PREFIX, "Segment can't be read whole.", "key",
-                     item->key);
-    }
-  if (answer->result != RST_RESULT_OK)
-    term->read_at = term->config.now () + AGAIN_MS;
-  else if (answer->more)
-    read_journal (term);
-  else
-    next_reading (term);
-  rst_store_answer_free (answer);
-}
-
-static void
-read_journal (struct rst_term *term)
-{
-  const struct rst_backend *backend = term->config.backend;
-
-  term->calls++;
-  backend->store_range (backend->userdata, SEGMENT_PREFIX, term->after,
-                        on_journal, term);
-}
-
-static void
-on_read (void *userdata)
-{
-  struct rst_term *term = userdata;
-
-  if (term->reading != READING_DONE)
-    next_reading (term);
-}
-
-static struct rst_follow *
-start_following (struct rst_term *term, const char *prefix,
-                 void (*apply) (void *, const struct rst_item *),
-                 rst_ms pause_ms)
-{
-  struct rst_follow_config config = { 0 };
-
-  config.backend = term->config.backend;
-  config.now = term->config.now;
-  config.prefix = prefix;
-  config.wait_ms = WATCH_WAIT_MS;
-  config.pause_ms = pause_ms;
-  config.apply = apply;
-  config.read = on_read;
-  config.userdata = term;
-  return rst_follow_create (&config);
-}
-
-static void
-next_reading (struct rst_term *term)
-{
-  term->reading++;
-  if (term->reading == READING_OPERATORS)
-    term->operators = start_following (term, RST_PLATFORM_OPERATOR_PREFIX,
-                                       apply_operators, 0);
-  else if (term->reading == READING_INSTANCES)
-    term->instances = start_following (term, RST_PLATFORM_INSTANCE_PREFIX,
-                                       apply_instance, INSTANCES_EVERY_MS);
-  else
-    rst_planner_restored (term->planner);
-}
-
 static void
 begin_reading (struct rst_term *term)
 {
@@ -500,12 +324,12 @@
   char epoch[24];
 
   g_snprintf (epoch, sizeof epoch, "%" PRId64, term->seat.epoch);
-  rst_info (LOG_PREFIX, "This process is the planner.", "epoch", epoch);
+  rst_info (RST_TERM_LOG, "This process is the planner.", "epoch", epoch);
   term->config.won (term->config.userdata);
   term->planner
       = rst_planner_create (&ops, &term->config.bounds, term->seat.epoch);
   term->reading = READING_JOURNAL;
-  read_journal (term);
+  rst_term_read_journal (term);
 }
 
 struct rst_term *
@@ -597,7 +421,7 @@
       return;
     }
   kind = (int)rst_reader_int (&reader);
-  set_time (term);
+  rst_term_set_time (term);
   if (kind == RST_MSG_HELLO)
     take_hello (term, link, &reader);
   else if (kind == RST_MSG_MOVED)
@@ -614,7 +438,7 @@
 {
   if (!g_hash_table_remove (term->links, &link) || term->planner == NULL)
     return;
-  set_time (term);
+  rst_term_set_time (term);
   rst_planner_link_closed (term->planner, link);
 }
 
@@ -625,7 +449,7 @@
   gpointer key;
 
   term->serving = true;
-  rst_info (LOG_PREFIX, "Callers are served.");
+  rst_info (RST_TERM_LOG, "Callers are served.");
   g_hash_table_iter_init (&iter, term->links);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     send_welcome (term, *(uint64_t *)key);
@@ -660,7 +484,7 @@
   if (term->read_at != 0 && now >= term->read_at)
     {
       term->read_at = 0;
-      read_journal (term);
+      rst_term_read_journal (term);
     }
   rst_planner_set_time (term->planner, now, term->config.unix_now ());
   if (!term->serving && rst_planner_ready (term->planner))
