Give unanswered reads of the store up after 0.6 s, changes after 0.7 s

A read of the planner's key that was sent while the store was silent held its reader for 1.5 s, and only then did the key's standing still (0.7 s) begin to count.

--- a/test/cell/store.cc
+++ b/test/cell/store.cc
@@ -7,6 +7,11 @@
 namespace cell
 {
 
+// When the adapter gives up a call that is not answered.
+static const Millis get_timeout = 600;
+static const Millis range_timeout = 1500;
+static const Millis commit_timeout = 700;
+
 void
 World::change (const std::string &key, const std::string *value)
 {
@@ -143,7 +148,7 @@
   if (found != store.end ())
     add_item (answer, key, &found->second);
   store_answer (node, answer, done, data,
-                store_reached (node) ? faults.store_delay : 1500,
+                store_reached (node) ? faults.store_delay : get_timeout,
                 !store_reached (node));
 }
 
@@ -167,7 +172,7 @@
       add_item (answer, entry.first, &entry.second);
     }
   store_answer (node, answer, done, data,
-                store_reached (node) ? faults.store_delay : 1500,
+                store_reached (node) ? faults.store_delay : range_timeout,
                 !store_reached (node));
 }
 
@@ -279,7 +284,8 @@
   else if (reached)
     apply (answer);
   store_answer (node, answer, done, data,
-                reached && !lost && !late ? faults.store_delay : 1500,
+                reached && !lost && !late ? faults.store_delay
+                                          : commit_timeout,
                 !reached || lost || late);
 }
 
