--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -62,20 +62,36 @@
       = !instance->known && g_hash_table_size (instance->runs) > 0;
 }
 
+/* Whether old segments are to go now. */
+static bool
+wants_trim (const struct rst_planner *planner)
+{
+  return g_hash_table_size (planner->segments) > SEGMENTS_MAX
+         && g_hash_table_find (planner->instances, is_leaving, NULL) == NULL;
+}
+
+static int64_t
+oldest_segment (const struct rst_planner *planner)
+{
+  int64_t oldest = planner->next_segment;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, planner->segments);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    oldest = MIN (oldest, *(int64_t *)key);
+  return oldest;
+}
+
 /* Segments that no job's records stand in any more, oldest first. */
 static int
 choose_removed (const struct rst_planner *planner, int64_t *remove)
 {
-  int64_t oldest = planner->next_segment;
   int64_t needed = planner->next_segment;
   int count = 0;
   GHashTableIter iter;
-  gpointer key;
   gpointer value;
 
-  if (g_hash_table_size (planner->segments) <= SEGMENTS_MAX
-      || g_hash_table_find (planner->instances, is_leaving, NULL) != NULL)
-    return 0;
   g_hash_table_iter_init (&iter, planner->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -84,10 +100,8 @@
       if (job->segment_full > 0)
         needed = MIN (needed, MIN (job->segment_full, job->segment_last));
     }
-  g_hash_table_iter_init (&iter, planner->segments);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    oldest = MIN (oldest, *(int64_t *)key);
-  for (int64_t at = oldest; count < REMOVE_MAX && at < needed; at++)
+  for (int64_t at = oldest_segment (planner);
+       count < REMOVE_MAX && at < needed; at++)
     if (g_hash_table_contains (planner->segments, &at))
       remove[count++] = at;
   return count;
@@ -97,14 +111,10 @@
 static void
 rewrite_oldest (struct rst_planner *planner)
 {
-  int64_t last = planner->next_segment
-                 - (int64_t)g_hash_table_size (planner->segments)
-                 + REWRITE_SEGMENTS;
+  int64_t last = oldest_segment (planner) + REWRITE_SEGMENTS;
   GHashTableIter iter;
   gpointer value;
 
-  if (g_hash_table_size (planner->segments) <= SEGMENTS_MAX)
-    return;
   g_hash_table_iter_init (&iter, planner->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -268,16 +278,18 @@
   int64_t remove[REMOVE_MAX];
   struct rst_pack records;
   struct rst_pack pack;
+  bool trims = wants_trim (planner);
   int removed;
   guint jobs;
   int others;
 
-  rewrite_oldest (planner);
+  if (trims)
+    rewrite_oldest (planner);
   rst_pack_open (&records);
   /* Jobs first: the record of an instance that is out names tasks, and the
      earlier records of their jobs may go with this commit. */
   jobs = pack_jobs (planner, &records);
-  removed = choose_removed (planner, remove);
+  removed = trims ? choose_removed (planner, remove) : 0;
   if (removed > 0)
     rewrite_others (planner);
   others = pack_others (planner, &records);
