--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -228,9 +228,7 @@
   rst_pack_array (&pack, ask->ids->len);
   for (guint i = 0; i < ask->ids->len; i++)
     rst_pack_text (&pack, g_ptr_array_index (ask->ids, i));
-  planner->ops.send (planner->ops.userdata, ask->link, pack.buffer.data,
-                     pack.buffer.size);
-  rst_pack_clear (&pack);
+  rst_plan_send (planner, ask->link, &pack);
 }
 
 void
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -113,9 +113,7 @@
   rst_pack_text (&pack, instance->entry.address);
   rst_pack_int (&pack, fence (planner, instance));
   rst_pack_int (&pack, instance->acked);
-  planner->ops.send (planner->ops.userdata, instance->agent->link,
-                     pack.buffer.data, pack.buffer.size);
-  rst_pack_clear (&pack);
+  rst_plan_send (planner, instance->agent->link, &pack);
 }
 
 void
@@ -130,9 +128,7 @@
   rst_pack_int (&pack, kind);
   rst_pack_text (&pack, instance->entry.id);
   rst_pack_int (&pack, number);
-  planner->ops.send (planner->ops.userdata, instance->agent->link,
-                     pack.buffer.data, pack.buffer.size);
-  rst_pack_clear (&pack);
+  rst_plan_send (planner, instance->agent->link, &pack);
 }
 
 /* Nobody reports on the instance; its lease may be extended for a while. */
@@ -370,9 +366,7 @@
   rst_pack_text (&pack, instance->entry.id);
   rst_pack_text (&pack, listed->task);
   rst_pack_int (&pack, listed->attempt);
-  planner->ops.send (planner->ops.userdata, instance->agent->link,
-                     pack.buffer.data, pack.buffer.size);
-  rst_pack_clear (&pack);
+  rst_plan_send (planner, instance->agent->link, &pack);
 }
 
 /* A run that this planner did not order: its predecessor's, or one that was
@@ -637,9 +631,7 @@
   rst_pack_text (&pack, instance->entry.id);
   rst_pack_int (&pack, instance->acked);
   rst_pack_int (&pack, instance->born);
-  planner->ops.send (planner->ops.userdata, instance->agent->link,
-                     pack.buffer.data, pack.buffer.size);
-  rst_pack_clear (&pack);
+  rst_plan_send (planner, instance->agent->link, &pack);
 }
 
 /* Ends that are in the store may be forgotten by the instances. */
--- a/src/cell/plan_pace.c
+++ b/src/cell/plan_pace.c
@@ -69,9 +69,7 @@
   rst_pack_text (&pack, run->name);
   rst_pack_int (&pack, run->attempt);
   rst_pack_int (&pack, run->pace);
-  planner->ops.send (planner->ops.userdata, instance->agent->link,
-                     pack.buffer.data, pack.buffer.size);
-  rst_pack_clear (&pack);
+  rst_plan_send (planner, instance->agent->link, &pack);
   planner->stats.paced++;
 }
 
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -114,9 +114,7 @@
   rst_pack_text (&pack, run->instance->entry.id);
   rst_pack_text (&pack, run->name);
   rst_pack_int (&pack, run->attempt);
-  planner->ops.send (planner->ops.userdata, run->instance->agent->link,
-                     pack.buffer.data, pack.buffer.size);
-  rst_pack_clear (&pack);
+  rst_plan_send (planner, run->instance->agent->link, &pack);
 }
 
 void
@@ -168,9 +166,7 @@
   rst_pack_text (&pack, step->occurrence->job->desc->spec);
   rst_pack_text (&pack, saved);
   rst_pack_text (&pack, ticket);
-  planner->ops.send (planner->ops.userdata, instance->agent->link,
-                     pack.buffer.data, pack.buffer.size);
-  rst_pack_clear (&pack);
+  rst_plan_send (planner, instance->agent->link, &pack);
   if (rst_log_enabled (G_LOG_LEVEL_INFO))
     {
       char number[16];
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -110,6 +110,15 @@
   planner->unix_ms = unix_ms;
 }
 
+void
+rst_plan_send (const struct rst_planner *planner, uint64_t link,
+               struct rst_pack *pack)
+{
+  planner->ops.send (planner->ops.userdata, link, pack->buffer.data,
+                     pack->buffer.size);
+  rst_pack_clear (pack);
+}
+
 static void
 take_queue (struct rst_planner *planner, const struct rst_queue *set)
 {
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -301,6 +301,11 @@
   struct rst_planner_stats stats;
 };
 
+/* planner.c */
+/* Sends a message over a link and frees its bytes. */
+void rst_plan_send (const struct rst_planner *planner, uint64_t link,
+                    struct rst_pack *pack);
+
 /* plan_jobs.c */
 struct job *rst_plan_job_new (struct rst_planner *planner, const char *id,
                               struct queue *queue, struct customer *customer,
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -114,16 +114,6 @@
   g_free (run);
 }
 
-static void
-reply (struct rst_http_request *request, unsigned status,
-       struct json_object *body)
-{
-  char *text = rst_json_release (body);
-
-  rst_http_reply_text (request, status, text);
-  free (text);
-}
-
 /* What each answer of an instance holds. */
 static struct json_object *
 answer_new (const struct instance *instance)
@@ -142,7 +132,7 @@
   struct json_object *body = answer_new (instance);
 
   rst_json_set_text (body, "reason", reason);
-  reply (request, 409, body);
+  platform_reply (request, 409, body);
 }
 
 static void
@@ -181,7 +171,7 @@
     }
   json_object_object_add (body, "running", running);
   json_object_object_add (body, "finished", finished);
-  reply (request, 200, body);
+  platform_reply (request, 200, body);
 }
 
 static void
@@ -258,7 +248,7 @@
 
   if (there != NULL && there->attempt == attempt)
     {
-      reply (request, 200, answer_new (instance));
+      platform_reply (request, 200, answer_new (instance));
       return;
     }
   if (there != NULL || attempt <= highest (instance, task))
@@ -277,7 +267,7 @@
   run->attempt = attempt;
   run->ends_at = rst_os_now () + (spec != NULL ? strtoll (spec, NULL, 10) : 0);
   g_hash_table_replace (instance->runs, run->task, run);
-  reply (request, 200, answer_new (instance));
+  platform_reply (request, 200, answer_new (instance));
 }
 
 static void
@@ -294,7 +284,7 @@
       run->stopped = true;
       run->ends_at = rst_os_now ();
     }
-  reply (request, 200, answer_new (instance));
+  platform_reply (request, 200, answer_new (instance));
 }
 
 static void
@@ -438,7 +428,7 @@
       json_object_array_add (rows, row);
     }
   json_object_object_add (body, "approved", rows);
-  reply (request, 200, body);
+  platform_reply (request, 200, body);
   json_object_put (call);
   pthread_mutex_lock (&platform.lock);
   platform.advice_calls++;
@@ -455,7 +445,7 @@
   rst_json_set_number (body, "twice", platform.twice);
   rst_json_set_number (body, "advice_calls", platform.advice_calls);
   pthread_mutex_unlock (&platform.lock);
-  reply (request, 200, body);
+  platform_reply (request, 200, body);
 }
 
 static void
--- a/standin/platform_store.c
+++ b/standin/platform_store.c
@@ -113,9 +113,9 @@
   return object;
 }
 
-static void
-reply (struct rst_http_request *request, unsigned status,
-       struct json_object *body)
+void
+platform_reply (struct rst_http_request *request, unsigned status,
+                struct json_object *body)
 {
   char *text = rst_json_release (body);
 
@@ -130,7 +130,7 @@
   struct json_object *body = json_object_new_object ();
 
   rst_json_set_text (body, "error", error);
-  reply (request, status, body);
+  platform_reply (request, status, body);
 }
 
 /* Answers a watch when there is a change for it, or its wait is over. */
@@ -157,7 +157,7 @@
   body = json_object_new_object ();
   json_object_object_add (body, "events", events);
   rst_json_set_number (body, "current_rev", store->revision);
-  reply (watch->request, 200, body);
+  platform_reply (watch->request, 200, body);
   return true;
 }
 
@@ -227,7 +227,7 @@
     }
   body = item_json (item);
   rst_json_set_number (body, "current_rev", store->revision);
-  reply (request, 200, body);
+  platform_reply (request, 200, body);
 }
 
 struct page
@@ -276,7 +276,7 @@
   json_object_object_add (body, "items", page.items);
   rst_json_set_bool (body, "has_more", page.more);
   rst_json_set_number (body, "current_rev", store->revision);
-  reply (request, 200, body);
+  platform_reply (request, 200, body);
 }
 
 static void
@@ -378,18 +378,18 @@
       || length_of (writes) + length_of (removed) > TXN_ENTRIES)
     {
       rst_json_set_text (body, "error", "writes: missing, or too long");
-      reply (request, 400, body);
+      platform_reply (request, 400, body);
     }
   else if (failed != NULL)
     {
       json_object_object_add (body, "items", json_object_get (failed));
-      reply (request, 412, body);
+      platform_reply (request, 412, body);
     }
   else
     {
       apply_txn (store, writes, removed);
       rst_json_set_number (body, "revision", store->revision);
-      reply (request, 200, body);
+      platform_reply (request, 200, body);
       answer_watches (store);
     }
   json_object_put (failed);
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -10,10 +10,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "state/json.h"
 #include "transport/http_server.h"
 
 struct platform_store;
 
+/** platform_reply() - Answers a request with @body, and frees it. */
+void platform_reply (struct rst_http_request *request, unsigned status,
+                     struct json_object *body);
+
 /** platform_store_create() - An empty store. */
 struct platform_store *platform_store_create (void);
 
--- a/tools/lib/cluster.sh
+++ b/tools/lib/cluster.sh
@@ -5,58 +5,49 @@
 declare -A pid_of address_of status_of
 log_level=${log_level:-warning}
 
-# start NAME PROGRAM SETTINGS - starts a program and waits until it is ready.
-# It runs in the main shell's process group; its id is kept in pid_of.
-start ()
+# await_line NAME PATTERN FILE - waits for a line of a program's file and leaves
+# it in $ready_line; tells when the program ends before.
+await_line ()
 {
-  local name=$1 program=$2 settings=$3
-  local line i
+  local i
 
-  "$bin/$program" --settings "$settings" >"$run/$name.out" \
-    2>>"$run/$name.log" &
-  pid_of[$name]=$!
   for i in $(seq 1 500)
   do
-    line=$(head -n 1 "$run/$name.out" 2>/dev/null)
-    case $line in
-      ready*)
-        status_of[$name]=$(echo "$line" | sed -n 's/.*http=\([^ ]*\).*/\1/p')
-        address_of[$name]=$(echo "$line" \
-          | sed -n 's/.*frames=\([^ ]*\).*/\1/p')
-        return 0
-        ;;
-    esac
-    kill -0 "${pid_of[$name]}" 2>/dev/null || break
+    ready_line=$(grep -m 1 "$2" "$3" 2>/dev/null)
+    [ -n "$ready_line" ] && return 0
+    kill -0 "${pid_of[$1]}" 2>/dev/null || break
     sleep 0.02
   done
-  echo "$name did not start:"
-  cat "$run/$name.log"
+  echo "$1 did not start:"
+  cat "$run/$1.log"
   return 1
 }
 
+# word_of KEY - the value of KEY=VALUE in $ready_line, or "".
+word_of ()
+{
+  echo "$ready_line" | sed -n "s/.*$1=\\([^ ]*\\).*/\\1/p"
+}
+
+# start NAME PROGRAM SETTINGS - starts a program and waits until it is ready.
+# It runs in the main shell's process group; its id is kept in pid_of.
+start ()
+{
+  "$bin/$2" --settings "$3" >"$run/$1.out" 2>>"$run/$1.log" &
+  pid_of[$1]=$!
+  await_line "$1" '^ready' "$run/$1.out" || return 1
+  status_of[$1]=$(word_of http)
+  address_of[$1]=$(word_of frames)
+}
+
 # start_logged NAME PROGRAM SETTINGS - starts a daemon that logs to standard
 # output, and waits for its line "Started.".
 start_logged ()
 {
-  local name=$1 program=$2 settings=$3
-  local line i
-
-  "$bin/$program" --settings "$settings" >"$run/$name.log" 2>&1 &
-  pid_of[$name]=$!
-  for i in $(seq 1 500)
-  do
-    line=$(grep -m 1 'Started\.' "$run/$name.log" 2>/dev/null)
-    if [ -n "$line" ]
-    then
-      status_of[$name]=$(echo "$line" | sed -n 's/.*listen=\([^ ]*\).*/\1/p')
-      return 0
-    fi
-    kill -0 "${pid_of[$name]}" 2>/dev/null || break
-    sleep 0.02
-  done
-  echo "$name did not start:"
-  cat "$run/$name.log"
-  return 1
+  "$bin/$2" --settings "$3" >"$run/$1.log" 2>&1 &
+  pid_of[$1]=$!
+  await_line "$1" 'Started\.' "$run/$1.log" || return 1
+  status_of[$1]=$(word_of listen)
 }
 
 # start_platform INSTANCES
