--- a/test/unit/journal_test.cc
+++ b/test/unit/journal_test.cc
@@ -174,18 +174,17 @@
     }
 }
 
-TEST (Journal, RewritesAJobThatWasReadWithoutItsSteps)
+// Job a has completed long before the change of planner, so that only the
+// short form of its record is left.
+static void
+succeed_after_a_job (Planner &former, Planner &heir, int jobs_since)
 {
-  Planner former;
-  Planner heir (2);
-  Planner third (3);
-
   former.begin (1);
   former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
   former.settle ();
   former.report (1, "i-0", { Planner::ended (1, task_a0, 1, RST_END_DONE) });
   former.settle ();
-  for (int i = 0; i < 560; i++)
+  for (int i = 0; i < jobs_since; i++)
     add_segments (former, i);
   former.drop_removed ();
   heir.set_time (former.now);
@@ -195,6 +194,15 @@
   heir.agent (1);
   heir.instance ("i-0");
   rst_planner_restored (heir.planner);
+}
+
+TEST (Journal, RewritesAJobThatWasReadWithoutItsSteps)
+{
+  Planner former;
+  Planner heir (2);
+  Planner third (3);
+
+  succeed_after_a_job (former, heir, 560);
   heir.report (1, "i-0", {});
   /* Its record is among the oldest again soon after the change. */
   for (int i = 1000; i < 1060; i++)
@@ -216,21 +224,7 @@
   Planner former;
   Planner heir (2);
 
-  former.begin (1);
-  former.call (7, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
-  former.settle ();
-  former.report (1, "i-0", { Planner::ended (1, task_a0, 1, RST_END_DONE) });
-  former.settle ();
-  for (int i = 0; i < 320; i++)
-    add_segments (former, i);
-  former.drop_removed ();
-  heir.set_time (former.now);
-  heir.restore (former);
-  EXPECT_EQ (heir.unreadable, 0);
-  heir.configure ();
-  heir.agent (1);
-  heir.instance ("i-0");
-  rst_planner_restored (heir.planner);
+  succeed_after_a_job (former, heir, 320);
   heir.call (8, RST_OPERATION_READ, job_a);
   EXPECT_EQ (heir.reply_to (8)->reply.state, RST_JOB_COMPLETED);
   heir.call (9, RST_OPERATION_SUBMIT, job_a, Planner::job (1, 1000));
