Extend no lease of an instance that does not answer

Ruled out: the slow clock and its margin (26.86 s computed, 26.875 s seen), the agents' 5 s without confirmation.

Agent.ExtendsNoLeaseOfAnInstanceThatDoesNotAnswer fails before (deadline 14000 instead of 0; a start order is sent) and passes after.

--- a/src/cell/agent.c
+++ b/src/cell/agent.c
@@ -40,6 +40,8 @@
   rst_ms lease_expires_at;
   rst_ms poll_wait_ms;
   bool poll_pending;
+  /* Whether the last poll was answered. */
+  bool answering;
   bool released;
   /* Whether the last answer came from the incarnation to which last_acked_end
      and last_listed_end belong.  A restarted instance keeps its id, but
@@ -107,13 +109,16 @@
 }
 
 /* Returns the new expiry of the lease on the instance's clock, or 0 when the
-   lease must not be extended or that clock is unknown. */
+   lease must not be extended or that clock is unknown.  The planner computes
+   when the lease of an instance expires from the first report that it does not
+   answer; a later call without an answer may reach it and must not extend the
+   lease. */
 static int64_t
 extend_lease (struct held_instance *held, rst_ms now)
 {
   struct rst_agent *agent = held->agent;
 
-  if (held->clock_ms == 0
+  if (held->clock_ms == 0 || !held->answering
       || now - agent->confirmed_at > agent->config.unconfirmed_renewal_ms)
     return 0;
   held->lease_expires_at = now + agent->config.lease_ms;
@@ -190,18 +195,19 @@
   rst_ms now = held->agent->config.now ();
 
   held->poll_pending = false;
+  held->answering = answer->result == RST_RESULT_OK;
   if (held->released)
     {
       g_free (held);
       rst_instance_answer_free (answer);
       return;
     }
-  if (answer->result == RST_RESULT_OK)
+  if (held->answering)
     update_from_poll (held, answer, now);
   else
     held->same_incarnation = false;
   send_report (held, answer, now);
-  if (answer->result != RST_RESULT_OK)
+  if (!held->answering)
     held->next_poll_at = now + POLL_RETRY_MS;
   else if (held->last_listed_end > held->last_acked_end)
     held->next_poll_at = now + ACK_WAIT_MS;
@@ -386,9 +392,10 @@
   order->agent = agent;
   order->kind = kind == RST_MSG_START ? RST_MSG_STARTED : RST_MSG_STOPPED;
   held = read_order (order, reader, &call);
-  /* A start carries a lease, which needs the instance's clock. */
+  /* A start carries a lease, which needs the instance's clock and extends the
+     lease of all its runs. */
   if (held == NULL || reader->bad
-      || (kind == RST_MSG_START && held->clock_ms == 0))
+      || (kind == RST_MSG_START && (held->clock_ms == 0 || !held->answering)))
     {
       report_order_result (order, RST_RESULT_NOT_SENT, 0);
       g_free (order);
--- a/test/unit/agent_test.cc
+++ b/test/unit/agent_test.cc
@@ -209,6 +209,30 @@
   EXPECT_GT (calls[0].deadline, 0);
 }
 
+// A poll without an answer may have reached the instance.  The planner counts
+// the time left of the lease from the first report that the instance does not
+// answer, so nothing may extend the lease after it.
+TEST_F (Agent, ExtendsNoLeaseOfAnInstanceThatDoesNotAnswer)
+{
+  hold_instance ();
+  answer (RST_RESULT_OK, 5000, 1);
+  EXPECT_GT (calls[0].deadline, 0);
+  agent_now += 2700;
+  answer (RST_RESULT_UNKNOWN);
+  agent_now += 400;
+  rst_agent_run (agent);
+  ASSERT_EQ (calls.size (), 1u);
+  EXPECT_EQ (calls[0].deadline, 0);
+  kinds.clear ();
+  deliver_message (RST_MSG_START, { "i", "t" }, { 1 });
+  EXPECT_EQ (calls.size (), 1u);
+  ASSERT_EQ (kinds.size (), 1u);
+  EXPECT_EQ (kinds[0], RST_MSG_STARTED);
+  answer (RST_RESULT_OK, 8100, 1);
+  ASSERT_EQ (calls.size (), 1u);
+  EXPECT_EQ (calls[0].deadline, 8100 + 5900);
+}
+
 TEST_F (Agent, StartsNoRunBeforeItKnowsTheInstancesClock)
 {
   hold_instance ();
