Count a gang's own reservation in its next request, and split wide requests

The reservation now comes after the request. Planner.CountsTheRoomReservedForAGangInItsNextRequest fails before.

Besides, all tickets of a gang must be valid within 2 s of each other, and one request at a time of 36 or 48 instances never collects those of a wide gang: at 30 % approval a gang of 120 whole cores needs some 150 names. A gang now names up to 240 at once, split among agents; the largest number follows from its width. Gangs that reserve: one for 32 instances, 3 at least, late ones too.

--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -16,15 +16,21 @@
 /** Number of requests at one agent that a short request may wait for. */
 #define QUEUED_REQUESTS_MAX 2
 
-/** Minimum and maximum number of instances named in a request. */
-#define REQUEST_INSTANCES_MIN 3
-#define REQUEST_INSTANCES_MAX 48
-
-/** The same for the first request of a gang.  The users' objective allows for
-    one request that names 30 instances for each step, and a second request
-    costs a gang more time than a longer first one. */
-#define FIRST_GANG_REQUEST_INSTANCES_MIN 30
-#define FIRST_GANG_REQUEST_INSTANCES_MAX 36
+/** Minimum and maximum number of instances that are named at once for single
+    tasks. */
+#define NAMED_MIN 3
+#define NAMED_MAX 48
+
+/** The same for a gang.  The users' objective allows for one request that
+    names 30 instances for each step.  All tickets of a gang must be valid at
+    the same time, so a wide gang names all that it needs at once. */
+#define FIRST_GANG_NAMED_MIN 30
+#define GANG_NAMED_MIN_LIMIT 100
+#define GANG_NAMED_MAX_LIMIT 240
+
+/** Up to this number, the instances are named in one request; more are split
+    among as few requests of different agents as this allows. */
+#define REQUEST_INSTANCES_MAX 60
 
 /** Requests expected to take up to this long reserve room on the instances
     that they name. */
@@ -74,6 +80,8 @@
   return approval->ticket;
 }
 
+#define DIV_ROUND_UP(a, b) (((a) + (b)-1) / (b))
+
 /** struct candidate - An instance that a request may name. */
 struct candidate
 {
@@ -154,6 +162,19 @@
   return expected >= tasks;
 }
 
+/* Returns the largest number of instances that a gang names at once: as many
+   as are probably needed when half of each approved instance is free. */
+static int
+get_gang_named_max (const struct step *step, const struct instance *example)
+{
+  double rate = MAX (step->occurrence->job->queue->approval_rate, 0.05);
+  int64_t cpu = MAX (step->spec->need.cpu, 1);
+  double slots = MAX ((double)(example->entry.capacity.cpu / 2 / cpu), 1.0);
+  double wanted = step->spec->count * REQUESTED_SLOTS_FACTOR / rate / slots;
+
+  return (int)CLAMP (wanted, GANG_NAMED_MIN_LIMIT, GANG_NAMED_MAX_LIMIT);
+}
+
 /* Returns how many of the first candidates to name, or 0 if a request would be
    useless. */
 static int
@@ -162,13 +183,18 @@
 {
   double expected = 0.0;
   double wanted = tasks * REQUESTED_SLOTS_FACTOR;
+  bool gang = step->spec->gang;
   int named = 0;
-  bool is_first_gang_request = step->spec->gang && !step->advice_requested;
-  int named_min = is_first_gang_request ? FIRST_GANG_REQUEST_INSTANCES_MIN
-                                        : REQUEST_INSTANCES_MIN;
-  int named_max = is_first_gang_request ? FIRST_GANG_REQUEST_INSTANCES_MAX
-                                        : REQUEST_INSTANCES_MAX;
+  int named_min
+      = gang && !step->advice_requested ? FIRST_GANG_NAMED_MIN : NAMED_MIN;
+  int named_max = NAMED_MAX;
 
+  if (found->len == 0
+      || (gang && step->advice_requested && !may_hold_gang (found, tasks)))
+    return 0;
+  if (gang)
+    named_max = get_gang_named_max (
+        step, g_array_index (found, struct candidate, 0).instance);
   for (guint i = 0; i < found->len && named < named_max; i++)
     {
       struct candidate candidate = g_array_index (found, struct candidate, i);
@@ -178,9 +204,6 @@
       expected += candidate.slots * candidate.chance;
       named++;
     }
-  if (step->spec->gang && step->advice_requested
-      && !may_hold_gang (found, tasks))
-    return 0;
   return named;
 }
 
@@ -215,155 +238,177 @@
   return best;
 }
 
-static void
-format_step_name (const struct advice_request *request, char *out, size_t size)
-{
-  g_snprintf (out, size, "%s.%" PRId64 ".%d", request->job_id,
-              request->occurrence, request->step);
-}
-
 /* Logs a request or its answer.  Before the answer, @took_ms is the expected
    time. */
 static void
 log_request (const struct advice_request *request, const char *sentence,
              int64_t took_ms, int approved)
 {
-  char name[RST_TASK_NAME_SIZE];
   char named[16];
   char took_text[24];
   char approved_text[16];
 
   if (!rst_log_enabled (G_LOG_LEVEL_INFO))
     return;
-  format_step_name (request, name, sizeof name);
   g_snprintf (named, sizeof named, "%u", request->instance_ids->len);
   g_snprintf (took_text, sizeof took_text, "%" PRId64, took_ms);
   g_snprintf (approved_text, sizeof approved_text, "%d", approved);
-  rst_info (RST_PLAN_LOG, sentence, "step", name, "named", named, "ms",
-            took_text, "approved", approved_text);
+  rst_info (RST_PLAN_LOG, sentence, "step", request->step_name, "named", named,
+            "ms", took_text, "approved", approved_text);
 }
 
 static void
 send_request (struct rst_planner *planner, struct advice_request *request)
 {
   struct rst_pack pack;
-  char name[RST_TASK_NAME_SIZE];
 
-  format_step_name (request, name, sizeof name);
   rst_pack_init (&pack, 4);
   rst_pack_int (&pack, RST_MSG_ADVISE);
   rst_pack_int (&pack, (int64_t)request->handle);
-  rst_pack_text (&pack, name);
+  rst_pack_text (&pack, request->step_name);
   rst_pack_array (&pack, request->instance_ids->len);
   for (guint i = 0; i < request->instance_ids->len; i++)
     rst_pack_text (&pack, g_ptr_array_index (request->instance_ids, i));
   rst_plan_send (planner, request->link, &pack);
 }
 
+/* Creates a request that names @count candidates from @first on. */
+static struct advice_request *
+request_new (struct rst_planner *planner, struct step *step,
+             const struct agent *agent, const GArray *found, guint first,
+             int count)
+{
+  const struct job *job = step->occurrence->job;
+  struct advice_request *request = g_new0 (struct advice_request, 1);
+
+  request->handle = planner->next_handle++;
+  request->step = step;
+  g_snprintf (request->step_name, sizeof request->step_name,
+              "%s.%" PRId64 ".%d", job->id, step->occurrence->number,
+              step->index);
+  request->link = agent->link;
+  request->sent_at = planner->now;
+  request->instance_ids = g_ptr_array_new_with_free_func (g_free);
+  for (int i = 0; i < count; i++)
+    g_ptr_array_add (
+        request->instance_ids,
+        g_strdup (g_array_index (found, struct candidate, first + (guint)i)
+                      .instance->entry.id));
+  CK_LIST_INSERT_HEAD (&step->advice_requests, request, entry);
+  g_hash_table_insert (planner->advice_requests, &request->handle, request);
+  return request;
+}
+
+static int64_t
+get_expected_ms (const struct step *step, int named)
+{
+  const struct rst_queue *settings = &step->occurrence->job->queue->settings;
+
+  return settings->advice_ms + named * settings->advice_per_instance_us / 1000;
+}
+
 void
 rst_plan_request_advice (struct rst_planner *planner, struct step *step,
                          int tasks)
 {
-  const struct job *job = step->occurrence->job;
   GArray *found;
   int named;
-  int64_t expected_ms;
-  struct agent *agent;
-  struct advice_request *request;
+  int per_request;
+  bool is_first = !step->advice_requested;
 
   if (planner->now < step->next_request_at
       || !rst_plan_is_below_limit (step, step->spec->gang ? tasks : 1))
     return;
   /* Searching for candidates is costly, so first checks that an agent is free
      for the shortest request. */
-  if (choose_advice_agent (planner, job->queue->settings.advice_ms) == NULL)
+  if (choose_advice_agent (planner, get_expected_ms (step, 0)) == NULL)
     return;
   found = find_request_candidates (planner, step);
   named = count_instances_to_name (found, step, tasks);
-  expected_ms = job->queue->settings.advice_ms
-                + named * job->queue->settings.advice_per_instance_us / 1000;
-  agent = named > 0 ? choose_advice_agent (planner, expected_ms) : NULL;
-  if (agent == NULL)
+  per_request = named;
+  if (named > REQUEST_INSTANCES_MAX)
+    per_request
+        = DIV_ROUND_UP (named, DIV_ROUND_UP (named, REQUEST_INSTANCES_MAX));
+  for (int first = 0; first < named; first += per_request)
     {
-      g_array_free (found, TRUE);
-      return;
+      int count = MIN (per_request, named - first);
+      int64_t expected_ms = get_expected_ms (step, count);
+      struct agent *agent = choose_advice_agent (planner, expected_ms);
+      struct advice_request *request;
+
+      if (agent == NULL)
+        break;
+      request = request_new (planner, step, agent, found, (guint)first, count);
+      agent->open_requests++;
+      agent->busy_until = MAX (agent->busy_until, planner->now) + expected_ms;
+      request->reserves_room = expected_ms <= RESERVING_REQUEST_MAX_MS
+                               || (step->spec->gang && !is_first);
+      step->advice_requested = true;
+      planner->stats.advice_calls++;
+      log_request (request, "Advice requested.", expected_ms, 0);
+      send_request (planner, request);
     }
-  request = g_new0 (struct advice_request, 1);
-  request->handle = planner->next_handle++;
-  g_strlcpy (request->job_id, job->id, sizeof request->job_id);
-  request->occurrence = step->occurrence->number;
-  request->step = step->index;
-  request->link = agent->link;
-  request->expected_ms = expected_ms;
-  request->sent_at = planner->now;
-  request->instance_ids = g_ptr_array_new_with_free_func (g_free);
-  for (int i = 0; i < named; i++)
-    g_ptr_array_add (
-        request->instance_ids,
-        g_strdup (
-            g_array_index (found, struct candidate, i).instance->entry.id));
-  agent->open_requests++;
-  agent->busy_until = MAX (agent->busy_until, planner->now) + expected_ms;
-  request->reserves_room = expected_ms <= RESERVING_REQUEST_MAX_MS
-                           || (step->spec->gang && step->advice_requested);
-  step->advice_request = request;
-  step->advice_requested = true;
-  g_hash_table_insert (planner->advice_requests, &request->handle, request);
-  planner->stats.advice_calls++;
-  log_request (request, "Advice requested.", expected_ms, 0);
-  send_request (planner, request);
   g_array_free (found, TRUE);
 }
 
-void
-rst_plan_reserve_requested (struct rst_planner *planner, struct step *step,
-                            int tasks)
+/* Reserves room on the instances that a request names.  Returns the number of
+   tasks that are probably still without room. */
+static double
+reserve_named (struct rst_planner *planner,
+               const struct advice_request *request, double wanted)
 {
-  const struct advice_request *request = step->advice_request;
-  double wanted = tasks;
+  struct step *step = request->step;
 
-  for (guint i = 0; request->reserves_room && wanted > 0.0
-                    && i < request->instance_ids->len;
-       i++)
+  for (guint i = 0; wanted > 0.0 && i < request->instance_ids->len; i++)
     {
-      struct instance *instance = g_hash_table_lookup (
-          planner->instances, g_ptr_array_index (request->instance_ids, i));
-      struct approval *approval = g_hash_table_lookup (
-          step->approvals, g_ptr_array_index (request->instance_ids, i));
-      double chance = approval != NULL
+      const char *id = g_ptr_array_index (request->instance_ids, i);
+      struct instance *instance = g_hash_table_lookup (planner->instances, id);
+      double chance = g_hash_table_contains (step->approvals, id)
                           ? 1.0
                           : step->occurrence->job->queue->approval_rate;
       int slots;
 
       if (instance == NULL)
         continue;
-      slots = MIN (rst_plan_count_slots (instance, step), tasks);
+      slots = MIN (rst_plan_count_slots (instance, step), step->tasks_waiting);
       rst_plan_reserve_slots (instance, step, slots);
       wanted -= slots * chance;
     }
+  return wanted;
+}
+
+void
+rst_plan_reserve_requested (struct rst_planner *planner, struct step *step,
+                            int tasks)
+{
+  const struct advice_request *request;
+  double wanted = tasks;
+
+  CK_LIST_FOREACH (request, &step->advice_requests, entry)
+  {
+    if (request->reserves_room)
+      wanted = reserve_named (planner, request, wanted);
+  }
 }
 
-static struct step *
-find_step (struct rst_planner *planner, const struct advice_request *request)
+void
+rst_plan_forget_requests (struct step *step)
 {
-  struct job *job = g_hash_table_lookup (planner->jobs, request->job_id);
-  struct occurrence *occurrence
-      = job != NULL ? rst_plan_find_occurrence (job, request->occurrence)
-                    : NULL;
+  struct advice_request *request;
 
-  return occurrence != NULL ? &occurrence->steps[request->step] : NULL;
+  CK_LIST_FOREACH (request, &step->advice_requests, entry)
+  request->step = NULL;
+  CK_LIST_INIT (&step->advice_requests);
 }
 
 static void
 end_request (struct rst_planner *planner, struct advice_request *request,
              rst_ms pause_ms)
 {
-  struct step *step = find_step (planner, request);
-
-  if (step != NULL)
+  if (request->step != NULL)
     {
-      step->advice_request = NULL;
-      step->next_request_at = planner->now + pause_ms;
+      CK_LIST_REMOVE (request, entry);
+      request->step->next_request_at = planner->now + pause_ms;
     }
   for (guint i = 0; i < planner->agents->len; i++)
     {
@@ -449,7 +494,6 @@
   struct rst_reader rows = rst_reader_read_array (reader);
   struct advice_request *request
       = g_hash_table_lookup (planner->advice_requests, &handle);
-  struct step *step;
 
   if (reader->bad || request == NULL)
     return;
@@ -458,15 +502,14 @@
   if (result != RST_RESULT_OK)
     {
       planner->stats.advice_failed++;
-      rst_info (RST_PLAN_LOG, "Advice request failed.", "job", request->job_id,
-                "result", rst_result_name (result));
+      rst_info (RST_PLAN_LOG, "Advice request failed.", "step",
+                request->step_name, "result", rst_result_name (result));
       end_request (planner, request, FAILED_REQUEST_PAUSE_MS);
       return;
     }
   log_request (request, "Advice received.", planner->now - request->sent_at,
                (int)rows.count);
-  step = find_step (planner, request);
-  if (step != NULL)
-    record_approvals (planner, request, step, &rows);
+  if (request->step != NULL)
+    record_approvals (planner, request, request->step, &rows);
   end_request (planner, request, REQUEST_PAUSE_MS);
 }
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -46,6 +46,7 @@
 
   for (int i = 0; i < desc->step_count; i++)
     {
+      rst_plan_forget_requests (&occurrence->steps[i]);
       g_free (occurrence->steps[i].tasks);
       g_hash_table_destroy (occurrence->steps[i].approvals);
     }
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -8,8 +8,10 @@
 
 #include "cell/planner_private.h"
 
-/** Number of gangs that may reserve room in one pass. */
-#define RESERVING_GANGS_MAX 3
+/** Number of gangs that may reserve room in one pass: the minimum, and how
+   many schedulable instances allow one. */
+#define RESERVING_GANGS_MIN 3
+#define INSTANCES_PER_RESERVING_GANG 32
 
 /** After this multiple of its objective a job is ranked last. */
 #define MISSED_OBJECTIVE_FACTOR 3
@@ -416,10 +418,18 @@
     }
 }
 
+static int
+get_reserving_gangs_max (const struct rst_planner *planner)
+{
+  int share = (int)planner->schedulable_instances->len
+              / INSTANCES_PER_RESERVING_GANG;
+
+  return MAX (share, RESERVING_GANGS_MIN);
+}
+
 /* Returns the number of tasks for which there was no room: all or none. */
 static int
-place_gang (struct rst_planner *planner, struct step *step,
-            int *reserving_gangs)
+place_gang (struct rst_planner *planner, struct step *step)
 {
   GArray *gang_slots;
   int total;
@@ -435,15 +445,7 @@
       start_gang (planner, step, gang_slots);
     }
   else
-    {
-      unplaced = step->spec->count;
-      if (*reserving_gangs < RESERVING_GANGS_MAX
-          && step->rank < RANK_BAND_LATE)
-        {
-          ++*reserving_gangs;
-          reserve_for_gang (planner, step);
-        }
-    }
+    unplaced = step->spec->count;
   g_array_free (gang_slots, TRUE);
   return unplaced;
 }
@@ -525,15 +527,23 @@
   if (!job->stored)
     unplaced = step->advice_requested ? 0 : step->tasks_waiting;
   else if (step->spec->gang)
-    unplaced = place_gang (planner, step, reserving_gangs);
+    unplaced = place_gang (planner, step);
   else
     unplaced = place_tasks (planner, step);
-  if (unplaced == 0 || !job->queue->settings.needs_approval)
+  if (unplaced == 0)
     return;
-  if (step->advice_request != NULL)
+  if (job->queue->settings.needs_approval
+      && !CK_LIST_EMPTY (&step->advice_requests))
     rst_plan_reserve_requested (planner, step, unplaced);
-  else
+  else if (job->queue->settings.needs_approval)
     rst_plan_request_advice (planner, step, unplaced);
+  /* Reserved last: the gang's own request counts this room too. */
+  if (job->stored && step->spec->gang && step->rank < RANK_BAND_MISSED
+      && *reserving_gangs < get_reserving_gangs_max (planner))
+    {
+      ++*reserving_gangs;
+      reserve_for_gang (planner, step);
+    }
 }
 
 void
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -84,9 +84,10 @@
 {
   if (planner == NULL)
     return;
-  g_hash_table_destroy (planner->advice_requests);
   g_hash_table_destroy (planner->instances);
+  /* Before the requests, which its steps refer to. */
   g_hash_table_destroy (planner->jobs);
+  g_hash_table_destroy (planner->advice_requests);
   g_hash_table_destroy (planner->queues);
   g_hash_table_destroy (planner->customers);
   g_hash_table_destroy (planner->evacuated_zones);
--- /dev/null
+++ b/src/cell/planner_state_private.h
@@ -0,0 +1,414 @@
+/**
+ * DOC: planner_state_private - what the planner keeps, shared by its source
+ * files
+ *
+ * Jobs, their occurrences, steps and tasks; instances and their runs; agents
+ * and their advice requests; queues and customers.
+ */
+#ifndef RST_PLANNER_STATE_PRIVATE_H
+#define RST_PLANNER_STATE_PRIVATE_H
+
+#include <ck_queue.h>
+
+#include "cell/fault_private.h"
+#include "cell/planner.h"
+#include "util/log.h"
+
+#define RST_PLAN_LOG "planner"
+
+/** Size of a job's id: hexadecimal digits and the final NUL. */
+#define RST_JOB_ID_SIZE 17
+
+/** How long a start order may stay unanswered before the run is stopped. */
+#define RST_START_TIMEOUT_MS 1500
+
+/** Number of a task's failed runs whose attempts are remembered. */
+#define RST_FAILED_RUNS_MAX 16
+
+/** Longest time that a lease lasts by the planner's clock, in percent of its
+ * time by the instance's clock, which may run 2 % slow. */
+#define RST_SLOW_CLOCK_PERCENT 102
+
+/** Flag of a task in the journal: the task is done. */
+#define RST_TASK_DONE_FLAG 1
+
+/** Flag of a task in the journal: a task of its job has started. */
+#define RST_TASK_STARTED_FLAG 2
+
+/**
+ * enum rst_record_kind - Kinds of journal records; the first member of each.
+ * @RST_RECORD_JOB: A job with its description and progress.
+ * @RST_RECORD_PROGRESS: The progress of a job recorded earlier.
+ * @RST_RECORD_INSTANCE: An instance that takes starts.
+ * @RST_RECORD_QUEUE: The settings of a queue.
+ * @RST_RECORD_INSTANCE_UNREACHABLE: An unreachable instance, what it may still
+ * run and until when.
+ * @RST_RECORD_JOB_ENDED: An ended job without its steps.
+ */
+enum rst_record_kind
+{
+  RST_RECORD_JOB = 1,
+  RST_RECORD_PROGRESS,
+  RST_RECORD_INSTANCE,
+  RST_RECORD_QUEUE,
+  RST_RECORD_INSTANCE_UNREACHABLE,
+  RST_RECORD_JOB_ENDED,
+};
+
+/** struct agent - An agent connected over a link. */
+struct agent
+{
+  uint64_t link;
+  char name[RST_ID_SIZE];
+  char zone[RST_ID_SIZE];
+  /* Advice requests that it has not answered yet. */
+  int open_requests;
+  /* When it is expected to have answered all of them. */
+  rst_ms busy_until;
+  int instance_count;
+};
+
+/** struct instance - An instance, registered or known from the journal. */
+struct instance
+{
+  struct rst_instance_entry entry;
+  /* Resources of its runs. */
+  struct rst_resources used;
+  /* Resources reserved during one placement pass, for gangs and for advice
+     requests under way. */
+  struct rst_resources reserved;
+  /* Whether it takes starts in the current placement pass. */
+  bool schedulable;
+  /* Its index in the planner's schedulable_instances. */
+  guint pass_index;
+  struct agent *agent;
+  /* Task name to struct run. */
+  GHashTable *runs;
+  /* The time of its start, as it reports it. */
+  int64_t incarnation;
+  /* Number of further incarnations that this planner has seen; each has its
+     own fencing token. */
+  int64_t incarnation_count;
+  /* The latest incarnation that the fencing token was raised for. */
+  int64_t fenced_incarnation;
+  /* Numbers of the last end applied, of the last one acknowledged and of
+     the last one in the commit under way. */
+  int64_t last_applied_end;
+  int64_t last_acked_end;
+  int64_t committing_end;
+  /* Whether it has an entry in the store. */
+  bool registered;
+  /* Whether the journal lists it as an instance that takes starts.  Otherwise
+     it is not listed, or listed as unreachable with the runs that it may
+     still have.  Starts wait until it is committed as one that takes them. */
+  bool recorded;
+  /* Whether that record is part of the commit under way. */
+  bool recording;
+  rst_ms runs_unknown_since;
+  /* Whether its current agent has reported its runs. */
+  bool runs_known;
+  /* Whether it comes from the predecessor's journal, and has neither
+     reported nor had its lease expire since. */
+  bool inherited;
+  /* Whether its last report lists a run that the planner does not know; it
+     takes no starts until a report no longer lists one. */
+  bool has_unknown_run;
+  /* When its current incarnation was first reported. */
+  rst_ms incarnation_seen_at;
+  /* When its lease has certainly expired, if its runs are not known. */
+  rst_ms lease_expires_at;
+  /* When it takes starts again after failures or rejections. */
+  rst_ms paused_until;
+  rst_ms unregistered_at;
+  /* When the next hold message is sent if its agent does not report. */
+  rst_ms next_hold_at;
+  /* How long its agent's long polls wait; 0 if the agent has not been told. */
+  int64_t poll_wait_ms;
+  /* Failed runs since the last one that completed. */
+  int failures;
+  /* Rejected starts since the last one that succeeded, up to 4. */
+  int rejections;
+};
+
+/**
+ * enum run_state - State of a run.
+ * @RUN_STARTING: A start order was sent.
+ * @RUN_RUNNING: The instance has confirmed the start or lists the run.
+ * @RUN_STOPPING: A stop order was sent.
+ */
+enum run_state
+{
+  RUN_STARTING,
+  RUN_RUNNING,
+  RUN_STOPPING,
+};
+
+struct task;
+
+/** struct run - One run of a task on an instance. */
+struct run
+{
+  char name[RST_TASK_NAME_SIZE];
+  struct task *task;
+  struct instance *instance;
+  struct rst_resources need;
+  int attempt;
+  enum run_state state;
+  rst_ms start_sent_at;
+  rst_ms stop_sent_at;
+  /* The instance's clock when it last answered an order. */
+  int64_t clock_ms;
+  bool stop_answered;
+  /* Whether only the journal says that the instance, while unreachable, may
+     still have this run. */
+  bool from_journal;
+  int progress_percent;
+  /* When progress_percent last changed. */
+  rst_ms progressed_at;
+  /* As last reported: the response time in ms of a task with a response
+     bound, or thousandths of a core in use. */
+  int64_t usage;
+  /* Percentage of its full pace at which it may work; below 100 only for
+     best-effort tasks. */
+  int pace_percent;
+  rst_ms pace_sent_at;
+  struct customer *customer;
+};
+
+struct step;
+
+/** struct task - One task of a step. */
+struct task
+{
+  struct step *step;
+  int index;
+  struct run *run;
+  bool done;
+  /* Number of its failed runs.  Instances may report failures repeatedly and
+     in any order; each attempt counts once. */
+  int failed_runs;
+  /* Attempt numbers of the first failed runs. */
+  int failed_attempts[RST_FAILED_RUNS_MAX];
+  /* The highest attempt number used. */
+  int attempt;
+  /* Whether an instance inherited from the predecessor may run it although
+     no run is known. */
+  bool in_doubt;
+  char checkpoint[RST_TOKEN_SIZE];
+  /* The instance where it last failed or stalled, or NULL. */
+  struct instance *avoided_instance;
+};
+
+/** struct approval - What the advice service said of a step on an instance. */
+struct approval
+{
+  /* Whether the step may not run there. */
+  bool rejected;
+  /* Token that a start of the step there has to carry. */
+  char ticket[RST_TOKEN_SIZE];
+  /* Incarnation of the instance that the ticket is valid for. */
+  int64_t incarnation;
+  /* When the ticket is no longer used. */
+  rst_ms expires_at;
+};
+
+/** struct step - One step of an occurrence of a job. */
+struct step
+{
+  struct occurrence *occurrence;
+  const struct rst_step *spec;
+  int index;
+  struct task *tasks;
+  /* Number of tasks that are not done, and of those of them that have no
+     run. */
+  int tasks_left;
+  int tasks_waiting;
+  /* The last attempt number of the gang. */
+  int gang_attempt;
+  /* Whether the runs of the gang are being stopped. */
+  bool gang_stopping;
+  /* Last checkpoint of any of its tasks, used for gangs. */
+  char checkpoint[RST_TOKEN_SIZE];
+  /* Instance id to struct approval. */
+  GHashTable *approvals;
+  /* When advice may be requested again. */
+  rst_ms next_request_at;
+  /* Whether it is in the planner's waiting_steps. */
+  bool enqueued;
+  /* Its position among the waiting steps; the lowest rank is placed first. */
+  int64_t rank;
+  /* Unix time up to which a start probably meets the objective. */
+  int64_t start_by_ms;
+  /* Time after its due time within which the job should end. */
+  int64_t objective_ms;
+  /* Its requests to the advice service that have not been answered. */
+  CK_LIST_HEAD (, advice_request) advice_requests;
+  /* Whether advice was ever requested for it. */
+  bool advice_requested;
+};
+
+/** struct occurrence - One execution of all steps of a job. */
+struct occurrence
+{
+  struct job *job;
+  /* Its number; 0 for a job that does not repeat. */
+  int64_t number;
+  int64_t due_ms;
+  struct step *steps;
+  int steps_left;
+};
+
+/** struct queue - A queue, configured or known from the journal. */
+struct queue
+{
+  /* The operators' settings, without host and prefix. */
+  struct rst_queue settings;
+  /* Whether the journal has the settings. */
+  bool recorded;
+  /* Number of jobs of which no task has started; repeating jobs are not
+     counted. */
+  int pending;
+  /* Learned share of the instances asked about that the advice service
+     approves. */
+  double approval_rate;
+  /* Learned run time of a task; 0 until a run has completed. */
+  double mean_run_ms;
+  struct rst_histogram first_start_ms;
+  struct rst_histogram job_ms;
+};
+
+/** struct customer - A customer, configured or known from the journal. */
+struct customer
+{
+  struct rst_customer settings;
+  /* Resources of its runs, and of its tasks in doubt. */
+  struct rst_resources used;
+  struct rst_resources in_doubt;
+  /* Token bucket: jobs that it may submit within its share. */
+  double share_tokens;
+  /* When the bucket was last filled up. */
+  rst_ms share_tokens_at;
+};
+
+/** struct pending_reply - A request that is replied to after a commit. */
+struct pending_reply
+{
+  uint64_t link;
+  uint64_t call;
+  enum rst_operation operation;
+};
+
+struct job
+{
+  char id[RST_JOB_ID_SIZE];
+  struct queue *queue;
+  struct customer *customer;
+  struct rst_jobdesc *desc;
+  GPtrArray *occurrences;
+  int64_t occurrences_left;
+  int64_t next_occurrence;
+  int64_t submitted_ms;
+  rst_ms ended_at;
+  enum rst_job_state state;
+  /* Its state as last committed; callers are told that the job has ended
+     only when this says so. */
+  enum rst_job_state committed_state;
+  enum rst_job_state committing_state;
+  /* Whether an instance has reported the start of a task. */
+  bool has_started;
+  bool start_sent;
+  /* Whether a record of it is in the store. */
+  bool stored;
+  /* Whether it is in the planner's dirty jobs. */
+  bool dirty;
+  /* Whether its next record has to be a full one, because the segment with
+     the current one is about to be deleted. */
+  bool needs_full_record;
+  /* Whether it exceeded the customer's share when submitted. */
+  bool over_share;
+  /* struct pending_reply. */
+  GArray *pending_replies;
+  /* Segment of its last full record; 0 for none. */
+  int64_t full_record_segment;
+  /* Segment of its last record of any kind. */
+  int64_t last_record_segment;
+};
+
+/** struct advice_request - A request to the advice service under way. */
+struct advice_request
+{
+  uint64_t handle;
+  /* The step that it is about; NULL once its job was forgotten. */
+  struct step *step;
+  CK_LIST_ENTRY (advice_request) entry;
+  /* The step's name in the platform's calls and in the log. */
+  char step_name[RST_TASK_NAME_SIZE];
+  uint64_t link;
+  /* How long the service is expected to take. */
+  int64_t expected_ms;
+  rst_ms sent_at;
+  /* Whether room is reserved on the instances named until it is answered. */
+  bool reserves_room;
+  GPtrArray *instance_ids;
+};
+
+struct rst_planner
+{
+  struct rst_planner_ops ops;
+  struct rst_planner_timing timing;
+  enum rst_step_order order;
+  enum rst_fit fit;
+  int64_t epoch;
+  /* Monotonic time of the current event. */
+  rst_ms now;
+  /* Unix time of the current event. */
+  int64_t unix_ms;
+  rst_ms created_at;
+  /* When the last request was sent with which the store confirmed this
+     planner. */
+  rst_ms confirmed_at;
+  /* Whether all segments of the journal have been applied. */
+  bool restored;
+  struct rst_cellconfig *config;
+  GHashTable *evacuated_zones;
+  /* struct job by id, struct queue and struct customer by name, struct
+     instance by id, struct advice_request by handle. */
+  GHashTable *jobs;
+  GHashTable *queues;
+  GHashTable *customers;
+  GHashTable *instances;
+  GHashTable *advice_requests;
+  GPtrArray *agents;
+  /* Steps that have waiting tasks and whose preceding steps are done. */
+  GPtrArray *waiting_steps;
+  /* Jobs of which occurrences are still to begin. */
+  GPtrArray *repeating_jobs;
+  /* Jobs that changed since their last record. */
+  GPtrArray *dirty_jobs;
+  GPtrArray *committing_jobs;
+  bool commit_busy;
+  rst_ms last_commit_at;
+  int64_t next_segment;
+  /* Set of the numbers of the journal's segments. */
+  GHashTable *segments;
+  /* Whether ends were applied whose acknowledgement waits for a commit. */
+  bool acks_pending;
+  /* Whether some instance is still inherited. */
+  bool has_inherited;
+  /* Whether something happened since the last placement pass. */
+  bool pass_wanted;
+  uint64_t next_handle;
+  rst_ms next_check_at;
+  /* Earliest time of the next placement pass. */
+  rst_ms next_pass_at;
+  /* Instances that take starts in the current pass. */
+  GPtrArray *schedulable_instances;
+  /* Needs for which no instance had room in the current pass. */
+  GArray *unmet_needs;
+  /* Instances that the step being placed has valid tickets for. */
+  GPtrArray *candidates;
+  /* Counters; current sizes are filled in when they are read. */
+  struct rst_planner_stats stats;
+};
+
+#endif
--- a/test/replay/model.h
+++ b/test/replay/model.h
@@ -34,6 +34,9 @@
   double approval_fraction; // of the instances in an advice request
   int64_t advice_ms;
   int64_t advice_per_instance_us;
+  // Standard deviation of a job's tasks as a fraction of their mean; 0 for a
+  // Poisson distribution.
+  double tasks_spread = 0.0;
 };
 
 // A temporary increase of the load.
@@ -45,6 +48,14 @@
   double to_s;
 };
 
+// A bound on the results of one kind of job.
+struct Bound
+{
+  std::string kind;
+  std::string measure; // on_time, work_on_time or first_start_p99_ms
+  double value;        // a minimum; of first_start_p99_ms, a maximum
+};
+
 struct Load
 {
   unsigned seed = 1;
@@ -59,6 +70,7 @@
   std::vector<Surge> kind_surges;
   // Each raises the weight of a customer in the draw of who submits a job.
   std::vector<Surge> customer_surges;
+  std::vector<Bound> bounds;
 };
 
 // Reads a load file.  Returns an error message, "" on success.
@@ -98,6 +110,12 @@
 // Simulates a load under a policy.
 Result run_load (const Load &load, const Policy &policy);
 
+// Returns the measured value that a bound is about.
+double read_measure (const Result &result, const Bound &bound);
+
+// Whether the results keep a bound.
+bool is_kept (const Result &result, const Bound &bound);
+
 // Returns the quantile of @values at @fraction (0 to 1); 0 for no values.
 rst_ms quantile (std::vector<rst_ms> values, double fraction);
 
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -374,6 +374,73 @@
   EXPECT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 20u);
 }
 
+TEST (Planner, CountsTheRoomReservedForAGangInItsNextRequest)
+{
+  Planner cell;
+  std::vector<std::string> approved;
+
+  /* The first request names some of the 60 instances; 15 of them are approved,
+     one too few for the gang. */
+  cell.start_serving (60, true);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a,
+                  Planner::make_job (16, 4000, true));
+  cell.settle ();
+  auto requests = cell.sent_of_kind (RST_MSG_ADVISE);
+  ASSERT_EQ (requests.size (), 1u);
+  ASSERT_GE (requests[0].ids.size (), 30u);
+  ASSERT_LT (requests[0].ids.size (), 60u);
+  approved.assign (requests[0].ids.end () - 15, requests[0].ids.end ());
+  cell.send_advice (1, requests[0].number, approved);
+  cell.sent.clear ();
+  cell.advance_time (150);
+  requests = cell.sent_of_kind (RST_MSG_ADVISE);
+  ASSERT_EQ (requests.size (), 1u);
+  cell.send_advice (1, requests[0].number, requests[0].ids);
+  cell.advance_time (150);
+  EXPECT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 16u);
+}
+
+TEST (Planner, SplitsTheInstancesOfAWideGangAmongAgents)
+{
+  Planner cell;
+
+  cell.start_serving (200, true);
+  cell.add_agent (2);
+  cell.add_agent (3);
+  cell.add_agent (4);
+  for (int i = 0; i < 200; i++)
+    for (uint64_t link = 1; link <= 4; link++)
+      cell.report (link, "i-" + std::to_string (i), {});
+  cell.settle ();
+  cell.sent.clear ();
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a,
+                  Planner::make_job (60, 4000, true));
+  cell.settle ();
+  auto requests = cell.sent_of_kind (RST_MSG_ADVISE);
+  ASSERT_EQ (requests.size (), 3u);
+  EXPECT_NE (requests[0].link, requests[1].link);
+  EXPECT_EQ (requests[0].ids.size (), 52u);
+  /* The gang starts once its tickets of all answers together suffice. */
+  for (const auto &request : requests)
+    {
+      EXPECT_TRUE (cell.sent_of_kind (RST_MSG_START).empty ());
+      cell.send_advice (request.link, request.number,
+                        { request.ids.begin (), request.ids.begin () + 20 });
+    }
+  cell.settle ();
+  EXPECT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 60u);
+}
+
+TEST (Planner, IsDestroyedWhileAnAdviceRequestIsUnderWay)
+{
+  Planner cell;
+
+  cell.start_serving (4, true);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (2, 1000));
+  cell.settle ();
+  EXPECT_EQ (cell.sent_of_kind (RST_MSG_ADVISE).size (), 1u);
+}
+
 TEST (Planner, NamesFewInstancesForSingleTasks)
 {
   Planner cell;
