Key approvals by number, and log starts and ends in batches

Approvals and requests now name instances by a number that is never used twice; a gang's reservation looks at its approvals only.

--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -60,10 +60,18 @@
 {
   struct advice_request *request = data;
 
-  g_ptr_array_free (request->instance_ids, TRUE);
+  g_array_free (request->instance_numbers, TRUE);
   g_free (request);
 }
 
+struct approval *
+rst_plan_find_approval (const struct step *step,
+                        const struct instance *instance)
+{
+  return g_hash_table_lookup (step->approvals,
+                              GUINT_TO_POINTER (instance->number));
+}
+
 const char *
 rst_plan_find_ticket (const struct rst_planner *planner,
                       const struct step *step, const struct instance *instance)
@@ -72,7 +80,7 @@
 
   if (!step->occurrence->job->queue->settings.needs_approval)
     return "";
-  approval = g_hash_table_lookup (step->approvals, instance->entry.id);
+  approval = rst_plan_find_approval (step, instance);
   if (approval == NULL || approval->rejected
       || approval->incarnation != instance->incarnation
       || approval->expires_at <= planner->now)
@@ -124,7 +132,7 @@
       candidate.slots = rst_plan_count_slots (instance, step);
       if (candidate.slots == 0 && (!gang || step->advice_requested))
         continue;
-      approval = g_hash_table_lookup (step->approvals, instance->entry.id);
+      approval = rst_plan_find_approval (step, instance);
       if ((approval != NULL && approval->rejected)
           || !rst_plan_instance_is_eligible (instance, step))
         continue;
@@ -250,36 +258,22 @@
 
   if (!rst_log_enabled (G_LOG_LEVEL_INFO))
     return;
-  g_snprintf (named, sizeof named, "%u", request->instance_ids->len);
+  g_snprintf (named, sizeof named, "%u", request->instance_numbers->len);
   g_snprintf (took_text, sizeof took_text, "%" PRId64, took_ms);
   g_snprintf (approved_text, sizeof approved_text, "%d", approved);
   rst_info (RST_PLAN_LOG, sentence, "step", request->step_name, "named", named,
             "ms", took_text, "approved", approved_text);
 }
 
-static void
-send_request (struct rst_planner *planner, struct advice_request *request)
-{
-  struct rst_pack pack;
-
-  rst_pack_init (&pack, 4);
-  rst_pack_int (&pack, RST_MSG_ADVISE);
-  rst_pack_int (&pack, (int64_t)request->handle);
-  rst_pack_text (&pack, request->step_name);
-  rst_pack_array (&pack, request->instance_ids->len);
-  for (guint i = 0; i < request->instance_ids->len; i++)
-    rst_pack_text (&pack, g_ptr_array_index (request->instance_ids, i));
-  rst_plan_send (planner, request->link, &pack);
-}
-
-/* Creates a request that names @count candidates from @first on. */
+/* Sends a request that names @count candidates from @first on. */
 static struct advice_request *
-request_new (struct rst_planner *planner, struct step *step,
-             const struct agent *agent, const GArray *found, guint first,
-             int count)
+send_request (struct rst_planner *planner, struct step *step,
+              const struct agent *agent, const GArray *found, guint first,
+              int count)
 {
   const struct job *job = step->occurrence->job;
   struct advice_request *request = g_new0 (struct advice_request, 1);
+  struct rst_pack pack;
 
   request->handle = planner->next_handle++;
   request->step = step;
@@ -288,14 +282,24 @@
               step->index);
   request->link = agent->link;
   request->sent_at = planner->now;
-  request->instance_ids = g_ptr_array_new_with_free_func (g_free);
-  for (int i = 0; i < count; i++)
-    g_ptr_array_add (
-        request->instance_ids,
-        g_strdup (g_array_index (found, struct candidate, first + (guint)i)
-                      .instance->entry.id));
+  request->instance_numbers
+      = g_array_sized_new (FALSE, FALSE, sizeof (guint), (guint)count);
   CK_LIST_INSERT_HEAD (&step->advice_requests, request, entry);
   g_hash_table_insert (planner->advice_requests, &request->handle, request);
+  rst_pack_init (&pack, 4);
+  rst_pack_int (&pack, RST_MSG_ADVISE);
+  rst_pack_int (&pack, (int64_t)request->handle);
+  rst_pack_text (&pack, request->step_name);
+  rst_pack_array (&pack, (size_t)count);
+  for (int i = 0; i < count; i++)
+    {
+      const struct instance *instance
+          = g_array_index (found, struct candidate, first + (guint)i).instance;
+
+      g_array_append_val (request->instance_numbers, instance->number);
+      rst_pack_text (&pack, instance->entry.id);
+    }
+  rst_plan_send (planner, request->link, &pack);
   return request;
 }
 
@@ -338,7 +342,8 @@
 
       if (agent == NULL)
         break;
-      request = request_new (planner, step, agent, found, (guint)first, count);
+      request
+          = send_request (planner, step, agent, found, (guint)first, count);
       agent->open_requests++;
       agent->busy_until = MAX (agent->busy_until, planner->now) + expected_ms;
       request->reserves_room = expected_ms <= RESERVING_REQUEST_MAX_MS
@@ -346,7 +351,6 @@
       step->advice_requested = true;
       planner->stats.advice_calls++;
       log_request (request, "Advice requested.", expected_ms, 0);
-      send_request (planner, request);
     }
   g_array_free (found, TRUE);
 }
@@ -359,13 +363,14 @@
 {
   struct step *step = request->step;
 
-  for (guint i = 0; wanted > 0.0 && i < request->instance_ids->len; i++)
+  for (guint i = 0; wanted > 0.0 && i < request->instance_numbers->len; i++)
     {
-      const char *id = g_ptr_array_index (request->instance_ids, i);
-      struct instance *instance = g_hash_table_lookup (planner->instances, id);
-      double chance = g_hash_table_contains (step->approvals, id)
-                          ? 1.0
-                          : step->occurrence->job->queue->approval_rate;
+      guint number = g_array_index (request->instance_numbers, guint, i);
+      struct instance *instance = rst_plan_find_numbered (planner, number);
+      double chance
+          = g_hash_table_contains (step->approvals, GUINT_TO_POINTER (number))
+                ? 1.0
+                : step->occurrence->job->queue->approval_rate;
       int slots;
 
       if (instance == NULL)
@@ -439,39 +444,57 @@
   g_list_free (requests);
 }
 
-static void
-record_approvals (struct rst_planner *planner,
-                  const struct advice_request *request, struct step *step,
-                  struct rst_reader *rows)
+/* Reads the rows of an answer: number of an instance to its ticket. */
+static GHashTable *
+read_tickets (struct rst_planner *planner, struct rst_reader *rows)
 {
-  struct queue *queue = step->occurrence->job->queue;
-  GHashTable *approved
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  GHashTable *tickets = g_hash_table_new_full (NULL, NULL, NULL, g_free);
 
   for (uint32_t i = 0; i < rows->count; i++)
     {
       struct rst_reader row = rst_reader_read_array (rows);
       char *id = rst_reader_read_text (&row);
       char *ticket = rst_reader_read_text (&row);
-
-      g_hash_table_insert (approved, id, ticket);
+      const struct instance *instance
+          = g_hash_table_lookup (planner->instances, id);
+
+      if (instance != NULL)
+        g_hash_table_insert (tickets, GUINT_TO_POINTER (instance->number),
+                             ticket);
+      else
+        g_free (ticket);
+      g_free (id);
     }
-  for (guint i = 0; i < request->instance_ids->len; i++)
+  return tickets;
+}
+
+static void
+record_approvals (struct rst_planner *planner,
+                  const struct advice_request *request, struct step *step,
+                  struct rst_reader *rows)
+{
+  struct queue *queue = step->occurrence->job->queue;
+  GHashTable *tickets = read_tickets (planner, rows);
+
+  for (guint i = 0; i < request->instance_numbers->len; i++)
     {
-      const char *id = g_ptr_array_index (request->instance_ids, i);
-      const char *ticket = g_hash_table_lookup (approved, id);
-      struct instance *instance = g_hash_table_lookup (planner->instances, id);
-      struct approval *approval = g_hash_table_lookup (step->approvals, id);
+      guint number = g_array_index (request->instance_numbers, guint, i);
+      const char *ticket
+          = g_hash_table_lookup (tickets, GUINT_TO_POINTER (number));
+      struct instance *instance = rst_plan_find_numbered (planner, number);
+      struct approval *approval;
 
       if (instance == NULL)
         continue;
+      approval = rst_plan_find_approval (step, instance);
       if (approval == NULL)
         {
           queue->approval_rate
               += APPROVAL_RATE_WEIGHT
                  * ((ticket != NULL ? 1.0 : 0.0) - queue->approval_rate);
           approval = g_new0 (struct approval, 1);
-          g_hash_table_insert (step->approvals, g_strdup (id), approval);
+          g_hash_table_insert (step->approvals, GUINT_TO_POINTER (number),
+                               approval);
         }
       approval->rejected = ticket == NULL;
       approval->incarnation = instance->incarnation;
@@ -482,7 +505,7 @@
       if (ticket != NULL)
         g_strlcpy (approval->ticket, ticket, sizeof approval->ticket);
     }
-  g_hash_table_destroy (approved);
+  g_hash_table_destroy (tickets);
 }
 
 void
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -59,10 +59,20 @@
   instance->runs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                           rst_plan_run_free);
   instance->lease_expires_at = get_latest_lease_expiry (planner);
+  instance->number = ++planner->next_instance_number;
   g_hash_table_insert (planner->instances, instance->entry.id, instance);
+  g_hash_table_insert (planner->instances_by_number,
+                       GUINT_TO_POINTER (instance->number), instance);
   return instance;
 }
 
+struct instance *
+rst_plan_find_numbered (const struct rst_planner *planner, guint number)
+{
+  return g_hash_table_lookup (planner->instances_by_number,
+                              GUINT_TO_POINTER (number));
+}
+
 static struct agent *
 find_agent (const struct rst_planner *planner, uint64_t link)
 {
@@ -352,8 +362,9 @@
          && !instance->has_unknown_run && instance->agent != NULL
          && !instance->entry.draining && !may_be_replaced (planner, instance)
          && planner->now >= instance->paused_until
-         && !g_hash_table_contains (planner->evacuated_zones,
-                                    instance->entry.zone);
+         && (g_hash_table_size (planner->evacuated_zones) == 0
+             || !g_hash_table_contains (planner->evacuated_zones,
+                                        instance->entry.zone));
 }
 
 static struct rst_run
@@ -498,6 +509,7 @@
           planner->acks_pending = true;
         }
     }
+  rst_plan_log_ends (planner, instance);
   drop_unlisted_runs (planner, instance, listed, clock_ms);
   rst_plan_adjust_pace (planner, instance);
   g_hash_table_destroy (listed);
@@ -647,6 +659,8 @@
       if (may_be_forgotten (planner, instance))
         {
           assign_to_agent (planner, instance, NULL);
+          g_hash_table_remove (planner->instances_by_number,
+                               GUINT_TO_POINTER (instance->number));
           g_hash_table_iter_remove (&iter);
         }
     }
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -120,8 +120,7 @@
   step->tasks_left = step->spec->count;
   step->tasks_waiting = step->spec->count;
   step->tasks = g_new0 (struct task, step->spec->count);
-  step->approvals
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  step->approvals = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   for (int i = 0; i < step->spec->count; i++)
     {
       step->tasks[i].step = step;
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -223,25 +223,32 @@
     }
 }
 
-/* Finds the schedulable instances that a step may use.  If the step needs
-   approval, only its approvals are looked at; they are few, so that a pass
-   over many waiting steps stays cheap. */
+/* Finds the schedulable instances that a step may use; with @has_ticket only
+   those that it may use now.  If the step needs approval, only its approvals
+   are looked at; they are few, so that a pass over many waiting steps stays
+   cheap. */
 static const GPtrArray *
-find_candidates (struct rst_planner *planner, const struct step *step)
+find_candidates (struct rst_planner *planner, const struct step *step,
+                 bool has_ticket)
 {
   GHashTableIter iter;
-  gpointer id;
+  gpointer number;
+  gpointer approval;
 
   if (!step->occurrence->job->queue->settings.needs_approval)
     return planner->schedulable_instances;
   g_ptr_array_set_size (planner->candidates, 0);
   g_hash_table_iter_init (&iter, step->approvals);
-  while (g_hash_table_iter_next (&iter, &id, NULL))
+  while (g_hash_table_iter_next (&iter, &number, &approval))
     {
-      struct instance *instance = g_hash_table_lookup (planner->instances, id);
+      struct instance *instance;
 
+      if (((struct approval *)approval)->rejected)
+        continue;
+      instance = rst_plan_find_numbered (planner, GPOINTER_TO_UINT (number));
       if (instance != NULL && instance->schedulable
-          && rst_plan_find_ticket (planner, step, instance) != NULL)
+          && (!has_ticket
+              || rst_plan_find_ticket (planner, step, instance) != NULL))
         g_ptr_array_add (planner->candidates, instance);
     }
   return planner->candidates;
@@ -283,7 +290,7 @@
 static int
 place_tasks (struct rst_planner *planner, struct step *step)
 {
-  const GPtrArray *candidates = find_candidates (planner, step);
+  const GPtrArray *candidates = find_candidates (planner, step, true);
   int unplaced = 0;
 
   for (int i = 0; i < step->spec->count; i++)
@@ -314,15 +321,22 @@
   int slots;
 };
 
+static gint
+compare_slots (gconstpointer a, gconstpointer b)
+{
+  return ((const struct instance_slots *)b)->slots
+         - ((const struct instance_slots *)a)->slots;
+}
+
 /* Finds the instances that a gang may use and how many of its tasks fit each
-   of them. */
+   of them, most first. */
 static GArray *
 find_gang_slots (struct rst_planner *planner, const struct step *step,
-                 int *total)
+                 bool has_ticket, int *total)
 {
   GArray *gang_slots
       = g_array_new (FALSE, FALSE, sizeof (struct instance_slots));
-  const GPtrArray *candidates = find_candidates (planner, step);
+  const GPtrArray *candidates = find_candidates (planner, step, has_ticket);
 
   *total = 0;
   for (guint i = 0; i < candidates->len; i++)
@@ -337,16 +351,10 @@
       *total += candidate.slots;
       g_array_append_val (gang_slots, candidate);
     }
+  g_array_sort (gang_slots, compare_slots);
   return gang_slots;
 }
 
-static gint
-compare_slots (gconstpointer a, gconstpointer b)
-{
-  return ((const struct instance_slots *)b)->slots
-         - ((const struct instance_slots *)a)->slots;
-}
-
 static bool
 gang_may_start (struct rst_planner *planner, struct step *step)
 {
@@ -393,29 +401,36 @@
   rst_resources_add (&instance->reserved, &need, slots);
 }
 
-/* Reserves free room for a gang that does not fit as a whole yet. */
+static gint
+compare_positions (gconstpointer a, gconstpointer b)
+{
+  guint left = ((const struct instance_slots *)a)->instance->pass_index;
+  guint right = ((const struct instance_slots *)b)->instance->pass_index;
+
+  return left < right ? -1 : left > right;
+}
+
+/* Reserves free room for a gang that does not fit as a whole yet; if it needs
+   approval, on its approved instances.  All gangs reserve in one order of the
+   instances, so that the room kept for them lies on few. */
 static void
 reserve_for_gang (struct rst_planner *planner, const struct step *step)
 {
-  const struct queue *queue = step->occurrence->job->queue;
   int wanted = step->spec->count;
+  int total;
+  GArray *gang_slots = find_gang_slots (planner, step, false, &total);
 
-  for (guint i = 0; wanted > 0 && i < planner->schedulable_instances->len; i++)
+  g_array_sort (gang_slots, compare_positions);
+  for (guint i = 0; wanted > 0 && i < gang_slots->len; i++)
     {
-      struct instance *instance
-          = g_ptr_array_index (planner->schedulable_instances, i);
-      struct approval *approval
-          = g_hash_table_lookup (step->approvals, instance->entry.id);
-      int slots;
-
-      if (!rst_plan_instance_is_eligible (instance, step)
-          || (queue->settings.needs_approval
-              && (approval == NULL || approval->rejected)))
-        continue;
-      slots = MIN (rst_plan_count_slots (instance, step), wanted);
-      wanted -= slots;
-      rst_plan_reserve_slots (instance, step, slots);
+      struct instance_slots candidate
+          = g_array_index (gang_slots, struct instance_slots, i);
+
+      candidate.slots = MIN (candidate.slots, wanted);
+      wanted -= candidate.slots;
+      rst_plan_reserve_slots (candidate.instance, step, candidate.slots);
     }
+  g_array_free (gang_slots, TRUE);
 }
 
 static int
@@ -438,12 +453,9 @@
   if (!gang_may_start (planner, step)
       || !rst_plan_is_below_limit (step, step->spec->count))
     return 0;
-  gang_slots = find_gang_slots (planner, step, &total);
+  gang_slots = find_gang_slots (planner, step, true, &total);
   if (total >= step->spec->count)
-    {
-      g_array_sort (gang_slots, compare_slots);
-      start_gang (planner, step, gang_slots);
-    }
+    start_gang (planner, step, gang_slots);
   else
     unplaced = step->spec->count;
   g_array_free (gang_slots, TRUE);
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -164,6 +164,8 @@
   batch = g_new0 (struct start_batch, 1);
   batch->link = link;
   rst_pack_init_sequence (&batch->rows);
+  if (rst_log_enabled (G_LOG_LEVEL_INFO))
+    batch->log = g_string_new (NULL);
   g_ptr_array_add (planner->start_batches, batch);
   return batch;
 }
@@ -176,9 +178,9 @@
   struct step *step = task->step;
   const char *checkpoint
       = step->spec->gang ? step->checkpoint : task->checkpoint;
-  struct run *run = rst_plan_run_new (planner, task, instance, attempt);
   struct start_batch *batch = get_start_batch (planner, instance->agent->link);
 
+  rst_plan_run_new (planner, task, instance, attempt);
   count_start (planner, step->occurrence->job);
   batch->count++;
   rst_pack_array (&batch->rows, 5);
@@ -187,14 +189,10 @@
   rst_pack_int (&batch->rows, attempt);
   rst_pack_text (&batch->rows, checkpoint);
   rst_pack_text (&batch->rows, ticket);
-  if (rst_log_enabled (G_LOG_LEVEL_INFO))
-    {
-      char number[16];
-
-      g_snprintf (number, sizeof number, "%d", attempt);
-      rst_info (RST_PLAN_LOG, "Task placed.", "task", run->name, "attempt",
-                number, "instance", instance->entry.id);
-    }
+  if (batch->log != NULL)
+    g_string_append_printf (batch->log, "%s%d/%d@%s",
+                            batch->log->len > 0 ? "," : "", task->index,
+                            attempt, instance->entry.id);
 }
 
 void
@@ -219,6 +217,11 @@
       rst_pack_append (&pack, &batch->rows);
       rst_pack_clear (&batch->rows);
       rst_plan_send (planner, batch->link, &pack);
+      if (batch->log == NULL)
+        continue;
+      rst_info (RST_PLAN_LOG, "Tasks placed.", "step", name, "tasks",
+                batch->log->str);
+      g_string_free (batch->log, TRUE);
     }
   g_ptr_array_set_size (planner->start_batches, 0);
 }
@@ -304,8 +307,7 @@
       rst_plan_stop_run (planner, run);
       return;
     }
-  approval = g_hash_table_lookup (run->task->step->approvals,
-                                  run->instance->entry.id);
+  approval = rst_plan_find_approval (run->task->step, run->instance);
   if (result == RST_RESULT_NO_TICKET && approval != NULL)
     approval->expires_at = 0;
   if (result == RST_RESULT_REJECTED || result == RST_RESULT_NO_ROOM
@@ -462,11 +464,23 @@
       static const char *const names[]
           = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
 
-      rst_info (RST_PLAN_LOG, "Run ended.", "task", end->task, "instance",
-                instance->entry.id, "how", names[end->end_reason]);
+      g_string_append_printf (planner->ends_log, "%s%s/%d:%s",
+                              planner->ends_log->len > 0 ? "," : "", end->task,
+                              end->attempt, names[end->end_reason]);
     }
 }
 
+void
+rst_plan_log_ends (struct rst_planner *planner,
+                   const struct instance *instance)
+{
+  if (planner->ends_log->len == 0)
+    return;
+  rst_info (RST_PLAN_LOG, "Runs ended.", "instance", instance->entry.id,
+            "tasks", planner->ends_log->str);
+  g_string_truncate (planner->ends_log, 0);
+}
+
 void
 rst_plan_check_runs (struct rst_planner *planner, struct instance *instance)
 {
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -55,6 +55,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, customer_free);
   planner->instances = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                               rst_plan_instance_free);
+  planner->instances_by_number = g_hash_table_new (NULL, NULL);
+  planner->ends_log = g_string_new (NULL);
   planner->advice_requests = g_hash_table_new_full (
       g_int64_hash, g_int64_equal, NULL, rst_plan_advice_request_free);
   planner->segments
@@ -85,7 +87,9 @@
 {
   if (planner == NULL)
     return;
+  g_hash_table_destroy (planner->instances_by_number);
   g_hash_table_destroy (planner->instances);
+  g_string_free (planner->ends_log, TRUE);
   /* Before the requests, which its steps refer to. */
   g_hash_table_destroy (planner->jobs);
   g_hash_table_destroy (planner->advice_requests);
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -79,6 +79,16 @@
 /* plan_instances.c */
 void rst_plan_instance_free (gpointer data);
 
+/** rst_plan_find_numbered() - Finds an instance by its number, or returns
+    NULL. */
+struct instance *rst_plan_find_numbered (const struct rst_planner *planner,
+                                         guint number);
+
+/** rst_plan_find_approval() - Finds what the advice service said of a step on
+    an instance; NULL if it was not asked. */
+struct approval *rst_plan_find_approval (const struct step *step,
+                                         const struct instance *instance);
+
 /** rst_plan_instance_new() - Adds an instance whose runs are not known. */
 struct instance *rst_plan_instance_new (struct rst_planner *planner,
                                         const char *id);
@@ -163,6 +173,11 @@
 void rst_plan_apply_end (struct rst_planner *planner,
                          struct instance *instance, const struct rst_run *end);
 
+/** rst_plan_log_ends() - Logs the ends that were applied from a report on an
+    instance, in one line. */
+void rst_plan_log_ends (struct rst_planner *planner,
+                        const struct instance *instance);
+
 /**
  * rst_plan_run_mark_lost() - Removes a run that is certainly not on its
  * instance, so that its task may start elsewhere.
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -72,6 +72,8 @@
 struct instance
 {
   struct rst_instance_entry entry;
+  /* Names it in approvals and advice requests; never used twice. */
+  guint number;
   /* Resources of its runs. */
   struct rst_resources used;
   /* Resources reserved during one placement pass, for gangs and for advice
@@ -229,7 +231,7 @@
   bool gang_stopping;
   /* Last checkpoint of any of its tasks, used for gangs. */
   char checkpoint[RST_TOKEN_SIZE];
-  /* Instance id to struct approval. */
+  /* Number of an instance to struct approval. */
   GHashTable *approvals;
   /* When advice may be requested again. */
   rst_ms next_request_at;
@@ -341,6 +343,9 @@
   uint32_t count;
   /* The rows of the message. */
   struct rst_pack rows;
+  /* For the log: index, attempt and instance of each start; NULL if nothing is
+     logged. */
+  GString *log;
 };
 
 /** struct advice_request - A request to the advice service under way. */
@@ -358,7 +363,8 @@
   rst_ms sent_at;
   /* Whether room is reserved on the instances named until it is answered. */
   bool reserves_room;
-  GPtrArray *instance_ids;
+  /* guint: numbers of the instances that it names. */
+  GArray *instance_numbers;
 };
 
 struct rst_planner
@@ -387,6 +393,9 @@
   GHashTable *customers;
   GHashTable *instances;
   GHashTable *advice_requests;
+  /* struct instance by number. */
+  GHashTable *instances_by_number;
+  guint next_instance_number;
   GPtrArray *agents;
   /* Steps that have waiting tasks and whose preceding steps are done. */
   GPtrArray *waiting_steps;
@@ -414,6 +423,8 @@
   GPtrArray *schedulable_instances;
   /* struct start_batch: start orders of the step being placed. */
   GPtrArray *start_batches;
+  /* For the log: the ends that the report being applied lists. */
+  GString *ends_log;
   /* Needs for which no instance had room in the current pass. */
   GArray *unmet_needs;
   /* Instances that the step being placed has valid tickets for. */
