Reject jobs at once that can't be sent to a silent store; end lost requests

Once the store's last confirmation is older than 1 s, jobs that no commit contains are rejected with 503 and a Retry-After of 1 to 3 s that grows with the outage and differs from job to job; their callers return when the store probably answers again. Jobs that are part of the commit under way stay open, since they may be stored.

Traced: an advice request without an answer kept its step from ever asking again. Requests now end 5 s after their answer was due; Planner.AsksAgainWhenAnAdviceRequestIsNotAnswered fails before.

--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -88,6 +88,10 @@
   return approval->ticket;
 }
 
+/** How much later than expected the answer to a request may come.  An agent
+    gives up a call after 4 s and then answers; a later answer is lost. */
+#define ANSWER_DELAY_MAX_MS 5000
+
 #define DIV_ROUND_UP(a, b) (((a) + (b)-1) / (b))
 
 /** struct candidate - An instance that a request may name. */
@@ -265,6 +269,14 @@
             "ms", took_text, "approved", approved_text);
 }
 
+static int64_t
+get_expected_ms (const struct step *step, int named)
+{
+  const struct rst_queue *settings = &step->occurrence->job->queue->settings;
+
+  return settings->advice_ms + named * settings->advice_per_instance_us / 1000;
+}
+
 /* Sends a request that names @count candidates from @first on. */
 static struct advice_request *
 send_request (struct rst_planner *planner, struct step *step,
@@ -281,6 +293,7 @@
               "%s.%" PRId64 ".%d", job->id, step->occurrence->number,
               step->index);
   request->link = agent->link;
+  request->expected_ms = get_expected_ms (step, count);
   request->sent_at = planner->now;
   request->instance_numbers
       = g_array_sized_new (FALSE, FALSE, sizeof (guint), (guint)count);
@@ -303,14 +316,6 @@
   return request;
 }
 
-static int64_t
-get_expected_ms (const struct step *step, int named)
-{
-  const struct rst_queue *settings = &step->occurrence->job->queue->settings;
-
-  return settings->advice_ms + named * settings->advice_per_instance_us / 1000;
-}
-
 void
 rst_plan_request_advice (struct rst_planner *planner, struct step *step,
                          int tasks)
@@ -444,6 +449,26 @@
   g_list_free (requests);
 }
 
+void
+rst_plan_end_lost_requests (struct rst_planner *planner)
+{
+  GList *requests = g_hash_table_get_values (planner->advice_requests);
+
+  for (GList *item = requests; item != NULL; item = item->next)
+    {
+      struct advice_request *request = item->data;
+
+      if (planner->now - request->sent_at
+          <= request->expected_ms + ANSWER_DELAY_MAX_MS)
+        continue;
+      planner->stats.advice_failed++;
+      rst_info (RST_PLAN_LOG, "Advice request was not answered.", "step",
+                request->step_name);
+      end_request (planner, request, 0);
+    }
+  g_list_free (requests);
+}
+
 /* Reads the rows of an answer: number of an instance to its ticket. */
 static GHashTable *
 read_tickets (struct rst_planner *planner, struct rst_reader *rows)
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -1,7 +1,9 @@
 /* Callers' requests, jobs, their occurrences and their steps. */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "cell/admission.h"
 #include "cell/planner_private.h"
 
 /** Seconds after which a caller whose request was rejected should retry. */
@@ -344,6 +346,77 @@
     }
 }
 
+/* Seconds after which the caller of a job that was never sent to the store
+   should retry; 0 if the job may wait. */
+static int
+get_retry_s (const struct rst_planner *planner, const char *id)
+{
+  return rst_admission_compute_retry_s (planner->now - planner->confirmed_at,
+                                        g_str_hash (id));
+}
+
+static void
+log_rejected (const struct rst_planner *planner, const char *id, int retry_s)
+{
+  char age[24];
+  char retry[16];
+
+  g_snprintf (age, sizeof age, "%" PRId64,
+              (int64_t)(planner->now - planner->confirmed_at));
+  g_snprintf (retry, sizeof retry, "%d", retry_s);
+  rst_info (RST_PLAN_LOG, "Job rejected; the store does not answer.", "job",
+            id, "store_age_ms", age, "retry_s", retry);
+}
+
+/* Rejects a job that no commit contains and forgets it. */
+static void
+reject_job (struct rst_planner *planner, struct job *job, int retry_s)
+{
+  struct rst_reply reply
+      = { .outcome = RST_OUTCOME_REJECTED, .retry_s = retry_s };
+
+  log_rejected (planner, job->id, retry_s);
+  for (guint i = 0; i < job->pending_replies->len; i++)
+    {
+      struct pending_reply pending_reply
+          = g_array_index (job->pending_replies, struct pending_reply, i);
+
+      planner->ops.reply (planner->ops.userdata, pending_reply.link,
+                          pending_reply.call, &reply);
+    }
+  if (job->desc->repeats > 0)
+    g_ptr_array_remove_fast (planner->repeating_jobs, job);
+  else
+    job->queue->pending--;
+  for (guint k = 0; k < job->occurrences->len; k++)
+    {
+      struct occurrence *occurrence = g_ptr_array_index (job->occurrences, k);
+
+      for (int i = 0; i < job->desc->step_count; i++)
+        g_ptr_array_remove_fast (planner->waiting_steps,
+                                 &occurrence->steps[i]);
+    }
+  g_ptr_array_remove (planner->dirty_jobs, job);
+  planner->stats.rejected++;
+  g_hash_table_remove (planner->jobs, job->id);
+}
+
+void
+rst_plan_reject_unsent_jobs (struct rst_planner *planner)
+{
+  for (guint i = planner->dirty_jobs->len; i-- > 0;)
+    {
+      struct job *job = g_ptr_array_index (planner->dirty_jobs, i);
+      int retry_s = get_retry_s (planner, job->id);
+
+      if (retry_s == 0)
+        return;
+      if (!job->stored && job->last_record_segment == 0
+          && !rst_plan_job_has_ended (job))
+        reject_job (planner, job, retry_s);
+    }
+}
+
 /* A token bucket: a customer's share is as many jobs a second as its weight.
    Jobs over the share are accepted but placed after others. */
 static bool
@@ -378,7 +451,20 @@
             const char *id)
 {
   struct job *job = g_hash_table_lookup (planner->jobs, id);
+  int retry_s = get_retry_s (planner, id);
 
+  if (job == NULL && retry_s > 0)
+    {
+      struct rst_reply reply
+          = { .outcome = RST_OUTCOME_REJECTED, .retry_s = retry_s };
+
+      log_rejected (planner, id, retry_s);
+      planner->stats.rejected++;
+      rst_jobdesc_destroy (call->desc);
+      planner->ops.reply (planner->ops.userdata, call->link, call->number,
+                          &reply);
+      return;
+    }
   if (job != NULL)
     {
       rst_jobdesc_destroy (call->desc);
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -59,6 +59,10 @@
 void rst_plan_end_job (struct rst_planner *planner, struct job *job,
                        enum rst_job_state state);
 
+/** rst_plan_reject_unsent_jobs() - Rejects the submitted jobs that were not
+    sent to the store if the store does not answer. */
+void rst_plan_reject_unsent_jobs (struct rst_planner *planner);
+
 void rst_plan_begin_due_occurrences (struct rst_planner *planner);
 bool rst_plan_job_has_ended (const struct job *job);
 struct queue *rst_plan_get_queue (struct rst_planner *planner,
@@ -284,6 +288,10 @@
  */
 void rst_plan_end_link_requests (struct rst_planner *planner, uint64_t link);
 
+/** rst_plan_end_lost_requests() - Ends the advice requests whose answers are
+    overdue, so that their steps may ask again. */
+void rst_plan_end_lost_requests (struct rst_planner *planner);
+
 /** rst_plan_forget_requests() - Detaches the requests of a step that is about
     to be freed. */
 void rst_plan_forget_requests (struct step *step);
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -18,6 +18,8 @@
  * @completed: Jobs that completed.
  * @failed: Jobs that failed.
  * @cancelled: Jobs that callers cancelled.
+ * @rejected: Submitted jobs that were rejected because the store does not
+ *   answer.
  * @instances: Registered instances.
  * @instances_known: Instances whose runs are known.
  * @agents: Connected agents.
@@ -39,6 +41,7 @@
   uint64_t completed;
   uint64_t failed;
   uint64_t cancelled;
+  uint64_t rejected;
   uint64_t instances;
   uint64_t instances_known;
   uint64_t agents;
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -116,6 +116,9 @@
                            stats->failed);
   rst_metrics_add_counter (page, "jobs_cancelled_total", "Jobs cancelled.",
                            stats->cancelled);
+  rst_metrics_add_counter (page, "jobs_rejected_total",
+                           "Jobs rejected while the store did not answer.",
+                           stats->rejected);
   rst_metrics_add_counter (page, "starts_total", "Starts ordered.",
                            stats->starts);
   rst_metrics_add_counter (page, "starts_failed_total",
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -443,6 +443,63 @@
   EXPECT_EQ (cell.start_messages, 1);
 }
 
+TEST (Planner, AsksAgainWhenAnAdviceRequestIsNotAnswered)
+{
+  Planner cell;
+
+  cell.start_serving (4, true);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (2, 1000));
+  cell.settle ();
+  ASSERT_EQ (cell.sent_of_kind (RST_MSG_ADVISE).size (), 1u);
+  cell.advance_time (4000);
+  EXPECT_EQ (cell.sent_of_kind (RST_MSG_ADVISE).size (), 1u);
+  cell.advance_time (2000);
+  EXPECT_EQ (cell.sent_of_kind (RST_MSG_ADVISE).size (), 2u);
+}
+
+// Callers go on submitting while the store is silent for some seconds.
+TEST (Planner, RejectsJobsThatItCannotSendToASilentStore)
+{
+  Planner cell;
+  const char *sent_job = "00000000000000aa";
+  const char *kept_job = "00000000000000ab";
+  const char *late_job = "00000000000000ac";
+
+  cell.start_serving (2);
+  cell.send_call (1, RST_OPERATION_SUBMIT, sent_job,
+                  Planner::make_job (1, 1000));
+  cell.advance_time (40);
+  cell.is_confirmed = false;
+  cell.send_call (2, RST_OPERATION_SUBMIT, kept_job,
+                  Planner::make_job (1, 1000));
+  cell.advance_time (800);
+  EXPECT_EQ (cell.reply_to (2), nullptr);
+  cell.advance_time (400);
+  ASSERT_NE (cell.reply_to (2), nullptr);
+  EXPECT_EQ (cell.reply_to (2)->reply.outcome, RST_OUTCOME_REJECTED);
+  EXPECT_GE (cell.reply_to (2)->reply.retry_s, 1);
+  cell.send_call (3, RST_OPERATION_SUBMIT, late_job,
+                  Planner::make_job (1, 1000));
+  ASSERT_NE (cell.reply_to (3), nullptr);
+  EXPECT_EQ (cell.reply_to (3)->reply.outcome, RST_OUTCOME_REJECTED);
+  /* The first job is part of the commit under way: its outcome is open. */
+  EXPECT_EQ (cell.reply_to (1), nullptr);
+  cell.is_confirmed = true;
+  cell.complete_commit ();
+  cell.settle ();
+  ASSERT_NE (cell.reply_to (1), nullptr);
+  EXPECT_EQ (cell.reply_to (1)->reply.outcome, RST_OUTCOME_OK);
+  EXPECT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 1u);
+  cell.send_call (4, RST_OPERATION_READ, kept_job);
+  EXPECT_EQ (cell.reply_to (4)->reply.outcome, RST_OUTCOME_NO_JOB);
+  cell.send_call (5, RST_OPERATION_SUBMIT, kept_job,
+                  Planner::make_job (1, 1000));
+  cell.settle ();
+  EXPECT_EQ (cell.reply_to (5)->reply.outcome, RST_OUTCOME_OK);
+  cell.send_call (6, RST_OPERATION_READ, "");
+  EXPECT_EQ (cell.reply_to (6)->reply.count, 2);
+}
+
 TEST (Planner, IsDestroyedWhileAnAdviceRequestIsUnderWay)
 {
   Planner cell;
