--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -6,9 +6,6 @@
 #include "cell/admission.h"
 #include "cell/planner_private.h"
 
-/** Seconds after which a caller whose request was rejected should retry. */
-#define RETRY_AFTER_S 1
-
 /** Size of a customer's token bucket, in seconds of its share. */
 #define SHARE_BURST_S 2.0
 
@@ -311,8 +308,6 @@
 {
   struct rst_reply reply = { .outcome = outcome };
 
-  if (outcome == RST_OUTCOME_REJECTED)
-    reply.retry_s = RETRY_AFTER_S;
   planner->ops.reply (planner->ops.userdata, call->link, call->number, &reply);
 }
 
@@ -356,11 +351,12 @@
 }
 
 static void
-log_rejected (const struct rst_planner *planner, const char *id, int retry_s)
+log_rejected (struct rst_planner *planner, const char *id, int retry_s)
 {
   char age[24];
   char retry[16];
 
+  planner->stats.rejected++;
   g_snprintf (age, sizeof age, "%" PRId64,
               (int64_t)(planner->now - planner->confirmed_at));
   g_snprintf (retry, sizeof retry, "%d", retry_s);
@@ -368,21 +364,28 @@
             id, "store_age_ms", age, "retry_s", retry);
 }
 
-/* Rejects a job that no commit contains and forgets it. */
 static void
-reject_job (struct rst_planner *planner, struct job *job, int retry_s)
+reply_rejected (struct rst_planner *planner, uint64_t link, uint64_t call,
+                int retry_s)
 {
   struct rst_reply reply
       = { .outcome = RST_OUTCOME_REJECTED, .retry_s = retry_s };
 
+  planner->ops.reply (planner->ops.userdata, link, call, &reply);
+}
+
+/* Rejects a job that no commit contains and forgets it. */
+static void
+reject_job (struct rst_planner *planner, struct job *job, int retry_s)
+{
   log_rejected (planner, job->id, retry_s);
   for (guint i = 0; i < job->pending_replies->len; i++)
     {
       struct pending_reply pending_reply
           = g_array_index (job->pending_replies, struct pending_reply, i);
 
-      planner->ops.reply (planner->ops.userdata, pending_reply.link,
-                          pending_reply.call, &reply);
+      reply_rejected (planner, pending_reply.link, pending_reply.call,
+                      retry_s);
     }
   if (job->desc->repeats > 0)
     g_ptr_array_remove_fast (planner->repeating_jobs, job);
@@ -397,7 +400,6 @@
                                  &occurrence->steps[i]);
     }
   g_ptr_array_remove (planner->dirty_jobs, job);
-  planner->stats.rejected++;
   g_hash_table_remove (planner->jobs, job->id);
 }
 
@@ -455,14 +457,9 @@
 
   if (job == NULL && retry_s > 0)
     {
-      struct rst_reply reply
-          = { .outcome = RST_OUTCOME_REJECTED, .retry_s = retry_s };
-
       log_rejected (planner, id, retry_s);
-      planner->stats.rejected++;
       rst_jobdesc_destroy (call->desc);
-      planner->ops.reply (planner->ops.userdata, call->link, call->number,
-                          &reply);
+      reply_rejected (planner, call->link, call->number, retry_s);
       return;
     }
   if (job != NULL)
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -325,6 +325,39 @@
   rst_pack_clear (&pack);
 }
 
+static void
+send_ack (struct rst_planner *planner, const struct instance *instance)
+{
+  struct rst_pack pack;
+
+  if (instance->agent == NULL)
+    return;
+  rst_pack_init (&pack, 4);
+  rst_pack_int (&pack, RST_MSG_ACK);
+  rst_pack_text (&pack, instance->entry.id);
+  rst_pack_int (&pack, instance->last_acked_end);
+  rst_pack_int (&pack, instance->incarnation);
+  rst_plan_send (planner, instance->agent->link, &pack);
+}
+
+void
+rst_plan_send_acks (struct rst_planner *planner)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, planner->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct instance *instance = value;
+
+      if (instance->committing_end <= instance->last_acked_end)
+        continue;
+      instance->last_acked_end = instance->committing_end;
+      send_ack (planner, instance);
+    }
+}
+
 /* Commits all changes, unless a commit is pending or was made just now. */
 void
 rst_plan_commit (struct rst_planner *planner)
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -112,12 +112,6 @@
  */
 void rst_plan_assign_instances (struct rst_planner *planner);
 
-/**
- * rst_plan_send_acks() - Acknowledges the ends that have been committed; the
- * instances may then forget them.
- */
-void rst_plan_send_acks (struct rst_planner *planner);
-
 /** rst_plan_instance_is_schedulable() - Whether an instance takes starts. */
 bool rst_plan_instance_is_schedulable (const struct rst_planner *planner,
                                        const struct instance *instance);
@@ -327,6 +321,12 @@
 /** rst_plan_mark_dirty() - Marks a job for the next commit. */
 void rst_plan_mark_dirty (struct rst_planner *planner, struct job *job);
 
+/**
+ * rst_plan_send_acks() - Acknowledges the ends that have been committed; the
+ * instances may then forget them.
+ */
+void rst_plan_send_acks (struct rst_planner *planner);
+
 /** rst_plan_commit() - Commits what changed, if a commit is due. */
 void rst_plan_commit (struct rst_planner *planner);
 
