--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -180,9 +180,10 @@
 get_gang_named_max (const struct step *step, const struct instance *example)
 {
   double rate = MAX (step->occurrence->job->queue->approval_rate, 0.05);
-  int64_t cpu = MAX (step->spec->need.cpu, 1);
-  double slots = MAX ((double)(example->entry.capacity.cpu / 2 / cpu), 1.0);
-  double wanted = step->spec->count * REQUESTED_SLOTS_FACTOR / rate / slots;
+  int64_t half_cpu = example->entry.capacity.cpu / 2;
+  int64_t slots = MAX (half_cpu / MAX (step->spec->need.cpu, 1), 1);
+  double wanted
+      = step->spec->count * REQUESTED_SLOTS_FACTOR / rate / (double)slots;
 
   return (int)CLAMP (wanted, GANG_NAMED_MIN_LIMIT, GANG_NAMED_MAX_LIMIT);
 }
