celld: take the address that other processes use from the settings

A celld writes the address that it listens on into the planner record, so all others connect to exactly that one.

Nothing else changes: without the setting the record is as before.

--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -48,6 +48,8 @@
   char name[RST_NAME_SIZE];
   char zone[RST_NAME_SIZE];
   char listen[RST_ADDRESS_SIZE];
+  /* Where other processes reach it, if not at the address it listens on. */
+  char advertise[RST_ADDRESS_SIZE];
   char store[RST_ADDRESS_SIZE];
   char advice[RST_ADDRESS_SIZE];
   char metrics[RST_ADDRESS_SIZE];
@@ -71,6 +73,7 @@
   TEXT ("name", RST_CONF_NAME, true, name),
   TEXT ("availability_zone", RST_CONF_NAME, true, zone),
   TEXT ("listen", RST_CONF_ADDRESS, true, listen),
+  TEXT ("advertise", RST_CONF_ADDRESS, false, advertise),
   TEXT ("store", RST_CONF_ADDRESS, true, store),
   TEXT ("advice", RST_CONF_STRING, false, advice),
   TEXT ("metrics", RST_CONF_ADDRESS, false, metrics),
@@ -169,7 +172,9 @@
   config.userdata = celld->loop;
   config.name = settings->name;
   config.zone = settings->zone;
-  config.address = rst_cell_loop_get_address (celld->loop);
+  config.address = settings->advertise[0] != '\0'
+                       ? settings->advertise
+                       : rst_cell_loop_get_address (celld->loop);
   config.timing.unconfirmed_renewal_ms = UNCONFIRMED_RENEWAL_MS;
   config.timing.lease_ms = settings->lease_max_ms;
   config.timing.status_ms = settings->status_s * 1000;
