--- a/standin/platform.c
+++ b/standin/platform.c
@@ -16,6 +16,7 @@
 #include <glib.h>
 #include <pthread.h>
 
+#include "network.h"
 #include "platform_store.h"
 #include "state/json.h"
 #include "transport/transport.h"
@@ -35,6 +36,7 @@
 {
   char listen[RST_ADDRESS_SIZE];
   int64_t instance_count;
+  int64_t zone_count;
   int64_t cpu_milli;
   int64_t memory_mb;
 };
@@ -44,6 +46,8 @@
                          listen),
   RST_CONF_INTEGER_FIELD ("instances.count", false, struct settings,
                           instance_count, 1, 100),
+  RST_CONF_INTEGER_FIELD ("instances.zones", false, struct settings,
+                          zone_count, 1, 9),
   RST_CONF_INTEGER_FIELD ("instances.cpu_milli", false, struct settings,
                           cpu_milli, 1, 1000000),
   RST_CONF_INTEGER_FIELD ("instances.memory_mb", false, struct settings,
@@ -84,7 +88,10 @@
 struct instance
 {
   char id[RST_NAME_SIZE];
+  char zone[RST_NAME_SIZE];
   struct rst_http_server *server;
+  /* Leads to the server; NULL if there is only one zone. */
+  struct network_relay *relay;
   int64_t incarnation;
   int64_t fencing_token;
   int64_t lease_expires_at;
@@ -469,6 +476,66 @@
   platform_store_reply (request, 200, body);
 }
 
+static struct instance *
+find_instance (const char *id)
+{
+  for (guint i = 0; i < platform.instances->len; i++)
+    {
+      struct instance *instance = g_ptr_array_index (platform.instances, i);
+
+      if (strcmp (instance->id, id) == 0)
+        return instance;
+    }
+  return NULL;
+}
+
+/* Returns a query parameter, or "". */
+static const char *
+get_parameter (struct rst_http_request *request, const char *name)
+{
+  const char *value = rst_http_request_query (request, name);
+
+  return value != NULL ? value : "";
+}
+
+static void
+add_relay (struct rst_http_request *request)
+{
+  const struct network_relay *relay = network_add_relay (
+      get_parameter (request, "zone"), get_parameter (request, "target"));
+  struct json_object *body = json_object_new_object ();
+
+  if (relay != NULL)
+    rst_json_set_text (body, "address", network_relay_address (relay));
+  platform_store_reply (request, relay != NULL ? 200 : 500, body);
+}
+
+/* Whether the request changed the network as it asked for. */
+static bool
+change_network (struct rst_http_request *request)
+{
+  const char *path = rst_http_request_path (request);
+  bool cut = strcmp (get_parameter (request, "cut"), "1") == 0;
+  const struct instance *instance
+      = find_instance (get_parameter (request, "instance"));
+  struct network_relay *relay
+      = network_find_relay (get_parameter (request, "relay"));
+
+  if (strcmp (path, "/network/zone") == 0)
+    network_cut_zone (get_parameter (request, "zone"), cut);
+  else if (strcmp (path, "/network/process") == 0)
+    network_place_process (atoi (get_parameter (request, "pid")),
+                           get_parameter (request, "zone"));
+  else if (strcmp (path, "/network/instance") == 0 && instance != NULL
+           && instance->relay != NULL)
+    network_cut_relay (instance->relay, cut);
+  else if (strcmp (path, "/network/target") == 0 && relay != NULL)
+    network_set_target (relay, get_parameter (request, "target"));
+  else
+    return false;
+  return true;
+}
+
 static void
 handle_request (struct rst_http_request *request, void *userdata)
 {
@@ -477,6 +544,17 @@
   (void)userdata;
   if (platform_store_handle_request (platform.store, request))
     return;
+  if (strcmp (path, "/network/relay") == 0)
+    {
+      add_relay (request);
+      return;
+    }
+  if (strncmp (path, "/network/", strlen ("/network/")) == 0
+      && change_network (request))
+    {
+      rst_http_request_reply_json (request, 200, "{}");
+      return;
+    }
   if (strcmp (path, "/-/advise") == 0)
     handle_advise (request);
   else if (strcmp (path, "/account") == 0)
@@ -492,12 +570,14 @@
 {
   char *key = g_strdup_printf ("servers/%s", instance->id);
   char *entry = g_strdup_printf (
-      "{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"z1\","
+      "{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"%s\","
       "\"version\":\"1\",\"slots\":8,\"state\":\"ready\",\"seq\":1,"
       "\"born\":%" PRId64 ",\"capacity\":{\"cpu\":%" PRId64
       ",\"mem_mb\":%" PRId64 ",\"gpu\":0},\"labels\":[\"a\",\"r1-1\"]}",
-      rst_http_server_address (instance->server), instance->incarnation,
-      settings->cpu_milli, settings->memory_mb);
+      instance->relay != NULL ? network_relay_address (instance->relay)
+                              : rst_http_server_address (instance->server),
+      instance->zone, instance->incarnation, settings->cpu_milli,
+      settings->memory_mb);
 
   platform_store_put (platform.store, key, entry);
   g_free (key);
@@ -511,6 +591,8 @@
   struct rst_http_server_config config = { 0 };
 
   g_snprintf (instance->id, sizeof instance->id, "i-%d", number);
+  g_snprintf (instance->zone, sizeof instance->zone, "z%d",
+              1 + number % (int)settings->zone_count);
   instance->incarnation = g_get_real_time () / 1000;
   instance->next_end_number = 1;
   instance->runs
@@ -527,6 +609,9 @@
   config.userdata = instance;
   if (rst_http_server_create (&config, &instance->server) != RST_TRANSPORT_OK)
     return false;
+  if (settings->zone_count > 1)
+    instance->relay = network_add_relay (
+        instance->zone, rst_http_server_address (instance->server));
   g_ptr_array_add (platform.instances, instance);
   register_instance (settings, instance);
   return true;
@@ -535,7 +620,7 @@
 int
 main (int argc, char **argv)
 {
-  struct settings settings = { "", 4, 4000, 16000 };
+  struct settings settings = { "", 4, 1, 4000, 16000 };
   struct rst_http_server_config config = { 0 };
   struct rst_http_server *server;
   pthread_t thread;
--- a/tools/lib/cluster.sh
+++ b/tools/lib/cluster.sh
@@ -55,10 +55,12 @@
   http_address_of[$1]=$(get_start_field listen)
 }
 
-# start_platform INSTANCES - starts the stand-in of the users' platform.
+# start_platform INSTANCES [ZONES] - starts the stand-in of the users' platform,
+# with instances spread over the zones z1, z2, ...
 start_platform ()
 {
-  echo "{ \"listen\": \"127.0.0.1:0\", \"instances\": { \"count\": $1 } }" \
+  echo "{ \"listen\": \"127.0.0.1:0\",
+    \"instances\": { \"count\": $1, \"zones\": ${2:-1} } }" \
     >"$run_dir/platform.json"
   start_program platform standin-platform "$run_dir/platform.json"
 }
@@ -75,20 +77,41 @@
     "http://${http_address_of[platform]}/-/kv-txn"
 }
 
-# start_celld NAME - starts a planner and agent daemon.
+# change_network CALL QUERY - changes the network between the zones of the
+# stand-in of the users' platform; standin/platform.c lists the calls.
+change_network ()
+{
+  curl -sS -f --max-time 5 "http://${http_address_of[platform]}/network/$1?$2"
+}
+
+# start_celld NAME [ZONE] - starts a planner and agent daemon.  With ZONE, it
+# reaches other zones through relays that can be cut.
 start_celld ()
 {
+  local store=${http_address_of[platform]} advertise=""
+
+  if [ $# -gt 1 ]
+  then
+    store=$(change_network relay "target=$store" | jq -r .address)
+    advertise=$(change_network relay "zone=$2" | jq -r .address)
+  fi
   cat >"$run_dir/celld-$1.json" <<EOF
 {
   "name": "$1",
-  "availability_zone": "z1",
+  "availability_zone": "${2:-z1}",
   "listen": "127.0.0.1:0",
-  "store": "${http_address_of[platform]}",
+  ${advertise:+"\"advertise\": \"$advertise\","}
+  "store": "$store",
   "advice": "${http_address_of[platform]}",
   "early_ms": 250
 }
 EOF
-  start_platform_daemon "celld-$1" rosemarystile-celld "$run_dir/celld-$1.json"
+  start_platform_daemon "celld-$1" rosemarystile-celld "$run_dir/celld-$1.json" \
+    || return 1
+  [ $# -gt 1 ] || return 0
+  change_network process "pid=${pid_of[celld-$1]}&zone=$2" >/dev/null \
+    && change_network target \
+      "relay=$advertise&target=${http_address_of[celld-$1]}" >/dev/null
 }
 
 # start_jobd NAME - starts an entry daemon of the users' platform.
