--- a/src/daemon/term_private.h
+++ b/src/daemon/term_private.h
@@ -73,6 +73,8 @@
   enum restore_phase restore_phase;
   /* When to repeat a failed read of the journal; 0 for no repeat. */
   rst_ms journal_retry_at;
+  /* When the page that is being read was requested. */
+  rst_ms journal_read_at;
   /* Key of the last segment that was read. */
   char journal_position[256];
   struct rst_prefix_watch *operator_watch;
--- a/src/daemon/term_read.c
+++ b/src/daemon/term_read.c
@@ -1,5 +1,6 @@
 /* Restores a new planner: reads the journal, then lists and watches the keys
    of operators, then those of instances. */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -35,6 +36,42 @@
 
 static void start_next_phase (struct rst_term *term);
 
+static size_t
+count_bytes (const GPtrArray *items)
+{
+  size_t bytes = 0;
+
+  for (guint i = 0; i < items->len; i++)
+    bytes += ((const struct rst_store_item *)g_ptr_array_index (items, i))
+                 ->length;
+  return bytes;
+}
+
+/* Logs a page that was read, or a read that failed and is repeated. */
+static void
+log_journal_page (const struct rst_term *term,
+                  const struct rst_store_answer *answer)
+{
+  rst_ms now = term->config.now ();
+  char segments[16];
+  char bytes[24];
+  char took_ms[24];
+
+  g_snprintf (segments, sizeof segments, "%u", answer->items->len);
+  g_snprintf (bytes, sizeof bytes, "%zu", count_bytes (answer->items));
+  g_snprintf (took_ms, sizeof took_ms, "%" PRId64,
+              now - term->journal_read_at);
+  if (answer->result == RST_RESULT_OK)
+    rst_info (RST_TERM_LOG_DOMAIN, "Page of the journal was read.", "segments",
+              segments, "bytes", bytes, "took_ms", took_ms, "more",
+              answer->has_more ? "yes" : "no");
+  else
+    rst_info (RST_TERM_LOG_DOMAIN,
+              "Page of the journal can't be read; it is requested again.",
+              "result", rst_result_name (answer->result), "took_ms", took_ms,
+              "behind", term->journal_position);
+}
+
 static void
 on_journal_page (struct rst_store_answer *answer, void *userdata)
 {
@@ -46,6 +83,7 @@
       return;
     }
   rst_term_update_planner_time (term);
+  log_journal_page (term, answer);
   for (guint i = 0; answer->result == RST_RESULT_OK && i < answer->items->len;
        i++)
     {
@@ -77,6 +115,7 @@
   const struct rst_backend *backend = term->config.backend;
 
   term->pending_calls++;
+  term->journal_read_at = term->config.now ();
   backend->store_range (backend->userdata, RST_TERM_SEGMENT_PREFIX,
                         term->journal_position, on_journal_page, term);
 }
