--- a/standin/network.h
+++ b/standin/network.h
@@ -2,11 +2,11 @@
  * DOC: network - stand-in for the network between availability zones
  *
  * Relays TCP connections on loopback.  Each relay leads to one address in one
- * zone, and the process at the other end of a connection is placed in a zone by
- * its id.  While a zone is cut off, connections across its border are silent:
- * nothing is relayed or reset, new ones are accepted but lead nowhere, and what
- * was sent arrives once the zone is connected again.  All functions may be
- * called from any thread; what is created lives until the process ends.
+ * zone, and the process at the other end of a connection is placed in a zone
+ * by its id.  While a zone is cut off, connections across its border are
+ * silent: nothing is relayed or reset, new ones are accepted but lead nowhere,
+ * and what was sent arrives once the zone is connected again.  All functions
+ * may be called from any thread; what is created lives until the process ends.
  */
 #ifndef STANDIN_NETWORK_H
 #define STANDIN_NETWORK_H
