Give up a bulk call to the store when it is silent, not when it is slow

Its call had a timeout of the whole exchange, 1.5 s, after which the page was requested again from its beginning, so on a link where a page takes longer no page ever arrives.

The same cause on related paths: a long poll for changes (wait and 0.7 s for the whole answer) and a commit (0.7 s, also for sending a segment of 256 KB, which takes 1.4 s at 2 Mbit/s). Reads of one key, orders and advice keep theirs: their messages are small.

Test: NarrowLink.ReadsAPageThatArrivesSlowly failed before (result unknown after 1,500 ms). NarrowLink.GivesUpAPageThatStopsArriving held before and holds.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -34,6 +34,7 @@
   char *body;
   size_t length;
   rst_ms timeout_ms;
+  bool progress_extends_timeout;
   rst_ms not_after;
   bool new_connection;
   bool send_once;
@@ -45,7 +46,11 @@
   rst_http_done done;
   void *userdata;
   rst_ms sent_at;
+  /* Number of bytes sent and received, and when it last grew. */
+  curl_off_t bytes_moved;
+  rst_ms moved_at;
   CK_LIST_ENTRY (transfer) list_entry;
+  CK_LIST_ENTRY (transfer) extended_entry;
 };
 
 struct rst_http_client
@@ -58,6 +63,8 @@
      requests. */
   atomic_bool wakeup_pending;
   CK_LIST_HEAD (transfer_list, transfer) active;
+  /* Those of them whose timeout progress extends. */
+  CK_LIST_HEAD (extended_list, transfer) extended;
 };
 
 static void
@@ -87,6 +94,21 @@
   return size * count;
 }
 
+/* Called by libcurl when bytes may have been sent or received. */
+static int
+note_progress (void *userdata, curl_off_t to_receive, curl_off_t received,
+               curl_off_t to_send, curl_off_t sent)
+{
+  struct transfer *transfer = userdata;
+
+  (void)to_receive;
+  (void)to_send;
+  if (received + sent != transfer->bytes_moved)
+    transfer->moved_at = rst_os_now ();
+  transfer->bytes_moved = received + sent;
+  return 0;
+}
+
 /* Called by libcurl when it has a connection and is about to send. */
 static int
 before_send (void *userdata, char *peer_address, char *own_address,
@@ -129,6 +151,24 @@
   transfer_free (transfer);
 }
 
+/* libcurl's own timeout is that of the whole exchange. */
+static void
+set_timeout (struct rst_http_client *client, struct transfer *transfer)
+{
+  CURL *easy = transfer->easy;
+
+  if (!transfer->progress_extends_timeout)
+    {
+      curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)transfer->timeout_ms);
+      return;
+    }
+  transfer->moved_at = transfer->sent_at;
+  curl_easy_setopt (easy, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt (easy, CURLOPT_XFERINFOFUNCTION, note_progress);
+  curl_easy_setopt (easy, CURLOPT_XFERINFODATA, transfer);
+  CK_LIST_INSERT_HEAD (&client->extended, transfer, extended_entry);
+}
+
 static void
 start_transfer (struct rst_http_client *client, struct transfer *transfer)
 {
@@ -147,7 +187,7 @@
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)transfer->timeout_ms);
+  set_timeout (client, transfer);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_response_data);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_PRIVATE, transfer);
@@ -195,6 +235,8 @@
   result.length = transfer->response_body->len;
   result.sent_at = transfer->sent_at;
   CK_LIST_REMOVE (transfer, list_entry);
+  if (transfer->progress_extends_timeout)
+    CK_LIST_REMOVE (transfer, extended_entry);
   curl_multi_remove_handle (client->multi, transfer->easy);
   transfer->done (&result, transfer->userdata);
   transfer_free (transfer);
@@ -218,6 +260,29 @@
     }
 }
 
+/* Ends the transfers that have been silent for too long.  Returns how long the
+   thread may wait for events until the next one may be. */
+static rst_ms
+finish_silent (struct rst_http_client *client)
+{
+  rst_ms now = rst_os_now ();
+  rst_ms wait_ms = CLIENT_POLL_MS;
+  struct transfer *transfer;
+  struct transfer *next;
+
+  CK_LIST_FOREACH_SAFE (transfer, &client->extended, extended_entry, next)
+  {
+    rst_ms left = transfer->moved_at + transfer->timeout_ms - now;
+
+    if (left > 0)
+      wait_ms = MIN (wait_ms, left);
+    else
+      finish_transfer (client, transfer,
+                       map_curl_error (transfer, CURLE_OPERATION_TIMEDOUT));
+  }
+  return wait_ms;
+}
+
 static void *
 client_main (void *userdata)
 {
@@ -232,7 +297,8 @@
         start_transfer (client, transfer);
       curl_multi_perform (client->multi, &running);
       finish_completed (client);
-      curl_multi_poll (client->multi, NULL, 0, CLIENT_POLL_MS, NULL);
+      curl_multi_poll (client->multi, NULL, 0, (int)finish_silent (client),
+                       NULL);
     }
   while ((transfer = rst_mailbox_take (client->mailbox)) != NULL)
     finish_unsent (transfer);
@@ -248,6 +314,7 @@
 
   curl_global_init (CURL_GLOBAL_NOTHING);
   CK_LIST_INIT (&client->active);
+  CK_LIST_INIT (&client->extended);
   client->multi = curl_multi_init ();
   client->mailbox = rst_mailbox_create (CLIENT_QUEUE_SIZE);
   if (client->multi == NULL || client->mailbox == NULL)
@@ -283,6 +350,7 @@
     transfer->body = g_memdup2 (call->body, call->length);
   transfer->length = call->length;
   transfer->timeout_ms = call->timeout_ms > 0 ? call->timeout_ms : 1;
+  transfer->progress_extends_timeout = call->progress_extends_timeout;
   transfer->not_after = call->not_after;
   transfer->new_connection = call->new_connection;
   transfer->send_once = call->send_once;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -51,6 +51,9 @@
  * @body: Request body, or NULL.
  * @length: Length of @body in bytes.
  * @timeout_ms: Timeout of the whole exchange; values below 1 count as 1.
+ * @progress_extends_timeout: Let @timeout_ms begin anew with each byte that is
+ *   sent or received, so that the request ends when the connection is silent
+ *   and not because the link is narrow.
  * @not_after: Time from which on the request is no longer started; it then
  *   ends with RST_TRANSPORT_NOT_SENT.  0 for no limit.
  * @new_connection: Open a new connection for this request and close it
@@ -70,6 +73,7 @@
   const void *body;
   size_t length;
   rst_ms timeout_ms;
+  bool progress_extends_timeout;
   rst_ms not_after;
   bool new_connection;
   bool send_once;
--- a/test/unit/adapter_http_test.cc
+++ b/test/unit/adapter_http_test.cc
@@ -1,8 +1,15 @@
 // Calls of the adapter to a store on loopback.
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
 #include <future>
 #include <string>
+#include <thread>
 
 extern "C"
 {
@@ -15,6 +22,15 @@
 // test sets another one, and keeps the query.
 class AdapterHttp : public ::testing::Test
 {
+public:
+  static void
+  take_result (rst_store_answer *answer, void *userdata)
+  {
+    static_cast<std::promise<rst_result> *> (userdata)->set_value (
+        answer->result);
+    rst_store_answer_free (answer);
+  }
+
 protected:
   void
   SetUp () override
@@ -56,14 +72,6 @@
                             0);
   }
 
-  static void
-  take_result (rst_store_answer *answer, void *userdata)
-  {
-    static_cast<std::promise<rst_result> *> (userdata)->set_value (
-        answer->result);
-    rst_store_answer_free (answer);
-  }
-
   // Lists the page behind a key and returns the result of the call.
   rst_result
   list_after (const std::string &key)
@@ -129,3 +137,109 @@
   EXPECT_EQ (watch (), RST_RESULT_COMPACTED);
   EXPECT_EQ (list_after (""), RST_RESULT_UNKNOWN);
 }
+
+// A store behind a narrow link: it answers one call with an empty page padded
+// with spaces, in pieces.
+class NarrowStore
+{
+public:
+  NarrowStore (int pieces, int sent_pieces, std::chrono::milliseconds pause)
+  {
+    sockaddr_in loopback = {};
+    socklen_t length = sizeof loopback;
+
+    loopback.sin_family = AF_INET;
+    loopback.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    listener = socket (AF_INET, SOCK_STREAM, 0);
+    bind (listener, (sockaddr *)&loopback, sizeof loopback);
+    listen (listener, 1);
+    getsockname (listener, (sockaddr *)&loopback, &length);
+    address = "127.0.0.1:" + std::to_string (ntohs (loopback.sin_port));
+    thread = std::thread (
+        [=, this] { answer_call (pieces, sent_pieces, pause); });
+  }
+
+  ~NarrowStore ()
+  {
+    thread.join ();
+    close (listener);
+  }
+
+  std::string address;
+
+private:
+  void
+  answer_call (int pieces, int sent_pieces, std::chrono::milliseconds pause)
+  {
+    const std::string page = "{\"items\":[],\"current_rev\":7}";
+    const std::string piece (1000, ' ');
+    const std::string head
+        = "HTTP/1.1 200 OK\r\nContent-Length: "
+          + std::to_string (page.size () + (size_t)pieces * piece.size ())
+          + "\r\n\r\n" + page;
+    char request[4096];
+    int connection = accept (listener, nullptr, nullptr);
+
+    if (recv (connection, request, sizeof request, 0) > 0)
+      send (connection, head.data (), head.size (), MSG_NOSIGNAL);
+    for (int i = 0; i < sent_pieces; i++)
+      {
+        std::this_thread::sleep_for (pause);
+        send (connection, piece.data (), piece.size (), MSG_NOSIGNAL);
+      }
+    /* Until the client closes the connection. */
+    while (recv (connection, request, sizeof request, 0) > 0)
+      {
+      }
+    close (connection);
+  }
+
+  int listener;
+  std::thread thread;
+};
+
+class NarrowLink : public ::testing::Test
+{
+protected:
+  // Reads a page from a store and measures how long that takes.
+  rst_result
+  read_page (const NarrowStore &store)
+  {
+    rst_http_client *client = rst_http_client_create (4, 4);
+    rst_adapter *adapter
+        = rst_adapter_create (client, store.address.c_str (), "");
+    const rst_backend *backend = rst_adapter_get_backend (adapter);
+    std::promise<rst_result> promise;
+    auto started_at = std::chrono::steady_clock::now ();
+
+    backend->store_range (backend->userdata, "a/", "",
+                          AdapterHttp::take_result, &promise);
+    rst_result result = promise.get_future ().get ();
+
+    took = std::chrono::steady_clock::now () - started_at;
+    rst_http_client_destroy (client);
+    rst_adapter_destroy (adapter);
+    return result;
+  }
+
+  std::chrono::steady_clock::duration took;
+};
+
+// A new planner read the first page of the journal again and again, since a
+// page took longer than the timeout on a narrow link (review/4, LOST).
+TEST_F (NarrowLink, ReadsAPageThatArrivesSlowly)
+{
+  NarrowStore store (12, 12, std::chrono::milliseconds (200));
+
+  EXPECT_EQ (read_page (store), RST_RESULT_OK);
+  EXPECT_GT (took, std::chrono::milliseconds (2000));
+}
+
+// A connection may go silent for good.
+TEST_F (NarrowLink, GivesUpAPageThatStopsArriving)
+{
+  NarrowStore store (12, 3, std::chrono::milliseconds (200));
+
+  EXPECT_EQ (read_page (store), RST_RESULT_UNKNOWN);
+  EXPECT_LT (took, std::chrono::milliseconds (4000));
+}
