--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -93,6 +93,14 @@
   return oldest;
 }
 
+void
+rst_planner_get_journal_range (const struct rst_planner *planner,
+                               int64_t *first, int64_t *last)
+{
+  *first = find_oldest_segment (planner);
+  *last = planner->next_segment - 1;
+}
+
 /* Chooses the segments that hold no job's record any more, oldest first.
    Returns their number. */
 static int
@@ -342,9 +350,9 @@
   rst_plan_add_segment (planner, planner->next_segment);
   planner->commit_busy = true;
   planner->stats.commits++;
-  planner->ops.commit (planner->ops.userdata, planner->next_segment,
-                       pack.buffer.data, pack.buffer.size, remove, removed);
   planner->next_segment++;
+  planner->ops.commit (planner->ops.userdata, planner->next_segment - 1,
+                       pack.buffer.data, pack.buffer.size, remove, removed);
   rst_pack_clear (&records);
   rst_pack_clear (&pack);
 }
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -276,6 +276,13 @@
  */
 rst_ms rst_planner_run (struct rst_planner *planner);
 
+/**
+ * rst_planner_get_journal_range() - Returns the numbers of the journal's first
+ * and last segment, with those of the commit under way.
+ */
+void rst_planner_get_journal_range (const struct rst_planner *planner,
+                                    int64_t *first, int64_t *last);
+
 /** rst_planner_read_stats() - Copies the planner's counters to @out. */
 void rst_planner_read_stats (const struct rst_planner *planner,
                              struct rst_planner_stats *out);
--- a/src/cell/planner_client.c
+++ b/src/cell/planner_client.c
@@ -59,11 +59,13 @@
 rst_planner_record_pack (struct rst_pack *pack,
                          const struct rst_planner_record *record)
 {
-  rst_pack_init (pack, 4);
+  rst_pack_init (pack, 6);
   rst_pack_int (pack, record->epoch);
   rst_pack_int (pack, record->counter);
   rst_pack_text (pack, record->name);
   rst_pack_text (pack, record->address);
+  rst_pack_int (pack, record->first_segment);
+  rst_pack_int (pack, record->last_segment);
 }
 
 bool
@@ -81,6 +83,12 @@
       record->counter = rst_reader_read_int (&reader);
       rst_reader_copy_text (&reader, record->name, sizeof record->name);
       rst_reader_copy_text (&reader, record->address, sizeof record->address);
+      /* Records of earlier versions don't name the segments. */
+      if (reader.position < reader.count)
+        {
+          record->first_segment = rst_reader_read_int (&reader);
+          record->last_segment = rst_reader_read_int (&reader);
+        }
     }
   msgpack_unpacked_destroy (&unpacked);
   return good && !reader.bad;
--- a/src/cell/planner_client.h
+++ b/src/cell/planner_client.h
@@ -22,6 +22,8 @@
  * @counter: Number of commits that the planner has made.
  * @name: Name of its process.
  * @address: Address on which it listens; "" when it has resigned.
+ * @first_segment: Number of the journal's first segment.
+ * @last_segment: Number of its last one; 0 if the segments are not known.
  */
 struct rst_planner_record
 {
@@ -29,6 +31,8 @@
   int64_t counter;
   char name[RST_ID_SIZE];
   char address[RST_ADDRESS_SIZE];
+  int64_t first_segment;
+  int64_t last_segment;
 };
 
 /** rst_planner_record_pack() - Encodes a planner record. */
--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -68,8 +68,8 @@
     free_term (term);
 }
 
-static void
-format_segment_key (char *out, size_t size, int64_t segment)
+void
+rst_term_format_segment_key (char *out, size_t size, uint64_t segment)
 {
   g_snprintf (out, size, RST_TERM_SEGMENT_PREFIX "%016" PRIx64, segment);
 }
@@ -174,6 +174,9 @@
   term->current_change = term->next_change;
   term->next_change = none;
   term->record.counter++;
+  if (term->restore_phase == RESTORE_DONE)
+    rst_planner_get_journal_range (term->planner, &term->record.first_segment,
+                                   &term->record.last_segment);
   send_commit (term);
 }
 
@@ -305,14 +308,15 @@
 
   struct journal_change *change = &term->next_change;
 
-  format_segment_key (change->segment_key, sizeof change->segment_key,
-                      segment);
+  rst_term_format_segment_key (change->segment_key, sizeof change->segment_key,
+                               (uint64_t)segment);
   change->segment = g_byte_array_new ();
   g_byte_array_append (change->segment, data, (guint)length);
   change->removed_count = MIN (remove_count, RST_TERM_COMMIT_WRITES_MAX - 2);
   for (int i = 0; i < change->removed_count; i++)
-    format_segment_key (change->removed_keys[i],
-                        sizeof change->removed_keys[i], remove[i]);
+    rst_term_format_segment_key (change->removed_keys[i],
+                                 sizeof change->removed_keys[i],
+                                 (uint64_t)remove[i]);
   if (!term->committing)
     begin_commit (term);
 }
@@ -366,8 +370,7 @@
   term->config.on_elected (term->config.userdata);
   term->planner
       = rst_planner_create (&ops, &term->config.timing, term->record.epoch);
-  term->restore_phase = RESTORE_JOURNAL;
-  rst_term_read_journal (term);
+  rst_term_start_restore (term);
 }
 
 struct rst_term *
@@ -379,6 +382,8 @@
   term->config = *config;
   term->revision = revision;
   term->record.epoch = record->epoch + 1;
+  term->record.first_segment = record->first_segment;
+  term->record.last_segment = record->last_segment;
   g_strlcpy (term->record.name, config->name, sizeof term->record.name);
   g_strlcpy (term->record.address, config->address,
              sizeof term->record.address);
@@ -539,11 +544,8 @@
     return wake;
   if (!term->committing && now - term->last_commit_at >= RECORD_RENEW_MS)
     begin_commit (term);
-  if (term->journal_retry_at != 0 && now >= term->journal_retry_at)
-    {
-      term->journal_retry_at = 0;
-      rst_term_read_journal (term);
-    }
+  if (term->restore_phase == RESTORE_JOURNAL)
+    wake = MIN (wake, rst_term_run_restore (term));
   rst_planner_set_time (term->planner, now, term->config.unix_now ());
   if (!term->serving && rst_planner_is_ready (term->planner))
     start_serving (term);
--- a/src/daemon/term_private.h
+++ b/src/daemon/term_private.h
@@ -71,10 +71,16 @@
   bool serving;
   struct rst_planner *planner;
   enum restore_phase restore_phase;
-  /* When to repeat a failed read of the journal; 0 for no repeat. */
-  rst_ms journal_retry_at;
+  /* When to request the next page of the journal; 0 while none is wanted. */
+  rst_ms next_journal_read_at;
   /* When the page that is being read was requested. */
   rst_ms journal_read_at;
+  /* The next segment to read, and the number of low bits in which the numbers
+     of the segments of its block differ. */
+  uint64_t journal_segment;
+  int journal_block_bits;
+  /* The last segment of the journal. */
+  uint64_t journal_end;
   /* Key of the last segment that was read. */
   char journal_position[256];
   struct rst_prefix_watch *operator_watch;
@@ -107,7 +113,19 @@
  * time. */
 void rst_term_update_planner_time (struct rst_term *term);
 
-/** rst_term_read_journal() - Reads the next page of the journal. */
-void rst_term_read_journal (struct rst_term *term);
+/** rst_term_format_segment_key() - Formats the key of a segment: the prefix
+ * and 16 hexadecimal digits. */
+void rst_term_format_segment_key (char *out, size_t size, uint64_t segment);
+
+/** rst_term_start_restore() - Starts to read the journal that the
+ * predecessor's record names. */
+void rst_term_start_restore (struct rst_term *term);
+
+/**
+ * rst_term_run_restore() - Reads the next page of the journal if it is due.
+ *
+ * Return: Time at which to call it again.
+ */
+rst_ms rst_term_run_restore (struct rst_term *term);
 
 #endif
--- a/src/daemon/term_read.c
+++ b/src/daemon/term_read.c
@@ -16,6 +16,21 @@
     that arrive meanwhile come in one answer. */
 #define INSTANCE_WATCH_PAUSE_MS 200
 
+/** The journal is read in blocks, so that on a narrow link a page holds up the
+    renewal of the planner record for a short time only.  The store's pages
+   have no such limit, but its keys can be listed by prefix: a block is the
+   segments whose numbers differ in this many low bits, a multiple of 4 as the
+   keys are hexadecimal. */
+#define NARROW_BLOCK_BITS 4
+#define WIDE_BLOCK_BITS 8
+
+/** Number of bits in the number of a segment. */
+#define SEGMENT_BITS 64
+
+/** Longest time that a block should take, in milliseconds; it is below the
+    interval at which the record is renewed. */
+#define BLOCK_TARGET_MS 200
+
 static void
 apply_operator_item (void *userdata, const struct rst_store_item *item)
 {
@@ -72,52 +87,124 @@
               "behind", term->journal_position);
 }
 
+/* Chooses the size of the next block by how long a page of this one took. */
 static void
-on_journal_page (struct rst_store_answer *answer, void *userdata)
+adapt_block (struct rst_term *term)
 {
-  struct rst_term *term = userdata;
+  rst_ms took_ms = term->config.now () - term->journal_read_at;
+
+  if (term->journal_block_bits == NARROW_BLOCK_BITS
+      && took_ms << (WIDE_BLOCK_BITS - NARROW_BLOCK_BITS) <= BLOCK_TARGET_MS)
+    term->journal_block_bits = WIDE_BLOCK_BITS;
+  else if (term->journal_block_bits == WIDE_BLOCK_BITS
+           && took_ms > BLOCK_TARGET_MS)
+    term->journal_block_bits = NARROW_BLOCK_BITS;
+}
 
-  if (!rst_term_finish_call (term))
-    {
-      rst_store_answer_free (answer);
-      return;
-    }
-  rst_term_update_planner_time (term);
-  log_journal_page (term, answer);
-  for (guint i = 0; answer->result == RST_RESULT_OK && i < answer->items->len;
-       i++)
+/* Returns the number of the last segment of the block that is being read. */
+static uint64_t
+get_block_end (const struct rst_term *term)
+{
+  if (term->journal_block_bits == SEGMENT_BITS)
+    return UINT64_MAX;
+  return term->journal_segment
+         | ((UINT64_C (1) << term->journal_block_bits) - 1);
+}
+
+static void
+restore_page (struct rst_term *term, const struct rst_store_answer *answer)
+{
+  for (guint i = 0; i < answer->items->len; i++)
     {
       const struct rst_store_item *item = g_ptr_array_index (answer->items, i);
-      int64_t segment = (int64_t)strtoull (
-          item->key + strlen (RST_TERM_SEGMENT_PREFIX), NULL, 16);
+      uint64_t segment
+          = strtoull (item->key + strlen (RST_TERM_SEGMENT_PREFIX), NULL, 16);
 
       g_strlcpy (term->journal_position, item->key,
                  sizeof term->journal_position);
-      if (!rst_planner_restore (term->planner, segment, item->value,
+      if (!rst_planner_restore (term->planner, (int64_t)segment, item->value,
                                 item->length))
         rst_warning (
             RST_TERM_LOG_DOMAIN,
             "Journal segment is damaged; unreadable records are skipped.",
             "key", item->key);
     }
+}
+
+static void
+on_journal_page (struct rst_store_answer *answer, void *userdata)
+{
+  struct rst_term *term = userdata;
+  uint64_t block_end;
+
+  if (!rst_term_finish_call (term))
+    {
+      rst_store_answer_free (answer);
+      return;
+    }
+  rst_term_update_planner_time (term);
+  log_journal_page (term, answer);
+  block_end = get_block_end (term);
   if (answer->result != RST_RESULT_OK)
-    term->journal_retry_at = term->config.now () + RST_TERM_RETRY_DELAY_MS;
-  else if (answer->has_more)
-    rst_term_read_journal (term);
+    term->next_journal_read_at = term->config.now () + RST_TERM_RETRY_DELAY_MS;
   else
-    start_next_phase (term);
+    {
+      restore_page (term, answer);
+      if (term->journal_block_bits != SEGMENT_BITS)
+        adapt_block (term);
+      if (!answer->has_more && block_end >= term->journal_end)
+        start_next_phase (term);
+      else
+        term->next_journal_read_at = term->config.now ();
+      if (!answer->has_more)
+        term->journal_segment = block_end + 1;
+    }
   rst_store_answer_free (answer);
 }
 
-void
-rst_term_read_journal (struct rst_term *term)
+/* Requests the next page.  Its prefix is shorter than the key of a segment by
+   the digits in which the segments of the block differ. */
+static void
+read_journal (struct rst_term *term)
 {
   const struct rst_backend *backend = term->config.backend;
+  char prefix[64];
 
+  rst_term_format_segment_key (prefix, sizeof prefix, term->journal_segment);
+  prefix[strlen (prefix) - (size_t)term->journal_block_bits / 4] = '\0';
+  term->next_journal_read_at = 0;
   term->pending_calls++;
   term->journal_read_at = term->config.now ();
-  backend->store_range (backend->userdata, RST_TERM_SEGMENT_PREFIX,
-                        term->journal_position, on_journal_page, term);
+  backend->store_range (backend->userdata, prefix, term->journal_position,
+                        on_journal_page, term);
+}
+
+void
+rst_term_start_restore (struct rst_term *term)
+{
+  bool is_known = term->record.last_segment > 0;
+
+  term->restore_phase = RESTORE_JOURNAL;
+  term->journal_segment = is_known ? (uint64_t)term->record.first_segment : 0;
+  term->journal_end
+      = is_known ? (uint64_t)term->record.last_segment : UINT64_MAX;
+  term->journal_block_bits = is_known ? NARROW_BLOCK_BITS : SEGMENT_BITS;
+  read_journal (term);
+}
+
+rst_ms
+rst_term_run_restore (struct rst_term *term)
+{
+  rst_ms now = term->config.now ();
+
+  /* The next page would hold up the renewal that is under way; its answer
+     runs the term again. */
+  if (term->next_journal_read_at == 0 || term->commit_in_flight)
+    return now + RST_TERM_RETRY_DELAY_MS;
+  if (now < term->next_journal_read_at)
+    return term->next_journal_read_at;
+  read_journal (term);
+  return now + RST_TERM_RETRY_DELAY_MS;
 }
 
 static void
--- a/test/unit/term_test.cc
+++ b/test/unit/term_test.cc
@@ -1,6 +1,8 @@
-// How old a planner says that its confirmation by the store is.
+// How old a planner says that its confirmation by the store is, and how it
+// reads the journal.
 #include <gtest/gtest.h>
 
+#include <string>
 #include <vector>
 
 extern "C"
@@ -24,20 +26,31 @@
   void
   SetUp () override
   {
-    rst_term_config config = {};
     rst_planner_record record = {};
 
+    create_term (record);
+  }
+
+  // Begins a term after that of another planner.
+  void
+  create_term (const rst_planner_record &record)
+  {
+    rst_term_config config = {};
+
     term_now = 1000;
     backend.userdata = this;
-    backend.store_commit = [] (void *userdata, const rst_store_write *, int,
-                               rst_store_done done, void *data) {
+    backend.store_commit = [] (void *userdata, const rst_store_write *writes,
+                               int, rst_store_done done, void *data) {
       auto *self = static_cast<Term *> (userdata);
 
+      rst_planner_record_read (&self->written_record, writes[0].value,
+                               writes[0].length);
       self->commit_done = done;
       self->commit_data = data;
     };
-    backend.store_range = [] (void *userdata, const char *, const char *,
+    backend.store_range = [] (void *userdata, const char *prefix, const char *,
                               rst_store_done done, void *data) {
+      static_cast<Term *> (userdata)->prefixes.push_back (prefix);
       static_cast<Term *> (userdata)->keep (done, data);
     };
     backend.store_watch = [] (void *userdata, const char *, int64_t, int64_t,
@@ -68,6 +81,17 @@
       call.first (rst_store_answer_new (), call.second);
   }
 
+  // Answers the read under way with a page that ends its block, after a time.
+  void
+  answer_read (rst_ms took_ms)
+  {
+    auto call = reads.back ();
+
+    term_now += took_ms;
+    reads.pop_back ();
+    call.first (rst_store_answer_new (), call.second);
+  }
+
   void
   keep (rst_store_done done, void *data)
   {
@@ -126,7 +150,10 @@
   rst_store_done commit_done = nullptr;
   void *commit_data = nullptr;
   int64_t revision = 0;
+  rst_planner_record written_record = {};
   std::vector<std::pair<rst_store_done, void *> > reads;
+  // Prefix of each page that was requested.
+  std::vector<std::string> prefixes;
   std::vector<SentHeartbeat> heartbeats;
 };
 
@@ -151,3 +178,71 @@
   ASSERT_FALSE (heartbeats.empty ());
   EXPECT_EQ (heartbeats.back ().confirmation_age, 4000);
 }
+
+class TermRestore : public Term
+{
+protected:
+  void
+  SetUp () override
+  {
+    rst_planner_record predecessor = {};
+
+    predecessor.epoch = 1;
+    predecessor.first_segment = 0x108;
+    predecessor.last_segment = 0x330;
+    g_strlcpy (predecessor.address, "b:1", sizeof predecessor.address);
+    create_term (predecessor);
+    answer_commit ();
+  }
+
+  // Answers the read under way and what is then to be committed.
+  void
+  finish_block (rst_ms took_ms)
+  {
+    answer_read (took_ms);
+    rst_term_run (term);
+    if (commit_done != nullptr)
+      answer_commit ();
+    rst_term_run (term);
+  }
+};
+
+// On a narrow link a large page held up the renewal of the planner record, and
+// planners replaced each other before any had read the journal (review/4,
+// LOST).
+TEST_F (TermRestore, RenewsItsRecordBetweenBlocksOfTheJournal)
+{
+  ASSERT_EQ (prefixes.size (), 1u);
+  EXPECT_EQ (prefixes[0], "rosemarystile/log/000000000000010");
+  answer_read (400);
+  rst_term_run (term);
+  EXPECT_NE (commit_done, nullptr);
+  EXPECT_EQ (prefixes.size (), 1u);
+  EXPECT_EQ (written_record.first_segment, 0x108);
+  EXPECT_EQ (written_record.last_segment, 0x330);
+  answer_commit ();
+  rst_term_run (term);
+  ASSERT_EQ (prefixes.size (), 2u);
+  EXPECT_EQ (prefixes[1], "rosemarystile/log/000000000000011");
+}
+
+TEST_F (TermRestore, ReadsLargerBlocksOverAFastLink)
+{
+  finish_block (5);
+  finish_block (50);
+  finish_block (500);
+  EXPECT_EQ (prefixes, (std::vector<std::string>{
+                           "rosemarystile/log/000000000000010",
+                           "rosemarystile/log/00000000000001",
+                           "rosemarystile/log/00000000000002",
+                           "rosemarystile/log/000000000000030",
+                       }));
+}
+
+// The predecessor's record is of a version that did not name the segments.
+TEST_F (Term, ReadsAJournalOfUnknownSegmentsAsAWhole)
+{
+  answer_commit ();
+  ASSERT_EQ (prefixes.size (), 1u);
+  EXPECT_EQ (prefixes[0], "rosemarystile/log/");
+}
