--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -13,6 +13,25 @@
 /** Number of segments above which the oldest ones are rewritten. */
 #define SEGMENTS_MAX 600
 
+/** Size of the journal above which the oldest segments are rewritten: a
+    successor reads all of it before it serves callers.  The size that is
+   needed counts twice, so that what is rewritten is no more than what is new.
+ */
+#define JOURNAL_BYTES_MIN 262144
+#define JOURNAL_BYTES_FACTOR 2
+
+/** Shortest time between two commits that rewrite, in milliseconds. */
+#define TRIM_INTERVAL_MS 100
+
+/** How often the needed size is estimated, in milliseconds. */
+#define ESTIMATE_INTERVAL_MS 1000
+
+/** About the size of a record without texts of callers, in bytes, and of a
+   step and of a task in it. */
+#define RECORD_BYTES 128
+#define STEP_BYTES 64
+#define TASK_BYTES 6
+
 /** Largest number of segments that a commit removes; the store limits the
     entries of a transaction. */
 #define REMOVED_PER_COMMIT_MAX 16
@@ -39,12 +58,25 @@
 }
 
 void
-rst_plan_add_segment (struct rst_planner *planner, int64_t segment)
+rst_plan_add_segment (struct rst_planner *planner, int64_t number,
+                      size_t bytes)
 {
-  int64_t *key = g_new (int64_t, 1);
+  struct segment *segment = g_new (struct segment, 1);
 
-  *key = segment;
-  g_hash_table_add (planner->segments, key);
+  segment->number = number;
+  segment->bytes = bytes;
+  g_hash_table_insert (planner->segments, &segment->number, segment);
+  planner->journal_bytes += bytes;
+}
+
+static void
+remove_segment (struct rst_planner *planner, int64_t number)
+{
+  const struct segment *segment
+      = g_hash_table_lookup (planner->segments, &number);
+
+  planner->journal_bytes -= segment->bytes;
+  g_hash_table_remove (planner->segments, &number);
 }
 
 /* Whether an instance does not answer but is not recorded as unreachable yet,
@@ -59,22 +91,72 @@
   return instance->recorded && !instance->runs_known;
 }
 
-/* The oldest segments, which may hold the record of the instance, are about to
-   be removed, so it is recorded again.  An instance that does not answer and
-   may have runs stays marked as recorded, because needs_unreachable_record()
-   selects only such instances. */
+/* The segment with the record of the instance is about to be removed, so it is
+   recorded again.  An instance that does not answer and may have runs stays
+   marked as recorded, because needs_unreachable_record() selects only such
+   instances. */
 static void
 invalidate_instance_record (struct instance *instance)
 {
+  instance->record_segment = 0;
   instance->recorded
       = !instance->runs_known && g_hash_table_size (instance->runs) > 0;
 }
 
+static bool
+can_be_forgotten (const struct rst_planner *planner, const struct job *job)
+{
+  return rst_plan_job_has_ended (job) && !job->dirty
+         && !rst_plan_job_has_runs (job)
+         && planner->now - job->ended_at >= planner->timing.status_ms;
+}
+
+/* Estimates the size of a job's record if it were written now. */
+static size_t
+estimate_job_bytes (const struct job *job)
+{
+  size_t bytes = RECORD_BYTES;
+
+  if (rst_plan_job_has_ended (job))
+    return bytes;
+  bytes += strlen (job->desc->spec);
+  for (int i = 0; i < job->desc->step_count; i++)
+    bytes += STEP_BYTES + (size_t)job->desc->steps[i].count * TASK_BYTES;
+  return bytes;
+}
+
+static void
+estimate_needed_bytes (struct rst_planner *planner)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  planner->needed_bytes_at = planner->now;
+  planner->needed_bytes
+      = g_hash_table_size (planner->instances) * (size_t)RECORD_BYTES;
+  g_hash_table_iter_init (&iter, planner->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (!can_be_forgotten (planner, value))
+      planner->needed_bytes += estimate_job_bytes (value);
+}
+
+static bool
+journal_is_large (struct rst_planner *planner)
+{
+  if (g_hash_table_size (planner->segments) > SEGMENTS_MAX)
+    return true;
+  if (planner->journal_bytes <= JOURNAL_BYTES_MIN)
+    return false;
+  if (planner->now - planner->needed_bytes_at >= ESTIMATE_INTERVAL_MS)
+    estimate_needed_bytes (planner);
+  return planner->journal_bytes > planner->needed_bytes * JOURNAL_BYTES_FACTOR;
+}
+
 /* Whether the next commit should remove old segments. */
 static bool
-should_trim (const struct rst_planner *planner)
+should_trim (struct rst_planner *planner)
 {
-  return g_hash_table_size (planner->segments) > SEGMENTS_MAX
+  return planner->now >= planner->next_trim_at && journal_is_large (planner)
          && g_hash_table_find (planner->instances, awaits_unreachable_record,
                                NULL)
                 == NULL;
@@ -144,9 +226,7 @@
       if (!job->stored || job->needs_full_record
           || MIN (job->full_record_segment, job->last_record_segment) >= last)
         continue;
-      if (rst_plan_job_has_ended (job) && !job->dirty
-          && !rst_plan_job_has_runs (job)
-          && planner->now - job->ended_at >= planner->timing.status_ms)
+      if (can_be_forgotten (planner, job))
         {
           g_hash_table_iter_remove (&iter);
           continue;
@@ -156,20 +236,33 @@
     }
 }
 
-/* Marks all instances and queues to be rewritten, since their records may be
-   in the segments that are removed. */
+/* Marks the instances and queues to be rewritten whose records are in segments
+   up to @last, which are removed.  A record that names runs is rewritten in
+   any case: a successor needs the jobs of the runs before it, and their
+   records may have been rewritten behind it. */
 static void
-invalidate_instances_and_queues (struct rst_planner *planner)
+invalidate_instances_and_queues (struct rst_planner *planner, int64_t last)
 {
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, planner->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    invalidate_instance_record (value);
+    {
+      struct instance *instance = value;
+
+      if (instance->record_segment > 0
+          && (instance->record_segment <= last || instance->record_names_runs))
+        invalidate_instance_record (instance);
+    }
   g_hash_table_iter_init (&iter, planner->queues);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((struct queue *)value)->recorded = false;
+    {
+      struct queue *queue = value;
+
+      if (queue->record_segment <= last)
+        queue->recorded = false;
+    }
 }
 
 /* An instance without an entry takes no starts, but a successor has to wait
@@ -201,6 +294,7 @@
     return true;
   return instance->recorded && !instance->runs_known && !instance->inherited
          && (instance->lease_basis == LEASE_BASIS_REPORT
+             || instance->record_segment == 0
              || planner->now - instance->runs_unknown_since
                     > UNREACHABLE_AFTER_MS);
 }
@@ -261,11 +355,13 @@
         {
           instance->recording = true;
           instance->record_names_runs = false;
+          instance->record_segment = planner->next_segment;
         }
       else if (needs_unreachable_record (planner, instance))
         {
           instance->recorded = false;
           instance->record_names_runs = g_hash_table_size (instance->runs) > 0;
+          instance->record_segment = planner->next_segment;
         }
     }
   g_hash_table_iter_init (&iter, planner->queues);
@@ -273,7 +369,10 @@
     {
       struct queue *queue = value;
 
-      queue->recorded |= queue->settings.pool != NULL;
+      if (queue->recorded || queue->settings.pool == NULL)
+        continue;
+      queue->recorded = true;
+      queue->record_segment = planner->next_segment;
     }
 }
 
@@ -333,21 +432,24 @@
   int others;
 
   if (is_trimming)
-    rewrite_oldest_jobs (planner);
+    {
+      planner->next_trim_at = planner->now + TRIM_INTERVAL_MS;
+      rewrite_oldest_jobs (planner);
+    }
   rst_pack_init_sequence (&records);
   /* Jobs come first: the record of an unreachable instance names tasks, and
      this commit may remove the earlier records of their jobs. */
   jobs = pack_dirty_jobs (planner, &records);
   removed = is_trimming ? choose_removable (planner, remove) : 0;
   if (removed > 0)
-    invalidate_instances_and_queues (planner);
+    invalidate_instances_and_queues (planner, remove[removed - 1]);
   others = pack_instances_and_queues (planner, &records);
   mark_instances_and_queues_committing (planner);
   rst_pack_init (&pack, jobs + (guint)others);
   rst_pack_append (&pack, &records);
   for (int i = 0; i < removed; i++)
-    g_hash_table_remove (planner->segments, &remove[i]);
-  rst_plan_add_segment (planner, planner->next_segment);
+    remove_segment (planner, remove[i]);
+  rst_plan_add_segment (planner, planner->next_segment, pack.buffer.size);
   planner->commit_busy = true;
   planner->stats.commits++;
   planner->next_segment++;
--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -80,6 +80,12 @@
 static void
 pack_full_job (struct rst_pack *pack, const struct job *job)
 {
+  struct rst_jobdesc desc = *job->desc;
+  char no_spec[] = "";
+
+  /* Nothing more of an ended job starts. */
+  if (rst_plan_job_has_ended (job))
+    desc.spec = no_spec;
   rst_pack_array (pack, 8);
   rst_pack_int (pack, RST_RECORD_JOB);
   rst_pack_text (pack, job->id);
@@ -87,7 +93,7 @@
   rst_pack_text (pack, job->customer->settings.name);
   rst_pack_int (pack, job->submitted_ms);
   rst_pack_int (pack, job->over_share ? 1 : 0);
-  rst_jobdesc_pack (pack, job->desc);
+  rst_jobdesc_pack (pack, &desc);
   pack_progress (pack, job);
 }
 
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -176,7 +176,8 @@
 }
 
 static struct instance *
-restore_instance_entry (struct rst_planner *planner, struct rst_reader *in)
+restore_instance_entry (struct rst_planner *planner, struct rst_reader *in,
+                        int64_t segment)
 {
   char id[RST_ID_SIZE];
   struct instance *instance;
@@ -191,6 +192,7 @@
                         sizeof instance->entry.address);
   rst_reader_copy_text (in, instance->entry.zone, sizeof instance->entry.zone);
   instance->unregistered_at = planner->now;
+  instance->record_segment = segment;
   /* The predecessor's agents may have extended the lease since the record was
      written. */
   instance->former_lease_until = rst_plan_get_latest_lease_expiry (planner);
@@ -215,9 +217,10 @@
 }
 
 static void
-restore_instance (struct rst_planner *planner, struct rst_reader *in)
+restore_instance (struct rst_planner *planner, struct rst_reader *in,
+                  int64_t segment)
 {
-  struct instance *instance = restore_instance_entry (planner, in);
+  struct instance *instance = restore_instance_entry (planner, in, segment);
 
   if (instance == NULL)
     return;
@@ -256,9 +259,9 @@
 
 static void
 restore_unreachable_instance (struct rst_planner *planner,
-                              struct rst_reader *in)
+                              struct rst_reader *in, int64_t segment)
 {
-  struct instance *instance = restore_instance_entry (planner, in);
+  struct instance *instance = restore_instance_entry (planner, in, segment);
   struct rst_reader rows;
 
   /* When the lease expires unless it is extended. */
@@ -276,7 +279,8 @@
 }
 
 static void
-restore_queue (struct rst_planner *planner, struct rst_reader *in)
+restore_queue (struct rst_planner *planner, struct rst_reader *in,
+               int64_t segment)
 {
   char *name = rst_reader_read_text (in);
   struct queue *queue = rst_plan_get_queue (planner, name);
@@ -292,6 +296,7 @@
   queue->settings.advice_per_instance_us = rst_reader_read_int (in);
   queue->settings.advice_valid_ms = rst_reader_read_int (in);
   queue->recorded = true;
+  queue->record_segment = segment;
   g_free (name);
 }
 
@@ -322,13 +327,13 @@
       restore_ended_job (planner, &in, segment);
       break;
     case RST_RECORD_INSTANCE:
-      restore_instance (planner, &in);
+      restore_instance (planner, &in, segment);
       break;
     case RST_RECORD_INSTANCE_UNREACHABLE:
-      restore_unreachable_instance (planner, &in);
+      restore_unreachable_instance (planner, &in, segment);
       break;
     case RST_RECORD_QUEUE:
-      restore_queue (planner, &in);
+      restore_queue (planner, &in, segment);
       break;
     default:
       in.bad = true;
@@ -352,7 +357,7 @@
       reader.bad = false;
     }
   msgpack_unpacked_destroy (&unpacked);
-  rst_plan_add_segment (planner, segment);
+  rst_plan_add_segment (planner, segment, length);
   planner->next_segment = MAX (planner->next_segment, segment + 1);
   return good;
 }
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -62,7 +62,7 @@
   planner->advice_requests = g_hash_table_new_full (
       g_int64_hash, g_int64_equal, NULL, rst_plan_advice_request_free);
   planner->segments
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   planner->agents = g_ptr_array_new_with_free_func (g_free);
   planner->waiting_steps = g_ptr_array_new ();
   planner->repeating_jobs = g_ptr_array_new ();
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -388,7 +388,8 @@
 /** rst_plan_commit() - Commits what changed, if a commit is due. */
 void rst_plan_commit (struct rst_planner *planner);
 
-/** rst_plan_add_segment() - Adds a number to the journal's segments. */
-void rst_plan_add_segment (struct rst_planner *planner, int64_t segment);
+/** rst_plan_add_segment() - Adds a segment to those of the journal. */
+void rst_plan_add_segment (struct rst_planner *planner, int64_t number,
+                           size_t bytes);
 
 #endif
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -127,6 +127,8 @@
   bool record_names_runs;
   /* Whether that record is part of the commit under way. */
   bool recording;
+  /* Segment of its last record of any kind; 0 for none. */
+  int64_t record_segment;
   rst_ms runs_unknown_since;
   /* Whether its current agent has reported its runs. */
   bool runs_known;
@@ -292,8 +294,9 @@
 {
   /* The operators' settings, without host and prefix. */
   struct rst_queue settings;
-  /* Whether the journal has the settings. */
+  /* Whether the journal has the settings, and in which segment. */
   bool recorded;
+  int64_t record_segment;
   /* Number of jobs of which no task has started; repeating jobs are not
      counted. */
   int pending;
@@ -363,6 +366,13 @@
   int64_t last_record_segment;
 };
 
+/** struct segment - A segment of the journal. */
+struct segment
+{
+  int64_t number;
+  size_t bytes;
+};
+
 /** struct start_batch - Start orders of one step to one agent. */
 struct start_batch
 {
@@ -440,8 +450,14 @@
   bool commit_busy;
   rst_ms last_commit_at;
   int64_t next_segment;
-  /* Set of the numbers of the journal's segments. */
+  /* struct segment by number: the journal's segments. */
   GHashTable *segments;
+  /* Size of all segments, and of what a journal without replaced records would
+     have, as last estimated. */
+  size_t journal_bytes;
+  size_t needed_bytes;
+  rst_ms needed_bytes_at;
+  rst_ms next_trim_at;
   /* Whether ends were applied whose acknowledgement waits for a commit. */
   bool acks_pending;
   /* Whether some instance is still inherited. */
--- a/test/unit/journal_test.cc
+++ b/test/unit/journal_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "cell_harness.h"
 
 using harness::Planner;
@@ -243,3 +245,76 @@
   successor.settle ();
   EXPECT_TRUE (successor.sent_of_kind (RST_MSG_START).empty ());
 }
+
+// Submits and cancels jobs with a long text, so that only their states are
+// needed, and returns the size of the journal that is then left.
+static size_t
+end_many_jobs (Planner &cell, int first, int end)
+{
+  size_t bytes = 0;
+
+  for (int i = first; i < end; i++)
+    {
+      rst_jobdesc *desc = Planner::make_job (2, 9000);
+      char id[17];
+
+      g_free (desc->spec);
+      desc->spec = g_strnfill (900, 'x');
+      snprintf (id, sizeof id, "%016x", 0x3000 + i);
+      cell.send_call (100, RST_OPERATION_SUBMIT, id, desc);
+      cell.advance_time (35);
+      cell.complete_commit ();
+      cell.send_call (101, RST_OPERATION_CANCEL, id);
+      cell.advance_time (35);
+      cell.complete_commit ();
+    }
+  cell.delete_removed_segments ();
+  for (const auto &commit : cell.commits)
+    bytes += commit.data.size ();
+  return bytes;
+}
+
+// A new planner serves callers only after it has read the journal, on a narrow
+// link for seconds (review/4, LOST); most of it was the texts of ended jobs.
+TEST (Journal, DoesNotKeepTheTextsOfEndedJobs)
+{
+  Planner predecessor;
+  Planner successor (2);
+
+  predecessor.start_serving (1);
+  /* A second of a link of 2 Mbit/s, and one segment. */
+  EXPECT_LT (end_many_jobs (predecessor, 0, 290), 262144u + 1200u);
+  /* Twice what is needed, and the texts of the last 15 s. */
+  EXPECT_LT (end_many_jobs (predecessor, 290, 1000), 400000u);
+  successor.set_time (predecessor.now);
+  successor.restore (predecessor);
+  EXPECT_EQ (successor.unreadable, 0);
+  successor.configure ();
+  rst_planner_finish_restore (successor.planner);
+  for (int i = 0; i < 1000; i++)
+    {
+      char id[17];
+
+      snprintf (id, sizeof id, "%016x", 0x3000 + i);
+      successor.send_call ((uint64_t)(5000 + i), RST_OPERATION_READ, id);
+      EXPECT_EQ (successor.reply_to ((uint64_t)(5000 + i))->reply.state,
+                 RST_JOB_CANCELLED);
+    }
+}
+
+// Each trim recorded all instances anew, however small the segments were that
+// it removed.
+TEST (Journal, RewritesOnlyInstancesWhoseRecordsAreRemoved)
+{
+  Planner cell;
+  size_t largest = 0;
+
+  cell.start_serving (300);
+  cell.commits.clear ();
+  for (int i = 0; i < 340; i++)
+    add_segments (cell, i);
+  /* The first trim removes the segment with all instances. */
+  for (size_t i = 640; i < cell.commits.size (); i++)
+    largest = std::max (largest, cell.commits[i].data.size ());
+  EXPECT_LT (largest, 10000u);
+}
