Limit a commit to what the planner's link carries in 100 ms

Cause: a commit of 85,158 bytes (114 KB as base64) needs 0.46 s of that link for itself. Beside starts and advice it had no answer within 0.7 s; the record was not renewed, and the links of the other processes were silent behind it ("Commit failed ... bytes=85158" at 34.24 s, "Connection is silent" at 34.52 s). A segment could have 256 KB on any machine. It is now limited to what the link of the machine, as its settings give it, carries in 100 ms: 18 KB at 2 Mbit/s, 94 KB at 10, 256 KB as before from 28 Mbit/s on. Further changes wait for the next commit, as they do at 256 KB.

--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -39,10 +39,14 @@
 /** Number of oldest segments whose jobs are rewritten together. */
 #define REWRITTEN_SEGMENTS 16
 
-/** Size from which no further job is added to a segment.  It is a quarter of
-    the largest value that the store accepts, so that the last job, which may
-    be large, still fits. */
+/** Size from which no further job is added to a segment: what the link carries
+    in COMMIT_LINK_MS, as base64, so that sending a commit does not keep the
+    planner record from being renewed.  At most a quarter of the largest value
+    that the store accepts, so that the last job, which may be large, still
+    fits. */
+#define SEGMENT_BYTES_MIN 16384
 #define SEGMENT_BYTES_MAX 262144
+#define COMMIT_LINK_MS 100
 
 /** How long no agent reports on an instance before it is recorded as
     unreachable, in milliseconds. */
@@ -393,15 +397,25 @@
     }
 }
 
+static size_t
+get_segment_bytes (const struct rst_planner *planner)
+{
+  int64_t bytes = planner->timing.link_bytes_per_ms * COMMIT_LINK_MS * 3 / 4;
+
+  if (planner->timing.link_bytes_per_ms == 0)
+    return SEGMENT_BYTES_MAX;
+  return (size_t)CLAMP (bytes, SEGMENT_BYTES_MIN, SEGMENT_BYTES_MAX);
+}
+
 /* Packs changed jobs, in the order in which they changed, until the segment is
    full.  Returns their number. */
 static guint
 pack_dirty_jobs (struct rst_planner *planner, struct rst_pack *pack)
 {
+  size_t bytes_max = get_segment_bytes (planner);
   guint count = 0;
 
-  while (count < planner->dirty_jobs->len
-         && pack->buffer.size < SEGMENT_BYTES_MAX)
+  while (count < planner->dirty_jobs->len && pack->buffer.size < bytes_max)
     {
       struct job *job = g_ptr_array_index (planner->dirty_jobs, count++);
 
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -57,13 +57,15 @@
 };
 
 /**
- * struct rst_planner_timing - Durations that the planner relies on.
+ * struct rst_planner_timing - Durations and rates that the planner relies on.
  * @unconfirmed_renewal_ms: How long agents go on extending leases after the
  *   store last confirmed the planner.
  * @lease_ms: Length of a lease on an instance.
  * @status_ms: How long the state of an ended job can be read.
  * @early_ms: How long before its due time an occurrence of a repeating job
  *   may start; the planner does not use it.
+ * @link_bytes_per_ms: Bandwidth of this machine's link to the store; 0 if it
+ *   is not known.
  */
 struct rst_planner_timing
 {
@@ -71,6 +73,7 @@
   rst_ms lease_ms;
   rst_ms status_ms;
   rst_ms early_ms;
+  int64_t link_bytes_per_ms;
 };
 
 /**
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -40,6 +40,9 @@
 #define SMALL_MACHINE_CPU_SHARE 0.2
 #define SMALL_MACHINE_LINK_MBPS 50.0
 
+/** Bytes that a link of one Mbit/s carries in a millisecond. */
+#define BYTES_PER_MS_AND_MBPS 125.0
+
 /** Further delay before a takeover on such a machine, in milliseconds. */
 #define STANDBY_DELAY_MS 400
 
@@ -179,6 +182,9 @@
   config.timing.lease_ms = settings->lease_max_ms;
   config.timing.status_ms = settings->status_s * 1000;
   config.timing.early_ms = settings->early_ms;
+  config.timing.link_bytes_per_ms
+      = (int64_t)(g_ascii_strtod (settings->link_mbps, NULL)
+                  * BYTES_PER_MS_AND_MBPS);
   config.jitter_ms = (rst_ms)(rst_os_random () % TAKEOVER_JITTER_MS);
   config.standby_delay_ms = get_standby_delay_ms (settings);
   celld->node = rst_cell_node_create (&config);
--- a/test/unit/journal_test.cc
+++ b/test/unit/journal_test.cc
@@ -123,6 +123,28 @@
   EXPECT_EQ (accepted, 400);
 }
 
+// A commit of 85 KB took longer on a link of 2 Mbit/s than other processes
+// wait for a change of the planner record, and the planner was replaced
+// (LOST).
+TEST (Journal, KeepsSegmentsBelowWhatANarrowLinkCarriesInTime)
+{
+  Planner cell (1, 250);
+
+  cell.start_serving (1);
+  cell.commits.clear ();
+  submit_many (cell, 100);
+  for (int i = 0; i < 40; i++)
+    {
+      cell.advance_time (40);
+      cell.complete_commit ();
+    }
+  /* 100 ms of the link, as base64, and a job. */
+  for (const auto &commit : cell.commits)
+    EXPECT_LT (commit.data.size (), 250u * 100 * 3 / 4 + 4200);
+  for (int i = 0; i < 100; i++)
+    EXPECT_NE (cell.reply_to ((uint64_t)(1000 + i)), nullptr);
+}
+
 TEST (Journal, AcksNoEndWhileItsJobWaitsForTheNextSegment)
 {
   Planner cell;
