Store an occurrence of a repeating job before its tasks start

Cause: rst_plan_begin_due_occurrences() began an occurrence in memory only. A record of the job followed with the end of its first task. A successor found the job without the occurrence, began it again, and its tasks were new ones: attempt 0 and not in doubt, so they waited for no instance of the predecessor.

It begins 2 s before it is due, so that the record is stored by then and no start is later than before. A restored occurrence waits for its time by the successor's clock.

Ruled out: marking what a successor begins as in doubt instead. The ends that instances list of an occurrence that it does not know would still be acknowledged and forgotten, and its attempt numbers be used twice.

Tests: RepeatingJob.RunsNoTaskTwiceWhenThePlannerIsReplacedWhileItRuns and RepeatingJob.StartsNoTaskOfAnOccurrenceThatIsNotStored failed before; RepeatingJob.StartsAnOccurrenceWhenItIsDue and …StartsNoInheritedOccurrenceBeforeItIsDue held and hold.

--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -6,6 +6,10 @@
 #include "cell/admission.h"
 #include "cell/planner_private.h"
 
+/** How long before it is due an occurrence of a repeating job begins, in
+    milliseconds; it is in the store when it is due. */
+#define OCCURRENCE_LEAD_MS 2000
+
 /** Size of a customer's token bucket, in seconds of its share. */
 #define SHARE_BURST_S 2.0
 
@@ -98,6 +102,15 @@
 struct occurrence *
 rst_plan_find_occurrence (struct job *job, int64_t number)
 {
+  /* They begin in the order of their numbers. */
+  if (number >= 0 && number < job->occurrences->len)
+    {
+      struct occurrence *occurrence
+          = g_ptr_array_index (job->occurrences, number);
+
+      if (occurrence->number == number)
+        return occurrence;
+    }
   for (guint i = 0; i < job->occurrences->len; i++)
     {
       struct occurrence *occurrence = g_ptr_array_index (job->occurrences, i);
@@ -127,6 +140,14 @@
     }
 }
 
+static int64_t
+get_due_ms (const struct job *job, int64_t number)
+{
+  return job->desc->repeats > 0
+             ? job->desc->start_at_ms + number * job->desc->period_ms
+             : job->submitted_ms;
+}
+
 struct occurrence *
 rst_plan_occurrence_new (struct job *job, int64_t number)
 {
@@ -134,10 +155,7 @@
 
   occurrence->job = job;
   occurrence->number = number;
-  occurrence->due_ms
-      = job->desc->repeats > 0
-            ? job->desc->start_at_ms + number * job->desc->period_ms
-            : job->submitted_ms;
+  occurrence->due_ms = get_due_ms (job, number);
   occurrence->steps = g_new0 (struct step, job->desc->step_count);
   occurrence->steps_left = job->desc->step_count;
   for (int i = 0; i < job->desc->step_count; i++)
@@ -163,7 +181,8 @@
 {
   planner->pass_wanted = true;
   /* During the restore, a later record may say that the job has ended. */
-  if (!planner->restored || step->enqueued || !step_is_ready (step))
+  if (!planner->restored || step->enqueued || !step_is_ready (step)
+      || !rst_plan_occurrence_is_due (planner, step->occurrence))
     return;
   step->enqueued = true;
   rst_plan_set_objective (step);
@@ -178,6 +197,45 @@
     rst_plan_enqueue_step (planner, &occurrence->steps[i]);
 }
 
+/* Only a repeating job waits for its time: the clock of the process that took
+   another job may have been ahead. */
+bool
+rst_plan_occurrence_is_due (const struct rst_planner *planner,
+                            const struct occurrence *occurrence)
+{
+  return occurrence->job->desc->repeats == 0
+         || occurrence->due_ms <= planner->unix_ms;
+}
+
+bool
+rst_plan_occurrence_is_stored (const struct occurrence *occurrence)
+{
+  return occurrence->number < occurrence->job->unstored_occurrence;
+}
+
+/* Begins the occurrences of a job that are due soon, and enqueues the steps of
+   those that have become due. */
+static void
+begin_occurrences (struct rst_planner *planner, struct job *job)
+{
+  while (job->next_occurrence < job->desc->repeats
+         && get_due_ms (job, job->next_occurrence)
+                <= planner->unix_ms + OCCURRENCE_LEAD_MS)
+    {
+      rst_plan_occurrence_new (job, job->next_occurrence);
+      rst_plan_mark_dirty (planner, job);
+    }
+  while (job->next_due_occurrence < job->next_occurrence
+         && get_due_ms (job, job->next_due_occurrence) <= planner->unix_ms)
+    {
+      struct occurrence *occurrence
+          = rst_plan_find_occurrence (job, job->next_due_occurrence++);
+
+      if (occurrence != NULL)
+        rst_plan_enqueue_steps (planner, occurrence);
+    }
+}
+
 void
 rst_plan_begin_due_occurrences (struct rst_planner *planner)
 {
@@ -185,15 +243,10 @@
     {
       struct job *job = g_ptr_array_index (planner->repeating_jobs, i);
 
-      while (!rst_plan_job_has_ended (job)
-             && job->next_occurrence < job->desc->repeats
-             && job->desc->start_at_ms
-                        + job->next_occurrence * job->desc->period_ms
-                    <= planner->unix_ms)
-        rst_plan_enqueue_steps (
-            planner, rst_plan_occurrence_new (job, job->next_occurrence));
+      if (!rst_plan_job_has_ended (job))
+        begin_occurrences (planner, job);
       if (rst_plan_job_has_ended (job)
-          || job->next_occurrence >= job->desc->repeats)
+          || job->next_due_occurrence >= job->desc->repeats)
         g_ptr_array_remove_index_fast (planner->repeating_jobs, i);
     }
 }
@@ -482,6 +535,8 @@
   rst_plan_mark_dirty (planner, job);
   if (job->desc->repeats == 0)
     rst_plan_enqueue_steps (planner, rst_plan_occurrence_new (job, 0));
+  else
+    begin_occurrences (planner, job);
   planner->stats.accepted++;
   rst_info (RST_PLAN_LOG, "Job submitted.", "job", id, "queue", route->name,
             "customer", customer->settings.name);
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -422,6 +422,7 @@
       rst_plan_pack_job (planner, pack, job);
       job->dirty = false;
       job->committing_state = job->state;
+      job->committing_occurrence = job->next_occurrence;
       job->last_record_segment = planner->next_segment;
       if (job->full_record_segment == 0 || job->needs_full_record)
         job->full_record_segment = planner->next_segment;
@@ -582,6 +583,7 @@
 
       job->stored = true;
       job->committed_state = job->committing_state;
+      job->unstored_occurrence = job->committing_occurrence;
       rst_plan_reply_committed (planner, job);
     }
   g_ptr_array_set_size (planner->committing_jobs, 0);
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -540,15 +540,16 @@
             int *reserving_gangs)
 {
   const struct job *job = step->occurrence->job;
+  bool is_stored = rst_plan_occurrence_is_stored (step->occurrence);
   bool is_first_gang_request = step->spec->gang && !step->advice_requested
                                && job->queue->settings.needs_approval;
   int unplaced;
 
   if (!is_first_gang_request && !has_room_for_step (planner, step))
     return;
-  /* Nothing starts before the job is committed, but advice may already be
-     requested. */
-  if (!job->stored)
+  /* A successor waits only for the runs of occurrences in the journal, so
+     nothing of another one starts; but advice may already be requested. */
+  if (!is_stored)
     unplaced = step->advice_requested ? 0 : step->tasks_waiting;
   else if (step->spec->gang)
     unplaced = place_gang (planner, step);
@@ -563,7 +564,7 @@
   else if (job->queue->settings.needs_approval)
     rst_plan_request_advice (planner, step, unplaced);
   /* Reserved last: the gang's own request counts this room too. */
-  if (job->stored && step->spec->gang && step->rank < RANK_BAND_MISSED
+  if (is_stored && step->spec->gang && step->rank < RANK_BAND_MISSED
       && *reserving_gangs < get_reserving_gangs_max (planner))
     {
       ++*reserving_gangs;
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -92,6 +92,7 @@
   occurrences = rst_reader_read_array (&in);
   for (uint32_t i = 0; i < occurrences.count; i++)
     restore_occurrence (job, &occurrences);
+  job->unstored_occurrence = job->next_occurrence;
   if (rst_plan_job_has_ended (job))
     job->ended_at = planner->now;
   reader->bad |= in.bad || occurrences.bad;
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -64,7 +64,20 @@
     sent to the store if the store does not answer. */
 void rst_plan_reject_unsent_jobs (struct rst_planner *planner);
 
+/** rst_plan_begin_due_occurrences() - Begins the occurrences of repeating jobs
+ * that are due soon, so that they are in the store when they are due, and
+ * enqueues the steps of those that have become due. */
 void rst_plan_begin_due_occurrences (struct rst_planner *planner);
+
+/** rst_plan_occurrence_is_due() - Whether tasks of an occurrence may start by
+ * their time. */
+bool rst_plan_occurrence_is_due (const struct rst_planner *planner,
+                                 const struct occurrence *occurrence);
+
+/** rst_plan_occurrence_is_stored() - Whether a successor would find an
+ * occurrence in the journal; no task of another one starts. */
+bool rst_plan_occurrence_is_stored (const struct occurrence *occurrence);
+
 bool rst_plan_job_has_ended (const struct job *job);
 struct queue *rst_plan_get_queue (struct rst_planner *planner,
                                   const char *name);
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -338,7 +338,14 @@
   struct rst_jobdesc *desc;
   GPtrArray *occurrences;
   int64_t occurrences_left;
+  /* The first occurrence that has not begun. */
   int64_t next_occurrence;
+  /* The first occurrence that has begun but is not due yet. */
+  int64_t next_due_occurrence;
+  /* The first occurrence that is not in the store, and as of the commit under
+     way; its tasks must not start. */
+  int64_t unstored_occurrence;
+  int64_t committing_occurrence;
   int64_t submitted_ms;
   rst_ms ended_at;
   enum rst_job_state state;
