Let an occurrence that has become due stay so when the clock is set back

Cause: whether steps of an occurrence may be enqueued was asked of the clock each time. A step that became ready, or lost a run, while the clock was set back was not enqueued, and nothing did so later, as the occurrence counted as begun. The planner now keeps which occurrence is the first that has not become due.

Test: RepeatingJob.GoesOnAfterTheClockWasSetBack failed before (1 start of 2).

--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -182,7 +182,7 @@
   planner->pass_wanted = true;
   /* During the restore, a later record may say that the job has ended. */
   if (!planner->restored || step->enqueued || !step_is_ready (step)
-      || !rst_plan_occurrence_is_due (planner, step->occurrence))
+      || !rst_plan_occurrence_is_due (step->occurrence))
     return;
   step->enqueued = true;
   rst_plan_set_objective (step);
@@ -197,14 +197,11 @@
     rst_plan_enqueue_step (planner, &occurrence->steps[i]);
 }
 
-/* Only a repeating job waits for its time: the clock of the process that took
-   another job may have been ahead. */
 bool
-rst_plan_occurrence_is_due (const struct rst_planner *planner,
-                            const struct occurrence *occurrence)
+rst_plan_occurrence_is_due (const struct occurrence *occurrence)
 {
   return occurrence->job->desc->repeats == 0
-         || occurrence->due_ms <= planner->unix_ms;
+         || occurrence->number < occurrence->job->next_due_occurrence;
 }
 
 bool
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -69,10 +69,9 @@
  * enqueues the steps of those that have become due. */
 void rst_plan_begin_due_occurrences (struct rst_planner *planner);
 
-/** rst_plan_occurrence_is_due() - Whether tasks of an occurrence may start by
- * their time. */
-bool rst_plan_occurrence_is_due (const struct rst_planner *planner,
-                                 const struct occurrence *occurrence);
+/** rst_plan_occurrence_is_due() - Whether an occurrence has become due.  It
+ * stays so when the clock is set back. */
+bool rst_plan_occurrence_is_due (const struct occurrence *occurrence);
 
 /** rst_plan_occurrence_is_stored() - Whether a successor would find an
  * occurrence in the journal; no task of another one starts. */
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -340,7 +340,7 @@
   int64_t occurrences_left;
   /* The first occurrence that has not begun. */
   int64_t next_occurrence;
-  /* The first occurrence that has begun but is not due yet. */
+  /* The first occurrence that has not become due. */
   int64_t next_due_occurrence;
   /* The first occurrence that is not in the store, and as of the commit under
      way; its tasks must not start. */
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -65,6 +65,8 @@
   rst_ms now = 0;
   int64_t clock = 5000;
   bool is_confirmed = true;
+  // By how much the Unix clock is ahead.
+  int64_t unix_offset = 0;
   // Whether agents answer heartbeats.
   bool are_agents_heard = true;
   std::vector<uint64_t> links;
@@ -80,7 +82,7 @@
   set_time (rst_ms time)
   {
     now = time;
-    rst_planner_set_time (planner, now, 1700000000000 + now);
+    rst_planner_set_time (planner, now, 1700000000000 + now + unix_offset);
     if (is_confirmed)
       rst_planner_set_confirmed (planner, now);
     for (uint64_t link : links)
--- a/test/unit/repeating_job_test.cc
+++ b/test/unit/repeating_job_test.cc
@@ -116,3 +116,25 @@
   successor.advance_time (1500);
   EXPECT_EQ (successor.sent_of_kind (RST_MSG_START).size (), 1u);
 }
+
+// A step that became ready while the clock was set back was never started.
+TEST (RepeatingJob, GoesOnAfterTheClockWasSetBack)
+{
+  Planner cell;
+  rst_jobdesc *desc = Planner::make_job (1, 1000, false, 2);
+
+  cell.start_serving (1);
+  desc->repeats = 1;
+  desc->start_at_ms = 1700000000000 + cell.now + 100;
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, desc);
+  cell.settle ();
+  ASSERT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 1u);
+  cell.unix_offset = -3000;
+  cell.set_time (cell.now);
+  cell.report (1, "i-0",
+               { Planner::make_ended_run (1, first_task, 1, RST_END_DONE) });
+  cell.settle ();
+  cell.unix_offset = 0;
+  cell.settle ();
+  EXPECT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 2u);
+}
