--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -2,7 +2,7 @@
 // violations that the oracle found and the jobs that did not finish.
 //
 //   cell-fuzz --seed N [--seconds N] [--seeds COUNT] [--log info] [--fault N]
-//             [--outlive 1] [--partitions 1]
+//             [--outlive 1] [--partitions 1] [--repeating 1]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
 // --fault selects a deliberate fault; see cell/fault_private.h.  It has an
@@ -11,6 +11,7 @@
 // incarnation.
 // --partitions draws further faults: cuts of zones, nodes, paths and
 // instances, longer pauses, clock steps, and restarts with another capacity.
+// --repeating lets a third of the jobs repeat.
 #include "partitions.h"
 
 #include <cstdio>
@@ -29,6 +30,9 @@
 
 // Time after the last fault in which all accepted jobs must finish.
 static const Millis settle_time_ms = 60000;
+// Factor of it where jobs repeat: with a third of the jobs repeating three
+// times in the mean there is 1.7 times the work.
+static const int repeating_settle_factor = 2;
 // The same with partitions.  The jobs of 40 s take 70 s under the customer's
 // limit, all of which may be left after the faults, and the last cuts and
 // pauses end 20 s later.
@@ -74,6 +78,12 @@
       desc->steps[0].need.cpu = 100;
       desc->steps[0].estimate_ms = 6000 + world.draw_below (8000);
     }
+  if (world.has_repeating_jobs && world.draw_unit () < 0.33)
+    {
+      desc->repeats = 2 + world.draw_below (3);
+      desc->start_at_ms = world.unix_now () + world.draw_below (4000);
+      desc->period_ms = 500 + world.draw_below (5000);
+    }
   return desc;
 }
 
@@ -186,7 +196,7 @@
 
 static bool
 run_seed (uint64_t seed, int seconds, bool orders_survive_restart,
-          bool has_partitions)
+          bool has_partitions, bool has_repeating_jobs)
 {
   World world (seed, 5, 12, has_partitions);
   // Fewer of the other faults, so that partitions meet a cell at work.
@@ -198,7 +208,10 @@
   int jobs = 0;
   int unfinished;
 
+  if (has_repeating_jobs)
+    settle_ms *= repeating_settle_factor;
   world.orders_survive_restart = orders_survive_restart;
+  world.has_repeating_jobs = has_repeating_jobs;
   world.run_until (start + 3000);
   while (world.now () < end)
     {
@@ -246,6 +259,7 @@
   int failed = 0;
   bool orders_survive_restart = false;
   bool has_partitions = false;
+  bool has_repeating_jobs = false;
   rst_log_config log = { false, "error", false };
 
   for (int i = 1; i + 1 < argc; i += 2)
@@ -262,13 +276,15 @@
         orders_survive_restart = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--partitions") == 0)
         has_partitions = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--repeating") == 0)
+        has_repeating_jobs = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--log") == 0)
         g_strlcpy (log.level, argv[i + 1], sizeof log.level);
     }
   rst_log_init ("cell-fuzz", &log);
   for (int i = 0; i < seeds; i++)
     if (!run_seed (seed + (uint64_t)i, seconds, orders_survive_restart,
-                   has_partitions))
+                   has_partitions, has_repeating_jobs))
       failed++;
   if (failed > 0)
     printf ("%d of %d seeds failed\n", failed, seeds);
--- a/test/cell/instances.cc
+++ b/test/cell/instances.cc
@@ -14,6 +14,10 @@
 namespace cell
 {
 
+// Bounds of ORDER in RULES.md.
+static const Millis early_ms = 250;
+static const Millis early_with_jumping_clocks_ms = 5000;
+
 static const Millis max_lease_ms = 6000;
 static const Millis gang_timeout_ms = 3000;
 static const Millis instance_tick_ms = 20;
@@ -140,6 +144,21 @@
     }
 }
 
+// Returns the occurrence in the name of a task, JOB.OCCURRENCE.STEP.INDEX.
+static int64_t
+get_occurrence (const std::string &task)
+{
+  return std::stoll (task.substr (task.find ('.') + 1));
+}
+
+// Returns how long before it is due a task may start; clocks jump where there
+// are partitions.
+Millis
+World::get_early_ms () const
+{
+  return early_ms + (has_partitions ? early_with_jumping_clocks_ms : 0);
+}
+
 int64_t
 World::sum_running_cpu (const Instance &instance)
 {
@@ -161,7 +180,8 @@
 //   shown as completed.
 // BUDGET: a task has no run after max_failures failed ones whose ends were
 //   noted then or later.
-// ORDER: a step starts after the steps that it depends on are done.
+// ORDER: a step starts after the steps that it depends on are done, and not
+//   before its occurrence is due.
 // LIMIT: the runs of an instance fit its capacity.
 // QUOTA: the runs of the customer fit its limit, with a tolerance.
 void
@@ -197,11 +217,17 @@
                       + " starts after its job was cancelled");
   for (int i = 0; i < step.after_count; i++)
     for (int k = 0; k < job.desc->steps[step.after[i]].count; k++)
-      if (job.done_tasks.count (get_job_id (task) + ".0."
+      if (job.done_tasks.count (get_job_id (task) + "."
+                                + std::to_string (get_occurrence (task)) + "."
                                 + std::to_string (step.after[i]) + "."
                                 + std::to_string (k))
           == 0)
         report_violation ("ORDER " + task);
+  if (job.desc->repeats > 0
+      && unix_now () + get_early_ms ()
+             < job.desc->start_at_ms
+                   + get_occurrence (task) * job.desc->period_ms)
+    report_violation ("ORDER " + task + " starts before it is due");
   if (cpu + step.need.cpu > instance.cpu_milli)
     report_violation ("LIMIT " + instance.id + " at " + std::to_string (cpu));
   job.last_starts[task] = now ();
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -32,6 +32,12 @@
   return 1700000000000 + world_now + unix_offsets[N];
 }
 
+int64_t
+World::unix_now () const
+{
+  return 1700000000000 + world_now;
+}
+
 static int64_t (*const unix_clocks[max_nodes]) ()
     = { read_unix_now<0>, read_unix_now<1>, read_unix_now<2>, read_unix_now<3>,
         read_unix_now<4> };
@@ -432,7 +438,8 @@
 
   for (int i = 0; i < job.desc->step_count; i++)
     tasks += (size_t)job.desc->steps[i].count;
-  return job.done_tasks.size () == tasks;
+  return job.done_tasks.size ()
+         == tasks * (size_t)std::max<int64_t> (job.desc->repeats, 1);
 }
 
 // Handles a frame from the planner.  Two properties are checked on replies:
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -276,6 +276,8 @@
   // Whether an instance may carry out a late order to its previous
   // incarnation.
   bool orders_survive_restart = false;
+  // Whether some jobs repeat.
+  bool has_repeating_jobs = false;
   std::vector<std::string> violations;
   std::map<std::string, Job> jobs;
   std::vector<std::unique_ptr<Node> > nodes;
@@ -286,6 +288,8 @@
   // Handles all events up to @time and sets the clock to it.
   void run_until (Millis time);
   Millis now () const;
+  // The true time, from which nodes' clocks may differ.
+  int64_t unix_now () const;
   // Returns a random number from 0 up to, but not including, 1.
   double
   draw_unit ()
@@ -426,6 +430,7 @@
 
   void schedule (Millis time, std::function<void ()> action);
   void report_violation (const std::string &text);
+  Millis get_early_ms () const;
   int64_t sum_running_cpu (const Instance &instance);
   // Registers a call of a node; @on_abort runs if the node dies before it
   // ends.
