--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -234,6 +234,8 @@
   out->jobs = g_hash_table_size (planner->jobs);
   out->agents = planner->agents->len;
   out->waiting_steps = planner->waiting_steps->len;
+  out->journal_bytes = planner->journal_bytes;
+  out->journal_needed_bytes = planner->needed_bytes;
   g_hash_table_iter_init (&iter, planner->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -32,6 +32,8 @@
  * @leases_expired: Leases that expired while the runs of their instances were
  *   not known.
  * @pace_orders: Orders sent that set the pace of a run.
+ * @journal_bytes: Size of the journal's segments, which a successor reads.
+ * @journal_needed_bytes: About what they would have without replaced records.
  * @commits: Segments appended to the journal.
  * @commit_ms: Time from a commit to its confirmation by the store.
  * @advice_ms: Time from an advice request to its answer.
@@ -48,6 +50,8 @@
   uint64_t instances_known;
   uint64_t agents;
   uint64_t waiting_steps;
+  uint64_t journal_bytes;
+  uint64_t journal_needed_bytes;
   uint64_t starts;
   uint64_t starts_failed;
   uint64_t ends[RST_END_KINDS];
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -103,6 +103,12 @@
   rst_metrics_add_gauge (page, "waiting_steps",
                          "Steps with tasks that wait for a place.",
                          (double)stats->waiting_steps);
+  rst_metrics_add_gauge (page, "journal_bytes",
+                         "Size of the journal, which a successor reads.",
+                         (double)stats->journal_bytes);
+  rst_metrics_add_gauge (page, "journal_needed_bytes",
+                         "Size that it needs, as last estimated.",
+                         (double)stats->journal_needed_bytes);
 }
 
 static void
