--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -26,8 +26,8 @@
 /** How often the needed size is estimated, in milliseconds. */
 #define ESTIMATE_INTERVAL_MS 1000
 
-/** About the size of a record without texts of callers, in bytes, and of a
-   step and of a task in it. */
+/** About the size of a record without texts of callers, and of a step and of
+    a task in it, in bytes. */
 #define RECORD_BYTES 128
 #define STEP_BYTES 64
 #define TASK_BYTES 6
@@ -69,7 +69,7 @@
 
   segment->number = number;
   segment->bytes = bytes;
-  g_hash_table_insert (planner->segments, &segment->number, segment);
+  g_hash_table_replace (planner->segments, &segment->number, segment);
   planner->journal_bytes += bytes;
 }
 
--- a/src/daemon/term_read.c
+++ b/src/daemon/term_read.c
@@ -17,19 +17,20 @@
 #define INSTANCE_WATCH_PAUSE_MS 200
 
 /** The journal is read in blocks, so that on a narrow link a page holds up the
-    renewal of the planner record for a short time only.  The store's pages
-   have no such limit, but its keys can be listed by prefix: a block is the
-   segments whose numbers differ in this many low bits, a multiple of 4 as the
-   keys are hexadecimal. */
-#define NARROW_BLOCK_BITS 4
-#define WIDE_BLOCK_BITS 8
+    renewal of the planner record for a short time only.  The store's pages are
+    of a size of its own, but its keys can be listed by prefix: a block is the
+    segments whose numbers differ in some low bits, a multiple of 4, as the
+    keys are hexadecimal. */
+#define BLOCK_BITS_FIRST 4
+#define BLOCK_BITS_MAX 8
+#define BITS_PER_DIGIT 4
 
 /** Number of bits in the number of a segment. */
 #define SEGMENT_BITS 64
 
-/** Longest time that a block should take, in milliseconds; it is below the
-    interval at which the record is renewed. */
-#define BLOCK_TARGET_MS 200
+/** How long the link may be busy with a block, in milliseconds; it is below
+    the interval at which the record is renewed. */
+#define BLOCK_LINK_MS 200
 
 static void
 apply_operator_item (void *userdata, const struct rst_store_item *item)
@@ -87,18 +88,22 @@
               "behind", term->journal_position);
 }
 
-/* Chooses the size of the next block by how long a page of this one took. */
+/* Chooses the size of the next block by the size of the segments just read.
+   How long the page took does not tell: the store may be slow. */
 static void
-adapt_block (struct rst_term *term)
+adapt_block (struct rst_term *term, const struct rst_store_answer *answer)
 {
-  rst_ms took_ms = term->config.now () - term->journal_read_at;
-
-  if (term->journal_block_bits == NARROW_BLOCK_BITS
-      && took_ms << (WIDE_BLOCK_BITS - NARROW_BLOCK_BITS) <= BLOCK_TARGET_MS)
-    term->journal_block_bits = WIDE_BLOCK_BITS;
-  else if (term->journal_block_bits == WIDE_BLOCK_BITS
-           && took_ms > BLOCK_TARGET_MS)
-    term->journal_block_bits = NARROW_BLOCK_BITS;
+  int64_t link_bytes = term->config.timing.link_bytes_per_ms * BLOCK_LINK_MS;
+  size_t segment_bytes;
+
+  if (link_bytes == 0 || answer->items->len == 0)
+    return;
+  /* As base64. */
+  segment_bytes = count_bytes (answer->items) * 4 / 3 / answer->items->len;
+  term->journal_block_bits = BLOCK_BITS_MAX;
+  while (term->journal_block_bits > 0
+         && segment_bytes << term->journal_block_bits > (size_t)link_bytes)
+    term->journal_block_bits -= BITS_PER_DIGIT;
 }
 
 /* Returns the number of the last segment of the block that is being read. */
@@ -151,7 +156,7 @@
     {
       restore_page (term, answer);
       if (term->journal_block_bits != SEGMENT_BITS)
-        adapt_block (term);
+        adapt_block (term, answer);
       if (!answer->has_more && block_end >= term->journal_end)
         start_next_phase (term);
       else
@@ -171,7 +176,8 @@
   char prefix[64];
 
   rst_term_format_segment_key (prefix, sizeof prefix, term->journal_segment);
-  prefix[strlen (prefix) - (size_t)term->journal_block_bits / 4] = '\0';
+  prefix[strlen (prefix) - (size_t)term->journal_block_bits / BITS_PER_DIGIT]
+      = '\0';
   term->next_journal_read_at = 0;
   term->pending_calls++;
   term->journal_read_at = term->config.now ();
@@ -188,7 +194,12 @@
   term->journal_segment = is_known ? (uint64_t)term->record.first_segment : 0;
   term->journal_end
       = is_known ? (uint64_t)term->record.last_segment : UINT64_MAX;
-  term->journal_block_bits = is_known ? NARROW_BLOCK_BITS : SEGMENT_BITS;
+  if (!is_known)
+    term->journal_block_bits = SEGMENT_BITS;
+  else if (term->config.timing.link_bytes_per_ms == 0)
+    term->journal_block_bits = BLOCK_BITS_MAX;
+  else
+    term->journal_block_bits = BLOCK_BITS_FIRST;
   read_journal (term);
 }
 
@@ -197,9 +208,10 @@
 {
   rst_ms now = term->config.now ();
 
-  /* The next page would hold up the renewal that is under way; its answer
-     runs the term again. */
-  if (term->next_journal_read_at == 0 || term->commit_in_flight)
+  /* On a narrow link the next page would hold up the renewal that is under
+     way; its answer runs the term again. */
+  if (term->next_journal_read_at == 0
+      || (term->commit_in_flight && term->journal_block_bits < BLOCK_BITS_MAX))
     return now + RST_TERM_RETRY_DELAY_MS;
   if (now < term->next_journal_read_at)
     return term->next_journal_read_at;
--- a/test/unit/term_test.cc
+++ b/test/unit/term_test.cc
@@ -33,7 +33,7 @@
 
   // Begins a term after that of another planner.
   void
-  create_term (const rst_planner_record &record)
+  create_term (const rst_planner_record &record, int64_t link_bytes_per_ms = 0)
   {
     rst_term_config config = {};
 
@@ -65,7 +65,7 @@
     config.on_elected = [] (void *) {};
     config.on_ended = [] (void *) {};
     config.userdata = this;
-    config.timing = { 5000, 6000, 120000, 250 };
+    config.timing = { 5000, 6000, 120000, 250, link_bytes_per_ms };
     config.name = "n";
     config.address = "a:1";
     term = rst_term_create (&config, 0, &record);
@@ -81,15 +81,22 @@
       call.first (rst_store_answer_new (), call.second);
   }
 
-  // Answers the read under way with a page that ends its block, after a time.
+  // Answers the read under way, after a time, with a page of one segment that
+  // ends its block.
   void
-  answer_read (rst_ms took_ms)
+  answer_read (rst_ms took_ms, size_t segment_bytes)
   {
     auto call = reads.back ();
+    rst_store_answer *answer = rst_store_answer_new ();
+    auto *item = g_new0 (rst_store_item, 1);
 
+    item->key = g_strdup ("rosemarystile/log/0000000000000108");
+    item->value = (guint8 *)g_malloc0 (segment_bytes);
+    item->length = segment_bytes;
+    g_ptr_array_add (answer->items, item);
     term_now += took_ms;
     reads.pop_back ();
-    call.first (rst_store_answer_new (), call.second);
+    call.first (answer, call.second);
   }
 
   void
@@ -184,6 +191,12 @@
 protected:
   void
   SetUp () override
+  {
+  }
+
+  // Wins the election after a planner that left segments 0x108 to 0x330.
+  void
+  succeed (int64_t link_bytes_per_ms)
   {
     rst_planner_record predecessor = {};
 
@@ -191,15 +204,15 @@
     predecessor.first_segment = 0x108;
     predecessor.last_segment = 0x330;
     g_strlcpy (predecessor.address, "b:1", sizeof predecessor.address);
-    create_term (predecessor);
+    create_term (predecessor, link_bytes_per_ms);
     answer_commit ();
   }
 
   // Answers the read under way and what is then to be committed.
   void
-  finish_block (rst_ms took_ms)
+  finish_block (rst_ms took_ms, size_t segment_bytes)
   {
-    answer_read (took_ms);
+    answer_read (took_ms, segment_bytes);
     rst_term_run (term);
     if (commit_done != nullptr)
       answer_commit ();
@@ -212,9 +225,10 @@
 // LOST).
 TEST_F (TermRestore, RenewsItsRecordBetweenBlocksOfTheJournal)
 {
+  succeed (250);
   ASSERT_EQ (prefixes.size (), 1u);
   EXPECT_EQ (prefixes[0], "rosemarystile/log/000000000000010");
-  answer_read (400);
+  answer_read (400, 1000);
   rst_term_run (term);
   EXPECT_NE (commit_done, nullptr);
   EXPECT_EQ (prefixes.size (), 1u);
@@ -226,16 +240,34 @@
   EXPECT_EQ (prefixes[1], "rosemarystile/log/000000000000011");
 }
 
-TEST_F (TermRestore, ReadsLargerBlocksOverAFastLink)
+TEST_F (TermRestore, ReadsBlocksThatTheLinkCarriesInTime)
+{
+  succeed (250);
+  finish_block (5, 100);
+  finish_block (5, 1000);
+  finish_block (5, 18000);
+  finish_block (5, 18000);
+  EXPECT_EQ (prefixes, (std::vector<std::string>{
+                           "rosemarystile/log/000000000000010",
+                           "rosemarystile/log/00000000000001",
+                           "rosemarystile/log/000000000000020",
+                           "rosemarystile/log/0000000000000210",
+                           "rosemarystile/log/0000000000000211",
+                       }));
+}
+
+// A slow store makes each page late, however small.
+TEST_F (TermRestore, ReadsLargeBlocksFromASlowStoreOverAFastLink)
 {
-  finish_block (5);
-  finish_block (50);
-  finish_block (500);
+  succeed (125000);
+  finish_block (400, 3000);
+  answer_read (400, 3000);
+  rst_term_run (term);
+  EXPECT_NE (commit_done, nullptr);
   EXPECT_EQ (prefixes, (std::vector<std::string>{
                            "rosemarystile/log/000000000000010",
                            "rosemarystile/log/00000000000001",
                            "rosemarystile/log/00000000000002",
-                           "rosemarystile/log/000000000000030",
                        }));
 }
 
