Guard the state of the log by a lock that ThreadSanitizer sees

Cause: the state was guarded, but by GLib's GMutex. GLib is not built with ThreadSanitizer, so this lock orders nothing for it, and whether it reports two threads that log depends on what else has ordered them. It is no race of the program; a POSIX mutex, which ThreadSanitizer knows, takes its place, as the house style has it. No suppression was added.

Test: Log.TakesLinesFromSeveralThreads, in the unit tests under ThreadSanitizer: failed before (status 66 in its process), passes after; 212 unit tests pass with and without ThreadSanitizer.

--- a/src/util/log.c
+++ b/src/util/log.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -18,11 +19,13 @@
   bool json;
   GLogLevelFlags min_level;
   int fd;
-  GMutex lock;
+  pthread_mutex_t lock;
   gint64 refilled_at_us;
   gint64 tokens;
   gint64 dropped;
-} log_state = { "", false, G_LOG_LEVEL_INFO, STDERR_FILENO };
+} log_state = { .min_level = G_LOG_LEVEL_INFO,
+                .fd = STDERR_FILENO,
+                .lock = PTHREAD_MUTEX_INITIALIZER };
 
 /** Rate and burst size of the token bucket that limits log lines. */
 #define LOG_LINES_PER_S 800
@@ -55,7 +58,7 @@
   struct pollfd target = { log_state.fd, POLLOUT, 0 };
   char notice[64];
 
-  g_mutex_lock (&log_state.lock);
+  pthread_mutex_lock (&log_state.lock);
   if (!take_token (now_us) || poll (&target, 1, 0) == 0)
     log_state.dropped++;
   else
@@ -71,7 +74,7 @@
       while (write (log_state.fd, line->str, line->len) < 0 && errno == EINTR)
         continue;
     }
-  g_mutex_unlock (&log_state.lock);
+  pthread_mutex_unlock (&log_state.lock);
 }
 
 static const char *
