Agent: keep an acknowledgement that arrives before the first answer

An agent that holds an instance anew (a raised fencing token, another address) has listed no end of it yet. An acknowledgement that the planner sent behind the hold message exceeded the last listed end, so the agent dropped it. The planner counts it as delivered and sends none again until a later end is stored: the instance lists that end in each answer, and the agent polls it every 800 ms. What callers see: nothing by itself; the instance's list of ends, which is limited, can't move on.

Cause: the check compared the number with what this record of the instance has listed. What it protects against, the ends of another incarnation, is told by the incarnation that the message names; the first answer resets the number when another incarnation answers.

Agent.KeepsAnAckThatArrivesBeforeTheFirstAnswer failed before. The second test says that the acknowledgement is still dropped when another incarnation answers.

--- a/src/cell/agent.c
+++ b/src/cell/agent.c
@@ -294,8 +294,7 @@
   incarnation = rst_reader_read_int (reader);
   held = g_hash_table_lookup (agent->instances, id);
   /* Another incarnation numbers its ends from the beginning again. */
-  if (reader->bad || held == NULL || incarnation != held->incarnation
-      || number > held->last_listed_end)
+  if (reader->bad || held == NULL || incarnation != held->incarnation)
     return;
   held->last_acked_end = MAX (held->last_acked_end, number);
   if (!held->poll_pending)
--- a/test/unit/agent_test.cc
+++ b/test/unit/agent_test.cc
@@ -239,6 +239,27 @@
   EXPECT_EQ (calls[0].last_acked_end, 3);
 }
 
+TEST_F (Agent, KeepsAnAckThatArrivesBeforeTheFirstAnswer)
+{
+  hold_instance ();
+  deliver_message (RST_MSG_ACK, { "i" }, { 3, 1 });
+  answer (RST_RESULT_OK, 5000, 1, 3);
+  ASSERT_EQ (calls.size (), 1u);
+  EXPECT_EQ (calls[0].last_acked_end, 3);
+}
+
+TEST_F (Agent, DropsSuchAnAckWhenAnotherIncarnationAnswers)
+{
+  hold_instance ();
+  deliver_message (RST_MSG_ACK, { "i" }, { 3, 1 });
+  answer (RST_RESULT_OK, 5000, 2, 3);
+  EXPECT_TRUE (calls.empty ());
+  agent_now += 1000;
+  rst_agent_run (agent);
+  ASSERT_EQ (calls.size (), 1u);
+  EXPECT_EQ (calls[0].last_acked_end, 0);
+}
+
 TEST_F (Agent, ExtendsNoLeaseWhenTheLastConfirmationIsTooOld)
 {
   hold_instance ();
