Take no run for lost while its instance may have ends that it does not list

Cause: an instance lists at most 500 ends at a time. A run whose end waits behind them is in neither list, and drop_unlisted_runs() took "not listed" for "gone". The same conclusion stood in a second place: a successor took an inherited instance for accounted for with its first report, and then started tasks in doubt whose ends were not listed yet.

Ends are acknowledged as before, so the list moves on and becomes complete. A log line tells of it.

Ruled out: reading more ends with a second poll before the first are stored; the instance forgets only what is acknowledged. Acknowledging before the commit.

--- a/src/cell/agent.c
+++ b/src/cell/agent.c
@@ -99,7 +99,7 @@
 {
   struct rst_pack pack;
 
-  rst_pack_init (&pack, 8);
+  rst_pack_init (&pack, 9);
   rst_pack_int (&pack, RST_MSG_REPORT);
   rst_pack_text (&pack, held->id);
   rst_pack_int (&pack, answer->result);
@@ -107,6 +107,7 @@
   rst_pack_int (&pack, answer->incarnation);
   rst_pack_int (&pack, MAX (held->lease_expires_at - now, 0));
   rst_pack_int (&pack, held->fencing_token);
+  rst_pack_int (&pack, answer->has_more_ends ? 1 : 0);
   rst_pack_array (&pack, answer->runs->len);
   for (guint i = 0; i < answer->runs->len; i++)
     pack_run (&pack, &g_array_index (answer->runs, struct rst_run, i));
--- a/src/cell/backend.h
+++ b/src/cell/backend.h
@@ -171,6 +171,8 @@
  * @clock_ms: Monotonic clock of the instance; 0 when unknown.
  * @incarnation: Start of the instance in Unix time, which identifies its
  *   incarnation; 0 when unknown.
+ * @has_more_ends: Whether runs may have ended that @runs does not list; they
+ *   are listed once earlier ends are acknowledged.
  * @runs: Elements of type struct rst_run: first those that run, then those
  *   that have ended.
  */
@@ -179,6 +181,7 @@
   enum rst_result result;
   int64_t clock_ms;
   int64_t incarnation;
+  bool has_more_ends;
   GArray *runs;
 };
 
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -29,7 +29,8 @@
  *   incarnation that numbered it.
  * @RST_MSG_ADVISE: To an agent: handle, step, instances.  Requests advice.
  * @RST_MSG_REPORT: To the planner: instance, result, clock, incarnation,
- *   milliseconds until the lease expires, fencing token, runs.
+ *   milliseconds until the lease expires, fencing token, whether there may be
+ *   ends that are not listed (0 or 1), runs.
  * @RST_MSG_STARTED: To the planner: instance, task, attempt, result, clock.
  * @RST_MSG_STOPPED: To the planner: instance, task, attempt, result, clock.
  * @RST_MSG_ADVICE: To the planner: handle, result, rows of instance and
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -353,7 +353,7 @@
 
 static void
 apply_report (struct rst_planner *planner, struct instance *instance,
-              struct rst_reader *runs, int64_t clock_ms)
+              struct rst_reader *runs, int64_t clock_ms, bool has_more_ends)
 {
   GHashTable *listed
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -380,7 +380,8 @@
         }
     }
   rst_plan_log_ends (planner, instance);
-  drop_unlisted_runs (planner, instance, listed, clock_ms);
+  if (!has_more_ends)
+    drop_unlisted_runs (planner, instance, listed, clock_ms);
   rst_plan_adjust_pace (planner, instance);
   g_hash_table_destroy (listed);
 }
@@ -441,6 +442,7 @@
   int64_t incarnation;
   int64_t lease_left;
   int64_t report_token;
+  bool has_more_ends;
 
   rst_reader_copy_text (reader, id, sizeof id);
   result = (enum rst_result)rst_reader_read_int (reader);
@@ -448,6 +450,7 @@
   incarnation = rst_reader_read_int (reader);
   lease_left = rst_reader_read_int (reader);
   report_token = rst_reader_read_int (reader);
+  has_more_ends = rst_reader_read_int (reader) != 0;
   runs = rst_reader_read_array (reader);
   instance = g_hash_table_lookup (planner->instances, id);
   if (reader->bad || instance == NULL || instance->agent == NULL
@@ -468,12 +471,19 @@
   if (incarnation > instance->incarnation)
     begin_incarnation (planner, instance, incarnation);
   instance->runs_known = true;
-  instance->inherited = false;
+  /* All runs that the predecessor started there are known once all ends are
+     listed. */
+  if (has_more_ends)
+    rst_info (RST_PLAN_LOG,
+              "Instance lists only some of its ends; its other runs are kept.",
+              "instance", instance->entry.id);
+  else
+    instance->inherited = false;
   /* The instance rejects earlier agents since it has answered this one. */
   instance->former_lease_until
       = MIN (instance->former_lease_until,
              planner->now + get_longest_lease (planner->timing.lease_ms));
-  apply_report (planner, instance, &runs, clock_ms);
+  apply_report (planner, instance, &runs, clock_ms, has_more_ends);
 }
 
 static void
--- a/test/cell/instances.cc
+++ b/test/cell/instances.cc
@@ -86,8 +86,15 @@
   for (auto &entry : instance.runs)
     add_run (answer, 0, entry.first, entry.second.attempt, 0,
              has_partitions ? get_progress_percent (entry.second, now ()) : 0);
-  for (auto &end : instance.ends)
-    add_run (answer, end.number, end.task, end.attempt, end.end_reason, 0);
+  size_t listed = std::min (instance.ends.size (), listed_ends_max);
+
+  for (size_t i = 0; i < listed; i++)
+    {
+      const RunEnd &end = instance.ends[i];
+
+      add_run (answer, end.number, end.task, end.attempt, end.end_reason, 0);
+    }
+  answer->has_more_ends = listed == listed_ends_max;
 }
 
 void
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -278,6 +278,8 @@
   bool orders_survive_restart = false;
   // Whether some jobs repeat.
   bool has_repeating_jobs = false;
+  // Number of ends that an instance lists at a time.
+  size_t listed_ends_max = SIZE_MAX;
   std::vector<std::string> violations;
   std::map<std::string, Job> jobs;
   std::vector<std::unique_ptr<Node> > nodes;
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -69,6 +69,8 @@
   int64_t unix_offset = 0;
   // Whether agents answer heartbeats.
   bool are_agents_heard = true;
+  // Whether instances may have ends that their reports do not list.
+  bool has_more_ends = false;
   std::vector<uint64_t> links;
   // Number of start messages; each has a row for each task.
   int start_messages = 0;
@@ -182,13 +184,14 @@
     rst_pack pack;
 
     clock += 10;
-    rst_pack_init (&pack, 7);
+    rst_pack_init (&pack, 8);
     rst_pack_text (&pack, id.c_str ());
     rst_pack_int (&pack, result);
     rst_pack_int (&pack, clock);
     rst_pack_int (&pack, incarnation);
     rst_pack_int (&pack, lease_left);
     rst_pack_int (&pack, fencing_tokens[id]);
+    rst_pack_int (&pack, has_more_ends ? 1 : 0);
     rst_pack_array (&pack, runs.size ());
     for (const rst_run &run : runs)
       {
