HttpClient tests: wait longer for requests that are expected than for copies

Cause: the test's server waited 300 ms for each request, for those that the test sends as for a copy that must not come. When the second post came later, the server had closed the connection before it, and the client rightly sent it on a new one.

--- a/test/unit/http_client_test.cc
+++ b/test/unit/http_client_test.cc
@@ -21,6 +21,9 @@
 // How long the server waits for a further copy of a request.
 static const int copy_wait_ms = 300;
 
+// Longest time that it waits for a request that the test sends.
+static const int request_wait_ms = 30000;
+
 // Answers the first request of its first connection, and closes that
 // connection when it has read the second one.  Counts the requests.
 class ClosingServer
@@ -65,12 +68,12 @@
 
   // Reads a request of one segment; returns false if none comes.
   bool
-  read_request (int connection)
+  read_request (int connection, int wait_ms)
   {
     char bytes[2048];
     pollfd waited = { connection, POLLIN, 0 };
 
-    if (poll (&waited, 1, copy_wait_ms) != 1
+    if (poll (&waited, 1, wait_ms) != 1
         || recv (connection, bytes, sizeof bytes, 0) <= 0)
       return false;
     requests++;
@@ -84,16 +87,16 @@
         = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     int connection = accept (listener_, nullptr, nullptr);
 
-    read_request (connection);
+    read_request (connection, request_wait_ms);
     send (connection, answer.data (), answer.size (), MSG_NOSIGNAL);
-    read_request (connection);
+    read_request (connection, request_wait_ms);
     close (connection);
     pollfd waited = { listener_, POLLIN, 0 };
 
     if (poll (&waited, 1, copy_wait_ms) != 1)
       return;
     connection = accept (listener_, nullptr, nullptr);
-    read_request (connection);
+    read_request (connection, copy_wait_ms);
     send (connection, answer.data (), answer.size (), MSG_NOSIGNAL);
     close (connection);
   }
