Name in the record of an unreachable instance the runs whose ends are not stored

What callers see: a task that is done starts again, beside or after its run (TWICE), when the planner is replaced while commits lag behind.

Cause: a run leaves the planner's table as soon as its end is listed, and the record of an unreachable instance names the runs of the table. The record goes into the next segment; the job of the end may have to wait for a later one, since a segment takes only what the link carries in 100 ms.

The planner now keeps each applied end until the job is in a segment (plan_ends.c), and the record names those runs too. They are forgotten with the lease or the incarnation. The acknowledgement of ends moves to the same file, unchanged.

Ruled out: the record of an instance in use; a successor waits for all tasks in doubt there.

--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -22,6 +22,7 @@
   struct instance *instance = data;
 
   g_hash_table_destroy (instance->runs);
+  g_array_free (instance->unstored_ends, TRUE);
   g_free (instance);
 }
 
@@ -33,6 +34,8 @@
   g_strlcpy (instance->entry.id, id, sizeof instance->entry.id);
   instance->runs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                           rst_plan_run_free);
+  instance->unstored_ends
+      = g_array_new (FALSE, FALSE, sizeof (struct unstored_end));
   instance->runs_unknown_since = planner->now;
   instance->lease_expires_at = rst_plan_get_latest_lease_expiry (planner);
   instance->number = ++planner->next_instance_number;
@@ -375,6 +378,7 @@
         {
           instance->last_applied_end
               = MAX (instance->last_applied_end, run.end_number);
+          rst_plan_note_unstored_end (instance, &run);
           rst_plan_apply_end (planner, instance, &run);
           planner->acks_pending = true;
         }
@@ -394,6 +398,7 @@
     mark_runs_lost (planner, instance, "instance restarted");
   instance->incarnation = incarnation;
   instance->incarnation_seen_at = planner->now;
+  rst_plan_discard_unstored_ends (instance);
   instance->last_applied_end = 0;
   instance->last_acked_end = 0;
   instance->committing_end = 0;
@@ -516,6 +521,7 @@
   char unknown_ms[16];
 
   instance->inherited = false;
+  rst_plan_discard_unstored_ends (instance);
   if (g_hash_table_size (instance->runs) == 0)
     return;
   g_snprintf (unknown_ms, sizeof unknown_ms, "%" PRId64,
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -104,7 +104,7 @@
 {
   instance->record_segment = 0;
   instance->recorded
-      = !instance->runs_known && g_hash_table_size (instance->runs) > 0;
+      = !instance->runs_known && rst_plan_instance_may_have_runs (instance);
 }
 
 static bool
@@ -284,7 +284,7 @@
 has_outdated_runs (const struct instance *instance)
 {
   return instance->record_names_runs && !instance->runs_known
-         && g_hash_table_size (instance->runs) == 0;
+         && !rst_plan_instance_may_have_runs (instance);
 }
 
 /* An inherited instance that has not answered yet keeps its record.  An
@@ -364,7 +364,8 @@
       else if (needs_unreachable_record (planner, instance))
         {
           instance->recorded = false;
-          instance->record_names_runs = g_hash_table_size (instance->runs) > 0;
+          instance->record_names_runs
+              = rst_plan_instance_may_have_runs (instance);
           instance->record_segment = planner->next_segment;
         }
     }
@@ -380,23 +381,6 @@
     }
 }
 
-/* Once the pending commit is stored, instances may forget the ends that they
-   have listed up to now. */
-static void
-mark_ends_committing (struct rst_planner *planner)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, planner->instances);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct instance *instance = value;
-
-      instance->committing_end = instance->last_applied_end;
-    }
-}
-
 static size_t
 get_segment_bytes (const struct rst_planner *planner)
 {
@@ -455,6 +439,7 @@
   /* Jobs come first: the record of an unreachable instance names tasks, and
      this commit may remove the earlier records of their jobs. */
   jobs = pack_dirty_jobs (planner, &records);
+  rst_plan_discard_stored_ends (planner);
   removed = is_trimming ? choose_removable (planner, remove) : 0;
   if (removed > 0)
     invalidate_instances_and_queues (planner, remove[removed - 1]);
@@ -474,39 +459,6 @@
   rst_pack_clear (&pack);
 }
 
-static void
-send_ack (struct rst_planner *planner, const struct instance *instance)
-{
-  struct rst_pack pack;
-
-  if (instance->agent == NULL)
-    return;
-  rst_pack_init (&pack, 4);
-  rst_pack_int (&pack, RST_MSG_ACK);
-  rst_pack_text (&pack, instance->entry.id);
-  rst_pack_int (&pack, instance->last_acked_end);
-  rst_pack_int (&pack, instance->incarnation);
-  rst_plan_send (planner, instance->agent->link, &pack);
-}
-
-void
-rst_plan_send_acks (struct rst_planner *planner)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, planner->instances);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct instance *instance = value;
-
-      if (instance->committing_end <= instance->last_acked_end)
-        continue;
-      instance->last_acked_end = instance->committing_end;
-      send_ack (planner, instance);
-    }
-}
-
 /* Commits all changes, unless a commit is pending or was made just now. */
 void
 rst_plan_commit (struct rst_planner *planner)
@@ -515,7 +467,7 @@
 
   if (RST_CELL_FAULT (RST_CELL_FAULT_EARLY_ACK))
     {
-      mark_ends_committing (planner);
+      rst_plan_mark_ends_committing (planner);
       rst_plan_send_acks (planner);
     }
   if (planner->commit_busy
@@ -531,7 +483,7 @@
   /* An end is not stored while its job waits for the next segment. */
   planner->acks_pending = planner->dirty_jobs->len > 0;
   if (!planner->acks_pending)
-    mark_ends_committing (planner);
+    rst_plan_mark_ends_committing (planner);
   /* No commit is needed before these ends are acknowledged. */
   if (!has_changes)
     rst_plan_send_acks (planner);
--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -133,8 +133,17 @@
   rst_pack_text (pack, instance->entry.zone);
 }
 
-/* Packs an unreachable instance with the runs that it may still have and the
-   Unix time at which its lease expires. */
+static void
+pack_run_name (struct rst_pack *pack, const char *task, int attempt)
+{
+  rst_pack_array (pack, 2);
+  rst_pack_text (pack, task);
+  rst_pack_int (pack, attempt);
+}
+
+/* Packs an unreachable instance with the runs that it may still have, the runs
+   whose ends are in no segment up to this one, and the Unix time at which its
+   lease expires. */
 void
 rst_plan_pack_unreachable_instance (const struct rst_planner *planner,
                                     struct rst_pack *pack,
@@ -150,15 +159,21 @@
   rst_pack_text (pack, instance->entry.zone);
   rst_pack_int (pack, planner->unix_ms
                           + (instance->lease_expires_at - planner->now));
-  rst_pack_array (pack, g_hash_table_size (instance->runs));
+  rst_pack_array (pack, g_hash_table_size (instance->runs)
+                            + instance->unstored_ends->len);
   g_hash_table_iter_init (&iter, instance->runs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct run *run = value;
 
-      rst_pack_array (pack, 2);
-      rst_pack_text (pack, run->name);
-      rst_pack_int (pack, run->attempt);
+      pack_run_name (pack, run->name, run->attempt);
+    }
+  for (guint i = 0; i < instance->unstored_ends->len; i++)
+    {
+      const struct unstored_end *end
+          = &g_array_index (instance->unstored_ends, struct unstored_end, i);
+
+      pack_run_name (pack, end->task, end->attempt);
     }
 }
 
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -4,11 +4,12 @@
  * planner.c: the public entry points and the main loop.  plan_jobs.c:
  * callers' requests, jobs and their steps.  plan_agents.c: agents and
  * the instances that they hold.  plan_instances.c: instances and reports.
- * plan_runs.c: runs, from the start order to the end. plan_place.c: placement
- * of waiting tasks.  plan_limit.c: upper limits of customers.  plan_pace.c:
- * the pace of best-effort tasks.  plan_advice.c: requests to the advice
- * service.  plan_journal.c: which records are committed when; plan_record.c
- * writes records, plan_restore.c reads them.
+ * plan_runs.c: runs, from the start order to the end.  plan_ends.c: ends that
+ * wait to be stored.  plan_place.c: placement of waiting tasks.  plan_limit.c:
+ * upper limits of customers.  plan_pace.c: the pace of best-effort tasks.
+ * plan_advice.c: requests to the advice service.  plan_journal.c: which
+ * records are committed when; plan_record.c writes records, plan_restore.c
+ * reads them.
  */
 #ifndef RST_PLANNER_PRIVATE_H
 #define RST_PLANNER_PRIVATE_H
@@ -194,6 +195,34 @@
                                 struct instance *instance, int kind,
                                 int64_t number);
 
+/* plan_ends.c */
+
+/** rst_plan_instance_may_have_runs() - Whether an instance has runs, or ends of
+    runs that are in no segment yet. */
+bool rst_plan_instance_may_have_runs (const struct instance *instance);
+
+/** rst_plan_note_unstored_end() - Notes an end before it is applied. */
+void rst_plan_note_unstored_end (struct instance *instance,
+                                 const struct rst_run *listed);
+
+/** rst_plan_discard_unstored_ends() - Forgets the ends of an incarnation that
+    is over, or of a lease that has expired: the tasks may start again. */
+void rst_plan_discard_unstored_ends (struct instance *instance);
+
+/** rst_plan_discard_stored_ends() - Forgets the ends whose jobs are in the
+    segments up to the one that is being packed. */
+void rst_plan_discard_stored_ends (struct rst_planner *planner);
+
+/** rst_plan_mark_ends_committing() - Notes which ends instances may forget once
+    the pending commit is stored. */
+void rst_plan_mark_ends_committing (struct rst_planner *planner);
+
+/**
+ * rst_plan_send_acks() - Acknowledges the ends that have been committed; the
+ * instances may then forget them.
+ */
+void rst_plan_send_acks (struct rst_planner *planner);
+
 /* plan_runs.c */
 void rst_plan_run_free (gpointer data);
 
@@ -391,11 +420,6 @@
 /** rst_plan_mark_dirty() - Marks a job for the next commit. */
 void rst_plan_mark_dirty (struct rst_planner *planner, struct job *job);
 
-/**
- * rst_plan_send_acks() - Acknowledges the ends that have been committed; the
- * instances may then forget them.
- */
-void rst_plan_send_acks (struct rst_planner *planner);
 
 /** rst_plan_commit() - Commits what changed, if a commit is due. */
 void rst_plan_commit (struct rst_planner *planner);
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -87,6 +87,19 @@
   LEASE_BASIS_RESTART,
 };
 
+/**
+ * struct unstored_end - End of a run that is applied but in no segment yet.
+ * @number: The instance's number of the end.
+ * @task: Name of the task.
+ * @attempt: Attempt of the run.
+ */
+struct unstored_end
+{
+  int64_t number;
+  char task[RST_TASK_NAME_SIZE];
+  int attempt;
+};
+
 /** struct instance - An instance, registered or known from the journal. */
 struct instance
 {
@@ -117,6 +130,8 @@
   int64_t last_applied_end;
   int64_t last_acked_end;
   int64_t committing_end;
+  /* struct unstored_end, in the order of their numbers. */
+  GArray *unstored_ends;
   /* Whether it has an entry in the store. */
   bool registered;
   /* Whether the journal lists it as an instance that takes starts.  Otherwise
