Acknowledge stored ends while other jobs wait for a segment

What callers see: nothing at first. As long as more changes arrive than a segment takes, no end is acknowledged at all, so instances list all of them again in each answer; 500 are listed at a time, and the ends behind them wait.

Cause: ends were acknowledged only after a commit that left no changed job behind.

With the ends that wait for a segment known, each instance is acknowledged up to the first of them.

Ruled out: acknowledging an end before the commit that holds its job is stored; committing_end is sent when that commit is done, as before.

--- a/src/cell/plan_ends.c
+++ b/src/cell/plan_ends.c
@@ -69,19 +69,28 @@
     discard_stored_ends (planner, value);
 }
 
-void
+bool
 rst_plan_mark_ends_committing (struct rst_planner *planner)
 {
+  bool are_all_stored = true;
   GHashTableIter iter;
   gpointer value;
 
+  rst_plan_discard_stored_ends (planner);
   g_hash_table_iter_init (&iter, planner->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct instance *instance = value;
+      const GArray *ends = instance->unstored_ends;
 
       instance->committing_end = instance->last_applied_end;
+      if (ends->len == 0)
+        continue;
+      instance->committing_end
+          = g_array_index (ends, struct unstored_end, 0).number - 1;
+      are_all_stored = false;
     }
+  return are_all_stored;
 }
 
 static void
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -480,10 +480,7 @@
   planner->last_commit_at = planner->now;
   if (has_changes)
     commit_segment (planner);
-  /* An end is not stored while its job waits for the next segment. */
-  planner->acks_pending = planner->dirty_jobs->len > 0;
-  if (!planner->acks_pending)
-    rst_plan_mark_ends_committing (planner);
+  planner->acks_pending = !rst_plan_mark_ends_committing (planner);
   /* No commit is needed before these ends are acknowledged. */
   if (!has_changes)
     rst_plan_send_acks (planner);
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -213,9 +213,14 @@
     segments up to the one that is being packed. */
 void rst_plan_discard_stored_ends (struct rst_planner *planner);
 
-/** rst_plan_mark_ends_committing() - Notes which ends instances may forget once
-    the pending commit is stored. */
-void rst_plan_mark_ends_committing (struct rst_planner *planner);
+/**
+ * rst_plan_mark_ends_committing() - Notes which ends instances may forget once
+ * the pending commit is stored: those up to the first whose job waits for a
+ * later segment.
+ *
+ * Return: Whether no end waits.
+ */
+bool rst_plan_mark_ends_committing (struct rst_planner *planner);
 
 /**
  * rst_plan_send_acks() - Acknowledges the ends that have been committed; the
--- a/test/unit/partial_view_test.cc
+++ b/test/unit/partial_view_test.cc
@@ -95,3 +95,31 @@
   successor.settle ();
   EXPECT_EQ (count_starts (successor, task_a), 0u);
 }
+
+// More than a segment of changes waits all the time.
+TEST (PartialView, EndsAreAcknowledgedDuringABacklog)
+{
+  Planner planner (1, 1);
+
+  planner.start_serving (1);
+  planner.start_job (job_a);
+  planner.report (1, "i-0",
+                  { Planner::make_ended_run (1, task_a, 1, RST_END_DONE) });
+  for (int round = 0; round < 100; round++)
+    {
+      for (int i = 0; i < 16; i++)
+        {
+          char id[24];
+
+          g_snprintf (id, sizeof id, "%016x", 0x1000 + round * 16 + i);
+          planner.send_call ((uint64_t)(1000 + round * 16 + i),
+                             RST_OPERATION_SUBMIT, id, make_large_job ());
+        }
+      planner.advance_time (60);
+      if (planner.is_committing)
+        planner.complete_commit ();
+    }
+  planner.send_call (8, RST_OPERATION_READ, job_a);
+  EXPECT_EQ (planner.reply_to (8)->reply.state, RST_JOB_COMPLETED);
+  EXPECT_FALSE (planner.sent_of_kind (RST_MSG_ACK).empty ());
+}
