Keep the record of an inherited instance that lists only some of its ends

What callers see: after two hand-overs a task that may still run is started again, if its instance has no entry in the store, listed only some of its ends to the first successor, and the segment with its record was removed meanwhile.

Cause: needs_instance_record() took an instance without an entry and without known runs for one that nobody has to wait for. Since a list may omit ends, an instance can be known and still inherited.

Evidence: found by the review. PartialView.KeepsTheRecordOfAnInstanceWithoutAnEntry failed before; its control, with an entry, passed. The other tests that come with it answer questions of the review (a gang with an end that is not listed, a first list of a new incarnation that omits ends, an instance that falls silent after such a list) and passed before. All unit tests pass.

--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -270,12 +270,14 @@
 }
 
 /* An instance without an entry takes no starts, but a successor has to wait
-   for the runs that it has. */
+   for the runs that it has, and for those of an earlier planner that it has
+   not listed yet. */
 static bool
 needs_instance_record (const struct instance *instance)
 {
   return !instance->recorded && instance->runs_known
-         && (instance->registered || g_hash_table_size (instance->runs) > 0);
+         && (instance->registered || instance->inherited
+             || rst_plan_instance_may_have_runs (instance));
 }
 
 /* Whether the journal still names runs of an instance whose lease has expired
