Take a start for not carried out only if the answer proves it

What callers see: a task starts a second time beside its run (TWICE), if an instance or something before it answers a start order with a status that the platform's pages don't list for it (404, 410, 412).

Cause: every result but "unknown" and "other incarnation" was taken for a proof. The results that prove it are now listed; with any other the run is stopped before its task starts elsewhere.

PartialView.StartAnsweredWithAnUnlistedStatusMayHaveStarted failed before for all three; RunWhoseStopFailedIsKept passed before.

--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -280,6 +280,26 @@
             "instance", instance->entry.id);
 }
 
+/* Whether an answer to a start order proves that it was not carried out.  One
+   with any other result may have been, or may still be. */
+static bool
+proves_no_start (enum rst_result result)
+{
+  switch (result)
+    {
+    case RST_RESULT_NOT_SENT:
+    case RST_RESULT_REJECTED:
+    case RST_RESULT_FENCED:
+    case RST_RESULT_STALE_ATTEMPT:
+    case RST_RESULT_LEASE_EXPIRED:
+    case RST_RESULT_NO_ROOM:
+    case RST_RESULT_NO_TICKET:
+      return true;
+    default:
+      return false;
+    }
+}
+
 void
 rst_plan_receive_started (struct rst_planner *planner,
                           struct rst_reader *reader)
@@ -301,9 +321,8 @@
   planner->stats.starts_failed++;
   rst_info (RST_PLAN_LOG, "Start order failed.", "task", run->name, "instance",
             run->instance->entry.id, "result", rst_result_name (result));
-  /* An order without a usable answer may have been carried out, or may still
-     be; the task must not start elsewhere before the run has been stopped. */
-  if ((result == RST_RESULT_UNKNOWN || result == RST_RESULT_OTHER_INCARNATION)
+  /* The task must not start elsewhere before such a run has been stopped. */
+  if (!proves_no_start (result)
       && !RST_CELL_FAULT (RST_CELL_FAULT_EARLY_RESTART))
     {
       pause_instance (planner, run->instance);
--- a/test/unit/partial_view_test.cc
+++ b/test/unit/partial_view_test.cc
@@ -296,3 +296,48 @@
   third.settle ();
   EXPECT_EQ (count_starts (third, task_b), 0u);
 }
+
+// The protocol lists none of these for a start; an instance that has not
+// rejected the order may have carried it out.
+TEST (PartialView, StartAnsweredWithAnUnlistedStatusMayHaveStarted)
+{
+  for (rst_result result :
+       { RST_RESULT_ABSENT, RST_RESULT_COMPACTED, RST_RESULT_CONFLICT })
+    {
+      Planner planner;
+
+      planner.start_serving (2);
+      planner.send_call (7, RST_OPERATION_SUBMIT, job_a,
+                         Planner::make_job (1, 1000));
+      planner.settle ();
+      auto starts = planner.sent_of_kind (RST_MSG_START);
+      ASSERT_EQ (starts.size (), 1u);
+      planner.answer_order (1, RST_MSG_STARTED, starts[0].id, task_a, 1,
+                            result);
+      planner.settle ();
+      EXPECT_EQ (count_starts (planner, task_a), 1u) << result;
+    }
+}
+
+TEST (PartialView, RunWhoseStopFailedIsKept)
+{
+  for (rst_result result : { RST_RESULT_NOT_SENT, RST_RESULT_REJECTED,
+                             RST_RESULT_FENCED, RST_RESULT_UNKNOWN })
+    {
+      Planner planner;
+
+      planner.start_serving (2);
+      planner.send_call (7, RST_OPERATION_SUBMIT, job_a,
+                         Planner::make_job (1, 1000));
+      planner.settle ();
+      auto starts = planner.sent_of_kind (RST_MSG_START);
+      ASSERT_EQ (starts.size (), 1u);
+      planner.answer_order (1, RST_MSG_STARTED, starts[0].id, task_a, 1,
+                            RST_RESULT_UNKNOWN);
+      planner.answer_order (1, RST_MSG_STOPPED, starts[0].id, task_a, 1,
+                            result);
+      planner.report (1, starts[0].id, {});
+      planner.settle ();
+      EXPECT_EQ (count_starts (planner, task_a), 1u) << result;
+    }
+}
