Use no list of an instance from which rows are missing

What callers see: a task runs twice, if a list of an instance lacks one of its two parts, or has a row that can't be read: the run was left out, and taken for lost since it is not listed.

A report whose rows can't be read loses no run either.

Evidence: found by the review. The platform's pages say that both lists are returned.

--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -384,7 +384,7 @@
         }
     }
   rst_plan_log_ends (planner, instance);
-  if (!has_more_ends)
+  if (!has_more_ends && !runs->bad)
     drop_unlisted_runs (planner, instance, listed, clock_ms);
   rst_plan_adjust_pace (planner, instance);
   g_hash_table_destroy (listed);
--- a/test/unit/partial_view_test.cc
+++ b/test/unit/partial_view_test.cc
@@ -3,6 +3,11 @@
 
 #include "cell_harness.h"
 
+extern "C"
+{
+#include "adapter_private.h"
+}
+
 using harness::Commit;
 using harness::Planner;
 
@@ -341,3 +346,52 @@
       EXPECT_EQ (count_starts (planner, task_a), 1u) << result;
     }
 }
+
+TEST (PartialView, AnswerWithoutAListOfEndsIsNotComplete)
+{
+  rst_instance_answer *answer = rst_instance_answer_new ();
+  bool parsed = rst_platform_parse_runs (
+      "{\"clock_ms\":9,\"born\":4,\"running\":[]}", answer);
+
+  EXPECT_TRUE (!parsed || answer->has_more_ends);
+  rst_instance_answer_free (answer);
+}
+
+TEST (PartialView, AnswerWithARowThatCannotBeReadIsNotComplete)
+{
+  rst_instance_answer *answer = rst_instance_answer_new ();
+  bool parsed = rst_platform_parse_runs (
+      "{\"clock_ms\":9,\"born\":4,\"running\":[7],\"finished\":[]}", answer);
+
+  EXPECT_TRUE (!parsed || answer->has_more_ends);
+  rst_instance_answer_free (answer);
+}
+
+// The report ends in a row that can't be read.
+TEST (PartialView, ReportThatCannotBeReadLosesNoRun)
+{
+  Planner planner;
+  rst_pack pack;
+  msgpack_unpacked unpacked;
+  rst_reader reader;
+
+  planner.start_serving (1);
+  planner.start_job (job_a);
+  planner.clock += 100;
+  rst_pack_init (&pack, 8);
+  rst_pack_text (&pack, "i-0");
+  rst_pack_int (&pack, RST_RESULT_OK);
+  rst_pack_int (&pack, planner.clock);
+  rst_pack_int (&pack, 1);
+  rst_pack_int (&pack, 0);
+  rst_pack_int (&pack, planner.fencing_tokens["i-0"]);
+  rst_pack_int (&pack, 0);
+  rst_pack_array (&pack, 1);
+  rst_pack_int (&pack, 7);
+  rst_reader_open (&reader, &unpacked, pack.buffer.data, pack.buffer.size);
+  rst_planner_receive_message (planner.planner, 1, RST_MSG_REPORT, &reader);
+  msgpack_unpacked_destroy (&unpacked);
+  rst_pack_clear (&pack);
+  planner.settle ();
+  EXPECT_EQ (count_starts (planner, task_a), 0u);
+}
