--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -3,6 +3,7 @@
 //
 //   cell-fuzz --seed N [--seconds N] [--seeds COUNT] [--log info] [--fault N]
 //             [--outlive 1] [--partitions 1] [--repeating 1]
+//             [--clock-steps 1]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
 // --fault selects a deliberate fault; see cell/fault_private.h.  It has an
@@ -12,6 +13,8 @@
 // --partitions draws further faults: cuts of zones, nodes, paths and
 // instances, longer pauses, clock steps, and restarts with another capacity.
 // --repeating lets a third of the jobs repeat.
+// --clock-steps lets the time of day of an instance step before it starts
+// again, so that its start time may be below that of its last incarnation.
 #include "partitions.h"
 
 #include <cstdio>
@@ -196,7 +199,8 @@
 
 static bool
 run_seed (uint64_t seed, int seconds, bool orders_survive_restart,
-          bool has_partitions, bool has_repeating_jobs)
+          bool has_partitions, bool has_repeating_jobs,
+          bool has_instance_clock_steps)
 {
   World world (seed, 5, 12, has_partitions);
   // Fewer of the other faults, so that partitions meet a cell at work.
@@ -212,6 +216,7 @@
     settle_ms *= repeating_settle_factor;
   world.orders_survive_restart = orders_survive_restart;
   world.has_repeating_jobs = has_repeating_jobs;
+  world.has_instance_clock_steps = has_instance_clock_steps;
   world.run_until (start + 3000);
   while (world.now () < end)
     {
@@ -260,6 +265,7 @@
   bool orders_survive_restart = false;
   bool has_partitions = false;
   bool has_repeating_jobs = false;
+  bool has_instance_clock_steps = false;
   rst_log_config log = { false, "error", false };
 
   for (int i = 1; i + 1 < argc; i += 2)
@@ -278,13 +284,16 @@
         has_partitions = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--repeating") == 0)
         has_repeating_jobs = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--clock-steps") == 0)
+        has_instance_clock_steps = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--log") == 0)
         g_strlcpy (log.level, argv[i + 1], sizeof log.level);
     }
   rst_log_init ("cell-fuzz", &log);
   for (int i = 0; i < seeds; i++)
     if (!run_seed (seed + (uint64_t)i, seconds, orders_survive_restart,
-                   has_partitions, has_repeating_jobs))
+                   has_partitions, has_repeating_jobs,
+                   has_instance_clock_steps))
       failed++;
   if (failed > 0)
     printf ("%d of %d seeds failed\n", failed, seeds);
--- a/test/cell/instances.cc
+++ b/test/cell/instances.cc
@@ -23,6 +23,8 @@
 static const Millis instance_tick_ms = 20;
 // Capacities of which a restarted instance has one, with partitions.
 static const int capacities_milli[] = { 2000, 4000, 6000 };
+// Longest step of an instance's time of day; far below first_born_ms.
+static const int max_clock_step_ms = 20000;
 // Failed runs of a task at which its job fails; "attempts" in configure().
 static const size_t max_failures = 3;
 // A task may start up to this long after the cancellation of its job.
@@ -82,7 +84,7 @@
 World::list_runs (Instance &instance, rst_instance_answer *answer)
 {
   answer->clock_ms = get_clock (instance);
-  answer->incarnation = instance.started_at;
+  answer->incarnation = instance.born;
   for (auto &entry : instance.runs)
     add_run (answer, 0, entry.first, entry.second.attempt, 0,
              has_partitions ? get_progress_percent (entry.second, now ()) : 0);
@@ -354,7 +356,7 @@
 
   log_order (now (), instance, order, get_clock (instance));
   answer->clock_ms = get_clock (instance);
-  answer->incarnation = instance.started_at;
+  answer->incarnation = instance.born;
   if (order.fencing_token < instance.fencing_token)
     {
       answer->result = RST_RESULT_FENCED;
@@ -465,6 +467,16 @@
     end_poll ();
 }
 
+int64_t
+World::draw_born (const Instance &instance)
+{
+  int64_t born = first_born_ms + now ();
+
+  if (has_instance_clock_steps)
+    born += draw_below (2 * max_clock_step_ms) - max_clock_step_ms;
+  return born == instance.born ? born + 1 : born;
+}
+
 void
 World::crash_instance (Instance &instance, Millis down_ms, bool is_dark)
 {
@@ -481,6 +493,7 @@
     instance.is_up = true;
     instance.is_dark = false;
     instance.started_at = now ();
+    instance.born = draw_born (instance);
     instance.restarts++;
     instance.fencing_token = 0;
     instance.next_end_number = 1;
--- a/test/cell/store.cc
+++ b/test/cell/store.cc
@@ -69,7 +69,7 @@
          + (draining ? "draining" : "ready")
          + "\",\"capacity\":{\"cpu\":" + std::to_string (instance.cpu_milli)
          + ",\"mem_mb\":4000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],\"born\":"
-         + std::to_string (instance.started_at) + "}";
+         + std::to_string (instance.born) + "}";
 }
 
 void
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -70,6 +70,7 @@
       instance->address = "10.0.0." + std::to_string (i) + ":80";
       instance->zone = zones[i % 3];
       instance->started_at = 1 + i;
+      instance->born = first_born_ms + instance->started_at;
       instance->clock_offset = 100000 * (i + 1);
       instances.push_back (std::move (instance));
     }
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -113,6 +113,9 @@
   bool is_in_touch = false;
 };
 
+// Time of day of the instances at time 0.
+const int64_t first_born_ms = 1000000;
+
 struct Instance
 {
   std::string id;
@@ -128,9 +131,11 @@
   // Time at which the store last accepted its report.
   Millis reported_at = 0;
   int restarts = 0;
-  // Time at which its present incarnation started.  It identifies the
-  // incarnation in answers and in the instance's entry.
+  // Time at which its present incarnation started.
   int64_t started_at = 0;
+  // That time by its own time of day, which identifies the incarnation in
+  // answers and in the instance's entry.
+  int64_t born = 0;
   // The highest token seen; calls with a lower one are rejected.
   int64_t fencing_token = 0;
   int64_t next_end_number = 1;
@@ -278,6 +283,8 @@
   bool orders_survive_restart = false;
   // Whether some jobs repeat.
   bool has_repeating_jobs = false;
+  // Whether the time of day of an instance may step before it starts again.
+  bool has_instance_clock_steps = false;
   std::vector<std::string> violations;
   std::map<std::string, Job> jobs;
   std::vector<std::unique_ptr<Node> > nodes;
@@ -484,6 +491,8 @@
   double get_failure_probability (const std::string &task);
   void start_complete_gang (const std::string &step, int count);
   void tick_instance (Instance &instance);
+  // Draws the time of day at which an incarnation starts.
+  int64_t draw_born (const Instance &instance);
   // Answers the long polls of an instance, or fails them if it is down.
   void end_pending_polls (Instance &instance);
   void list_runs (Instance &instance, rst_instance_answer *answer);
