Tell incarnations of an instance apart, whichever start time is later

An instance that starts again under its id names itself by its start time, by its time of day. If that was set back, the new start time is below the earlier one, and the planner took each list of the new incarnation for an outdated one and ignored it until the next planner: - the instance took no starts any more; - a run that was on it, if no poll failed in between, never ended and was never started again; - if a poll had failed, its lease was taken for over 6.4 s later although its agent went on extending it. A task whose start order reached the new incarnation then ran a second time elsewhere.

A report that names another start time now shows another incarnation. An outdated one can't be taken for it: it was made under an earlier token, since the token is raised before the new incarnation's runs are applied. A list that names no start time is ignored as before. An entry still raises the token only if its start time is later: the store may carry out a write of the earlier incarnation late, and the report of the new one does the same. Such an entry may now raise the token of an incarnation that goes on, so fencing no longer resets what is acknowledged; the beginning of an incarnation does.

--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -77,8 +77,10 @@
 /* Raises the fencing token for a new incarnation, which its entry or its
    report shows; a long poll of the earlier one may hang for seconds.  Runs of
    the earlier incarnation may start elsewhere only after the new one has
-   reported under the new token, since it then rejects late orders.  Returns
-   false if the token was raised before or this is the first incarnation. */
+   reported under the new token, since it then rejects late orders.  What is
+   acknowledged stays: an entry may be one that the store has carried out late,
+   of an incarnation that ended before the present one.  Returns false if the
+   token was raised before or this is the first incarnation. */
 static bool
 fence_incarnation (struct rst_planner *planner, struct instance *instance,
                    int64_t incarnation)
@@ -89,8 +91,6 @@
   rst_info (RST_PLAN_LOG, "Instance restarted; its fencing token is raised.",
             "instance", instance->entry.id);
   instance->fenced_incarnation = incarnation;
-  instance->last_acked_end = 0;
-  instance->committing_end = 0;
   if (instance->runs_known)
     rst_plan_mark_runs_unknown (planner, instance,
                                 rst_plan_get_latest_lease_expiry (planner),
@@ -460,12 +460,16 @@
         note_no_answer (planner, instance, result, lease_left);
       return;
     }
-  if (incarnation < instance->incarnation)
+  /* A list that names no incarnation may be that of an earlier one. */
+  if (incarnation == 0 && instance->incarnation != 0)
     return;
-  if (incarnation > instance->incarnation
+  /* The time of day of an instance may be set back before it starts again, so
+     its incarnations are not in the order of their start times.  The last
+     report under the present token is that of its present incarnation. */
+  if (incarnation != instance->incarnation
       && fence_incarnation (planner, instance, incarnation))
     return;
-  if (incarnation > instance->incarnation)
+  if (incarnation != instance->incarnation)
     begin_incarnation (planner, instance, incarnation);
   instance->runs_known = true;
   instance->inherited = false;
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -105,12 +105,13 @@
   struct agent *agent;
   /* Task name to struct run. */
   GHashTable *runs;
-  /* The time of its start, as it reports it. */
+  /* The time of its start, as it reports it.  It names the incarnation; a
+     later one has an earlier time if its clock was set back. */
   int64_t incarnation;
   /* How often this planner has raised its fencing token: for each agent that
      holds it, each incarnation, and when its lease expired with runs. */
   int64_t token_raises;
-  /* The latest incarnation that the fencing token was raised for. */
+  /* The incarnation that the fencing token was last raised for. */
   int64_t fenced_incarnation;
   /* Numbers of the last end applied, of the last one acknowledged and of
      the last one in the commit under way. */
