--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -3,7 +3,7 @@
 //
 //   cell-fuzz --seed N [--seconds N] [--seeds COUNT] [--log info] [--fault N]
 //             [--outlive 1] [--partitions 1] [--repeating 1]
-//             [--listed-ends N]
+//             [--listed-ends N] [--clock-steps 1]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
 // --fault selects a deliberate fault; see cell/fault_private.h.  It has an
@@ -14,6 +14,8 @@
 // instances, longer pauses, clock steps, and restarts with another capacity.
 // --repeating lets a third of the jobs repeat.
 // --listed-ends limits the ends that an instance lists at a time.
+// --clock-steps lets the time of day of an instance step before it starts
+// again, so that its start time may be below that of its last incarnation.
 #include "partitions.h"
 
 #include <cstdio>
@@ -196,25 +198,36 @@
   return unfinished;
 }
 
+// What a run is drawn from besides its seed.
+struct Options
+{
+  int seconds = 60;
+  bool orders_survive_restart = false;
+  bool has_partitions = false;
+  bool has_repeating_jobs = false;
+  size_t listed_ends_max = SIZE_MAX;
+  bool has_instance_clock_steps = false;
+};
+
 static bool
-run_seed (uint64_t seed, int seconds, bool orders_survive_restart,
-          bool has_partitions, bool has_repeating_jobs, size_t listed_ends_max)
+run_seed (uint64_t seed, const Options &options)
 {
-  World world (seed, 5, 12, has_partitions);
+  World world (seed, 5, 12, options.has_partitions);
   // Fewer of the other faults, so that partitions meet a cell at work.
-  double node_fault_probability = has_partitions ? 0.01 : 0.03;
+  double node_fault_probability = options.has_partitions ? 0.01 : 0.03;
   Millis start = world.now ();
-  Millis end = start + seconds * 1000;
+  Millis end = start + options.seconds * 1000;
   Millis settle_ms
-      = has_partitions ? settle_time_after_cuts_ms : settle_time_ms;
+      = options.has_partitions ? settle_time_after_cuts_ms : settle_time_ms;
   int jobs = 0;
   int unfinished;
 
-  if (has_repeating_jobs)
+  if (options.has_repeating_jobs)
     settle_ms *= repeating_settle_factor;
-  world.orders_survive_restart = orders_survive_restart;
-  world.has_repeating_jobs = has_repeating_jobs;
-  world.listed_ends_max = listed_ends_max;
+  world.orders_survive_restart = options.orders_survive_restart;
+  world.has_repeating_jobs = options.has_repeating_jobs;
+  world.listed_ends_max = options.listed_ends_max;
+  world.has_instance_clock_steps = options.has_instance_clock_steps;
   world.run_until (start + 3000);
   while (world.now () < end)
     {
@@ -233,7 +246,7 @@
         inject_instance_fault (world);
       if (world.draw_unit () < 0.02)
         draw_fault_probabilities (world);
-      if (has_partitions && world.draw_unit () < 0.025)
+      if (options.has_partitions && world.draw_unit () < 0.025)
         inject_partition (world);
     }
   repair_all (world);
@@ -257,13 +270,9 @@
 main (int argc, char **argv)
 {
   uint64_t seed = 1;
-  int seconds = 60;
   int seeds = 1;
   int failed = 0;
-  bool orders_survive_restart = false;
-  bool has_partitions = false;
-  bool has_repeating_jobs = false;
-  size_t listed_ends_max = SIZE_MAX;
+  Options options;
   rst_log_config log = { false, "error", false };
 
   for (int i = 1; i + 1 < argc; i += 2)
@@ -271,26 +280,27 @@
       if (strcmp (argv[i], "--seed") == 0)
         seed = strtoull (argv[i + 1], nullptr, 10);
       else if (strcmp (argv[i], "--seconds") == 0)
-        seconds = atoi (argv[i + 1]);
+        options.seconds = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--seeds") == 0)
         seeds = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--fault") == 0)
         rst_cell_fault = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--outlive") == 0)
-        orders_survive_restart = atoi (argv[i + 1]) != 0;
+        options.orders_survive_restart = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--partitions") == 0)
-        has_partitions = atoi (argv[i + 1]) != 0;
+        options.has_partitions = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--repeating") == 0)
-        has_repeating_jobs = atoi (argv[i + 1]) != 0;
+        options.has_repeating_jobs = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--listed-ends") == 0)
-        listed_ends_max = strtoull (argv[i + 1], nullptr, 10);
+        options.listed_ends_max = strtoull (argv[i + 1], nullptr, 10);
+      else if (strcmp (argv[i], "--clock-steps") == 0)
+        options.has_instance_clock_steps = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--log") == 0)
         g_strlcpy (log.level, argv[i + 1], sizeof log.level);
     }
   rst_log_init ("cell-fuzz", &log);
   for (int i = 0; i < seeds; i++)
-    if (!run_seed (seed + (uint64_t)i, seconds, orders_survive_restart,
-                   has_partitions, has_repeating_jobs, listed_ends_max))
+    if (!run_seed (seed + (uint64_t)i, options))
       failed++;
   if (failed > 0)
     printf ("%d of %d seeds failed\n", failed, seeds);
