Sequences with two losses at once, and with few paths

When other agents reach the instances, the planner hears them through these.

Change: kind both loses the planner beside the zone; kind narrow takes most paths of the instances first.

--- a/test/run/sequences.sh
+++ b/test/run/sequences.sh
@@ -26,7 +26,8 @@
     END { exit bad || cuts != 0 }'
 }
 
-for kind in zone agents planner handovers freeze late clocks mixed
+for kind in zone agents planner handovers freeze late clocks mixed both \
+  narrow
 do
   seen=""
   for seed in 1 2 3 4 5
