A planner that may have a successor denies no job

Cause: an earlier planner in a zone that was cut off answered DELETE for a job that its successor had accepted with 410, which a caller takes for the job's end, and the successor went on with the job.

Ruled out: a cancel that was lost between two killed planners. The successors never received it; the answer came from the planner of epoch 3, 7.4 s after the store last confirmed it, while epoch 5 was in force.

Change: while a planner may have a successor (400 ms without confirmation), it answers calls about jobs that it doesn't know with 503, as for new jobs.

Test: Planner.DeniesNoJobWhileItMayHaveASuccessor, seen to fail before the change (NO_JOB for both calls).

--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -105,7 +105,8 @@
  * @RST_OUTCOME_INVALID_KEY: The API key is unknown.
  * @RST_OUTCOME_NO_JOB: The job does not exist.
  * @RST_OUTCOME_MALFORMED: The request is malformed.
- * @RST_OUTCOME_REJECTED: The job was not accepted and will never run.
+ * @RST_OUTCOME_REJECTED: Nothing was done; a job that was submitted was not
+ * accepted and will never run.
  * @RST_OUTCOME_UNKNOWN: The job may or may not have been accepted.
  */
 enum rst_outcome
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -539,6 +539,20 @@
             "customer", customer->settings.name);
 }
 
+/* Replies to a call about a job that this planner does not know.  Its
+   successor, if there is one, may have accepted the job, and a caller takes
+   "no such job" for the end of it. */
+static void
+reply_no_job (struct rst_planner *planner, const struct rst_planner_call *call,
+              const char *id)
+{
+  if (rst_plan_may_have_successor (planner))
+    reply_rejected (planner, call->link, call->number,
+                    MAX (get_retry_s (planner, id), 1));
+  else
+    send_reply (planner, call, RST_OUTCOME_NO_JOB);
+}
+
 static void
 reply_with_state (struct rst_planner *planner,
                   const struct rst_planner_call *call,
@@ -547,13 +561,16 @@
   struct job *job = g_hash_table_lookup (planner->jobs, id);
   struct rst_reply reply = { .outcome = RST_OUTCOME_STATE };
 
+  if (id[0] != '\0' && job == NULL)
+    {
+      reply_no_job (planner, call, id);
+      return;
+    }
   if (id[0] == '\0')
     {
       reply.outcome = RST_OUTCOME_COUNT;
       reply.count = queue->pending;
     }
-  else if (job == NULL)
-    reply.outcome = RST_OUTCOME_NO_JOB;
   else if (rst_plan_job_has_ended (job) && job->committed_state != job->state)
     reply.state = RST_JOB_RUNNING;
   else if (rst_plan_job_has_ended (job))
@@ -571,7 +588,7 @@
 
   if (job == NULL)
     {
-      send_reply (planner, call, RST_OUTCOME_NO_JOB);
+      reply_no_job (planner, call, id);
       return;
     }
   rst_plan_end_job (planner, job, RST_JOB_CANCELLED);
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -604,6 +604,30 @@
 
 // A successor may have stored the end of an earlier run of the task, which the
 // instance then no longer lists.
+TEST (Planner, DeniesNoJobWhileItMayHaveASuccessor)
+{
+  Planner cell;
+
+  cell.start_serving (1);
+  cell.is_confirmed = false;
+  cell.advance_time (500);
+  /* A successor may have accepted the job. */
+  cell.send_call (1, RST_OPERATION_CANCEL, job_a);
+  cell.send_call (2, RST_OPERATION_READ, job_a);
+  for (uint64_t number : { 1, 2 })
+    {
+      ASSERT_NE (cell.reply_to (number), nullptr);
+      EXPECT_EQ (cell.reply_to (number)->reply.outcome, RST_OUTCOME_REJECTED);
+      EXPECT_GE (cell.reply_to (number)->reply.retry_s, 1);
+    }
+  cell.is_confirmed = true;
+  cell.settle ();
+  cell.send_call (3, RST_OPERATION_CANCEL, job_a);
+  cell.send_call (4, RST_OPERATION_READ, job_a);
+  EXPECT_EQ (cell.reply_to (3)->reply.outcome, RST_OUTCOME_NO_JOB);
+  EXPECT_EQ (cell.reply_to (4)->reply.outcome, RST_OUTCOME_NO_JOB);
+}
+
 TEST (Planner, RestartsNoTaskWhileItMayHaveASuccessor)
 {
   Planner cell;
