Use no attempt number that an earlier successor may have used

Cause: starts are not recorded, so a planner adds a margin of 100 to the attempt that a job's last record names. Two planners one behind the other that restored the same record added the same margin: the second successor numbered its starts as the first one had. An agent reports the answer to an order of an earlier planner to the present one, which knows its orders by instance, task and attempt. When an instance carries out the third planner's start first and then rejects the second planner's start of the same task (409, fence), the third planner takes the run for not started and starts the task elsewhere: two runs at once. PROTOCOL.md allows it: responses on different connections may overtake each other.

Change: a job's record names the epoch that wrote it, and the margin counts once for each planner since.

Ruled out: one hand-over (attempt 1 and 101); the fencing token, which rejects the earlier order but not its answer.

--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -43,11 +43,12 @@
 }
 
 static void
-pack_progress (struct rst_pack *pack, const struct job *job)
+pack_progress (const struct rst_planner *planner, struct rst_pack *pack,
+               const struct job *job)
 {
   bool has_ended = rst_plan_job_has_ended (job);
 
-  rst_pack_array (pack, 4);
+  rst_pack_array (pack, 5);
   rst_pack_int (pack, job->state);
   rst_pack_int (pack, job->occurrences_left);
   rst_pack_int (pack, job->next_occurrence);
@@ -62,6 +63,7 @@
       for (int i = 0; i < job->desc->step_count; i++)
         pack_tasks (pack, &occurrence->steps[i]);
     }
+  rst_pack_int (pack, planner->epoch);
 }
 
 /* Packs an ended job without its steps: only its state is still needed. */
@@ -78,7 +80,8 @@
 }
 
 static void
-pack_full_job (struct rst_pack *pack, const struct job *job)
+pack_full_job (const struct rst_planner *planner, struct rst_pack *pack,
+               const struct job *job)
 {
   struct rst_jobdesc desc = *job->desc;
   char no_spec[] = "";
@@ -94,7 +97,7 @@
   rst_pack_int (pack, job->submitted_ms);
   rst_pack_int (pack, job->over_share ? 1 : 0);
   rst_jobdesc_pack (pack, &desc);
-  pack_progress (pack, job);
+  pack_progress (planner, pack, job);
 }
 
 /* A job that was restored without its steps has none to write. */
@@ -115,12 +118,12 @@
       rst_pack_array (pack, 3);
       rst_pack_int (pack, RST_RECORD_PROGRESS);
       rst_pack_text (pack, job->id);
-      pack_progress (pack, job);
+      pack_progress (planner, pack, job);
     }
   else if (can_omit_steps (planner, job))
     pack_ended_job (pack, job);
   else
-    pack_full_job (pack, job);
+    pack_full_job (planner, pack, job);
 }
 
 void
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -4,10 +4,13 @@
 
 #include "cell/planner_private.h"
 
-/** Added to the attempt of each task that is not done: the predecessor's last
-    starts are not recorded, and an attempt number must not be used twice.  A
-    start is repeated after 100 ms at the earliest, so a planner would have to
-    run for 10 s without a record of the job to use up the margin. */
+/** Added to the attempt of each task that is not done, for each planner since
+    the one that wrote the job's last record: a planner's last starts are not
+    recorded, and an attempt number must not be used twice.  An agent reports
+    the answer to an order of an earlier planner to the present one, which
+    knows its own orders by their attempt.  A start is repeated after 100 ms at
+    the earliest, so a planner would have to run for 10 s without a record of
+    the job to use up the margin. */
 #define UNRECORDED_ATTEMPTS_MAX 100
 
 /** Bytes of a task without failed runs: flags, number of failed runs,
@@ -92,6 +95,7 @@
   occurrences = rst_reader_read_array (&in);
   for (uint32_t i = 0; i < occurrences.count; i++)
     restore_occurrence (job, &occurrences);
+  job->record_epoch = rst_reader_read_int (&in);
   job->unstored_occurrence = job->next_occurrence;
   if (rst_plan_job_has_ended (job))
     job->ended_at = planner->now;
@@ -364,15 +368,18 @@
 }
 
 static void
-skip_attempts (struct job *job, struct occurrence *occurrence)
+skip_attempts (const struct rst_planner *planner, struct job *job,
+               struct occurrence *occurrence)
 {
+  int64_t planners = planner->epoch - job->record_epoch;
+
   for (int i = 0; i < job->desc->step_count; i++)
     for (int t = 0; t < job->desc->steps[i].count; t++)
       {
         struct task *task = &occurrence->steps[i].tasks[t];
 
         if (!task->done)
-          task->attempt += UNRECORDED_ATTEMPTS_MAX;
+          task->attempt += (int)(planners * UNRECORDED_ATTEMPTS_MAX);
       }
 }
 
@@ -389,7 +396,7 @@
     {
       struct occurrence *occurrence = g_ptr_array_index (job->occurrences, k);
 
-      skip_attempts (job, occurrence);
+      skip_attempts (planner, job, occurrence);
       rst_plan_enqueue_steps (planner, occurrence);
     }
 }
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -363,6 +363,9 @@
   /* Whether its next record has to be a full one, because the segment with
      the current one is about to be deleted. */
   bool needs_full_record;
+  /* Epoch of the planner that wrote the record from which it was restored; 0
+     for a job that this planner accepted. */
+  int64_t record_epoch;
   /* Whether it exceeded the customer's share when submitted. */
   bool over_share;
   /* struct pending_reply. */
