Cell fuzzer: faults as sequences, processes frozen in pieces, attempts

--sequences 1 draws faults in the real order of events: instances lose paths and 0.1 to 1 s before they are back their zone, agents or planner go for longer than a lease; a planner goes, and its successor 0.3 to 3 s after its election; agents are frozen around either. Until now a pause stopped a node between events, and no call could be pending inside it. With this option a call to an instance waits inside the process (up to 30 ms, one in ten up to 650 ms) and through a pause, and links, answers and timers go on in any order after it. A new property, ATTEMPT: an attempt of a task is sent once. Three more deliberate faults: undone, inherited instances recorded as unreachable, attempts used again.

SuccessionChain.KeepsATaskInDoubtWhoseRecordedRunIsGone passed from the start; it fails without in_doubt for restored runs, which no test showed before.

Not covered: calls to the store that wait inside a frozen process.

--- a/src/cell/fault_private.h
+++ b/src/cell/fault_private.h
@@ -28,6 +28,12 @@
  * @RST_CELL_FAULT_IGNORE_LIMIT: Upper limits of customers are ignored.
  * @RST_CELL_FAULT_SHARED_TOKEN: All incarnations of an instance have the same
  *   fencing token.
+ * @RST_CELL_FAULT_IGNORE_LOST_AGENT: The end of the lease of an instance that
+ *   does not answer stays when its agent is lost.
+ * @RST_CELL_FAULT_EARLY_UNREACHABLE: An instance that was inherited and has not
+ *   answered yet is recorded as unreachable without runs.
+ * @RST_CELL_FAULT_REUSE_ATTEMPTS: A planner that succeeds a successor may use
+ *   the same attempt numbers as that.
  */
 enum rst_cell_fault_kind
 {
@@ -43,6 +49,9 @@
   RST_CELL_FAULT_NO_TAKEOVER_WAIT,
   RST_CELL_FAULT_IGNORE_LIMIT,
   RST_CELL_FAULT_SHARED_TOKEN,
+  RST_CELL_FAULT_IGNORE_LOST_AGENT,
+  RST_CELL_FAULT_EARLY_UNREACHABLE,
+  RST_CELL_FAULT_REUSE_ATTEMPTS,
 };
 
 #ifdef RST_FAULTS
--- a/src/cell/plan_agents.c
+++ b/src/cell/plan_agents.c
@@ -131,6 +131,9 @@
   rst_ms unknown_since
       = instance->runs_known ? planner->now : instance->runs_unknown_since;
 
+  if (RST_CELL_FAULT (RST_CELL_FAULT_IGNORE_LOST_AGENT)
+      && !instance->runs_known)
+    return;
   instance->former_lease_until = rst_plan_get_latest_lease_expiry (planner);
   rst_plan_mark_runs_unknown (planner, instance, instance->former_lease_until,
                               LEASE_BASIS_AGENT_LOST);
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -296,7 +296,9 @@
 {
   if (has_outdated_runs (instance))
     return true;
-  return instance->recorded && !instance->runs_known && !instance->inherited
+  return instance->recorded && !instance->runs_known
+         && (!instance->inherited
+             || RST_CELL_FAULT (RST_CELL_FAULT_EARLY_UNREACHABLE))
          && (instance->lease_basis == LEASE_BASIS_REPORT
              || instance->record_segment == 0
              || planner->now - instance->runs_unknown_since
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -371,7 +371,9 @@
 skip_attempts (const struct rst_planner *planner, struct job *job,
                struct occurrence *occurrence)
 {
-  int64_t planners = planner->epoch - job->record_epoch;
+  int64_t planners = RST_CELL_FAULT (RST_CELL_FAULT_REUSE_ATTEMPTS)
+                         ? 1
+                         : planner->epoch - job->record_epoch;
 
   for (int i = 0; i < job->desc->step_count; i++)
     for (int t = 0; t < job->desc->steps[i].count; t++)
--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -2,7 +2,7 @@
 // violations that the oracle found and the jobs that did not finish.
 //
 //   cell-fuzz --seed N [--seconds N] [--seeds COUNT] [--log info] [--fault N]
-//             [--outlive 1] [--partitions 1] [--repeating 1]
+//             [--outlive 1] [--partitions 1] [--repeating 1] [--sequences 1]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
 // --fault selects a deliberate fault; see cell/fault_private.h.  It has an
@@ -12,7 +12,10 @@
 // --partitions draws further faults: cuts of zones, nodes, paths and
 // instances, longer pauses, clock steps, and restarts with another capacity.
 // --repeating lets a third of the jobs repeat.
+// --sequences draws faults as sequences in the order of events, in a network
+// that can be cut, and freezes processes in pieces; see sequences.h.
 #include "partitions.h"
+#include "sequences.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -28,6 +31,16 @@
 
 using namespace cell;
 
+// What a run of the fuzzer draws.
+struct Options
+{
+  int seconds = 60;
+  bool orders_survive_restart = false;
+  bool has_partitions = false;
+  bool has_repeating_jobs = false;
+  bool has_sequences = false;
+};
+
 // Time after the last fault in which all accepted jobs must finish.
 static const Millis settle_time_ms = 60000;
 // Factor of it where jobs repeat: with a third of the jobs repeating three
@@ -195,24 +208,32 @@
 }
 
 static bool
-run_seed (uint64_t seed, int seconds, bool orders_survive_restart,
-          bool has_partitions, bool has_repeating_jobs)
+run_seed (uint64_t seed, const Options &options)
 {
-  World world (seed, 5, 12, has_partitions);
+  World world (seed, 5, 12, options.has_partitions || options.has_sequences);
   // Fewer of the other faults, so that partitions meet a cell at work.
-  double node_fault_probability = has_partitions ? 0.01 : 0.03;
+  double node_fault_probability = world.has_partitions ? 0.01 : 0.03;
+  double instance_fault_probability = 0.03;
   Millis start = world.now ();
-  Millis end = start + seconds * 1000;
+  Millis end = start + options.seconds * 1000;
   Millis settle_ms
-      = has_partitions ? settle_time_after_cuts_ms : settle_time_ms;
+      = world.has_partitions ? settle_time_after_cuts_ms : settle_time_ms;
   int jobs = 0;
   int unfinished;
 
-  if (has_repeating_jobs)
+  if (options.has_repeating_jobs)
     settle_ms *= repeating_settle_factor;
-  world.orders_survive_restart = orders_survive_restart;
-  world.has_repeating_jobs = has_repeating_jobs;
+  world.orders_survive_restart = options.orders_survive_restart;
+  world.has_repeating_jobs = options.has_repeating_jobs;
+  world.pauses_in_pieces = options.has_sequences;
   world.run_until (start + 3000);
+  if (options.has_sequences)
+    {
+      // Independent faults only disturb the order of a sequence.
+      node_fault_probability = 0.0;
+      instance_fault_probability = 0.0;
+      begin_sequences (world);
+    }
   while (world.now () < end)
     {
       world.run_until (world.now () + 50 + world.draw_below (100));
@@ -226,11 +247,11 @@
         inject_node_fault (world);
       if (world.draw_unit () < 0.06)
         repair_nodes (world, false);
-      if (world.draw_unit () < 0.03)
+      if (world.draw_unit () < instance_fault_probability)
         inject_instance_fault (world);
       if (world.draw_unit () < 0.02)
         draw_fault_probabilities (world);
-      if (has_partitions && world.draw_unit () < 0.025)
+      if (options.has_partitions && world.draw_unit () < 0.025)
         inject_partition (world);
     }
   repair_all (world);
@@ -254,12 +275,9 @@
 main (int argc, char **argv)
 {
   uint64_t seed = 1;
-  int seconds = 60;
   int seeds = 1;
   int failed = 0;
-  bool orders_survive_restart = false;
-  bool has_partitions = false;
-  bool has_repeating_jobs = false;
+  Options options;
   rst_log_config log = { false, "error", false };
 
   for (int i = 1; i + 1 < argc; i += 2)
@@ -267,24 +285,25 @@
       if (strcmp (argv[i], "--seed") == 0)
         seed = strtoull (argv[i + 1], nullptr, 10);
       else if (strcmp (argv[i], "--seconds") == 0)
-        seconds = atoi (argv[i + 1]);
+        options.seconds = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--seeds") == 0)
         seeds = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--fault") == 0)
         rst_cell_fault = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--outlive") == 0)
-        orders_survive_restart = atoi (argv[i + 1]) != 0;
+        options.orders_survive_restart = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--partitions") == 0)
-        has_partitions = atoi (argv[i + 1]) != 0;
+        options.has_partitions = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--repeating") == 0)
-        has_repeating_jobs = atoi (argv[i + 1]) != 0;
+        options.has_repeating_jobs = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--sequences") == 0)
+        options.has_sequences = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--log") == 0)
         g_strlcpy (log.level, argv[i + 1], sizeof log.level);
     }
   rst_log_init ("cell-fuzz", &log);
   for (int i = 0; i < seeds; i++)
-    if (!run_seed (seed + (uint64_t)i, seconds, orders_survive_restart,
-                   has_partitions, has_repeating_jobs))
+    if (!run_seed (seed + (uint64_t)i, options))
       failed++;
   if (failed > 0)
     printf ("%d of %d seeds failed\n", failed, seeds);
--- a/test/cell/instance_calls.cc
+++ b/test/cell/instance_calls.cc
@@ -170,6 +170,8 @@
   order.fencing_token = call.fencing_token;
   order.lease_expires_at = call.deadline_ms;
   order.last_acked_end = call.last_acked_end;
+  if (kind == ORDER_START)
+    check_attempt (order);
   copy->node = &node;
   copy->node_incarnation = node.incarnation;
   copy->instance = instance;
@@ -229,8 +231,10 @@
       fail_instance_call (copy, call_timeout_ms, RST_RESULT_UNKNOWN);
       return;
     }
-  schedule (now () + network_delay_ms,
-            [this, copy] { receive_instance_call (copy); });
+  send_call (node, [this, copy] {
+    schedule (now () + network_delay_ms,
+              [this, copy] { receive_instance_call (copy); });
+  });
 }
 
 void
--- a/test/cell/instances.cc
+++ b/test/cell/instances.cc
@@ -171,6 +171,21 @@
   return cpu;
 }
 
+// ATTEMPT: an attempt number of a task is used for one order only, as the
+//   answer to an order is known by it.
+void
+World::check_attempt (const Order &order)
+{
+  auto found = jobs.find (get_job_id (order.task));
+
+  if (found != jobs.end ()
+      && !found->second.used_attempts
+              .insert (order.task + "/" + std::to_string (order.attempt))
+              .second)
+    report_violation ("ATTEMPT " + order.task + " is sent again with attempt "
+                      + std::to_string (order.attempt));
+}
+
 // Checks that the planner may start a run.  The properties are:
 //
 // UNASKED: a run belongs to a job that was submitted and not cancelled, unless
--- a/test/cell/links.cc
+++ b/test/cell/links.cc
@@ -101,9 +101,12 @@
   if (node == nullptr || node->incarnation != incarnation
       || node->cell_node == nullptr)
     return;
-  if (node->paused_until > now ())
+  Millis paused_until
+      = std::max (node->paused_until, node->links_paused_until);
+
+  if (paused_until > now ())
     {
-      schedule (node->paused_until, [=, this] {
+      schedule (paused_until, [=, this] {
         deliver_event (node, incarnation, event, end, data);
       });
       return;
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -45,6 +45,13 @@
 // Period at which the callers' entry reads the planner record.
 static const Millis entry_check_ms = 100;
 static const Millis instance_tick_ms = 20;
+// Longest time for which a call waits inside a process, and for which a part
+// of a process goes on later than the rest after a pause.
+static const int call_inside_ms = 30;
+// The same for a call that is slow to leave, below its timeout, and how often.
+static const int slow_call_inside_ms = 650;
+static const double slow_call_probability = 0.1;
+static const int wake_ms = 100;
 
 Millis
 World::now () const
@@ -275,6 +282,10 @@
             "ms", std::to_string (ms).c_str ());
   node.paused_at = world_now;
   node.paused_until = world_now + ms;
+  if (!pauses_in_pieces)
+    return;
+  node.links_paused_until = node.paused_until + draw_below (wake_ms);
+  node.calls_paused_until = node.paused_until + draw_below (wake_ms);
 }
 
 void
@@ -302,6 +313,36 @@
   return call;
 }
 
+void
+World::leave_process (Node &node, uint64_t incarnation,
+                      std::function<void ()> send)
+{
+  if (node.incarnation != incarnation)
+    return;
+  if (node.paused_until <= world_now)
+    send ();
+  else
+    schedule (node.paused_until + draw_below (wake_ms),
+              [=, this, &node] { leave_process (node, incarnation, send); });
+}
+
+void
+World::send_call (Node &node, std::function<void ()> send)
+{
+  uint64_t incarnation = node.incarnation;
+
+  if (!pauses_in_pieces)
+    {
+      send ();
+      return;
+    }
+  int inside_ms = draw_unit () < slow_call_probability ? slow_call_inside_ms
+                                                       : call_inside_ms;
+
+  schedule (world_now + draw_below (inside_ms),
+            [=, this, &node] { leave_process (node, incarnation, send); });
+}
+
 bool
 World::end_call (Node &node, uint64_t incarnation, uint64_t call)
 {
@@ -313,10 +354,12 @@
 World::finish_call (Node &node, uint64_t incarnation, uint64_t call,
                     std::function<void ()> done, std::function<void ()> drop)
 {
+  Millis paused_until = std::max (node.paused_until, node.calls_paused_until);
+
   if (has_partitions && node.incarnation == incarnation
-      && node.paused_until > world_now)
+      && paused_until > world_now)
     {
-      schedule (node.paused_until, [=, this, &node] {
+      schedule (paused_until, [=, this, &node] {
         finish_call (node, incarnation, call, done, drop);
       });
       return;
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -159,6 +159,8 @@
   Millis completed_at = 0;
   // Tasks with a run that completed.
   std::set<std::string> done_tasks;
+  // The starts that were sent, as TASK/ATTEMPT.
+  std::set<std::string> used_attempts;
   // Time at which each task last started.
   std::map<std::string, Millis> last_starts;
   // Times of the failures of each task whose ends were noted, in order.
@@ -202,6 +204,10 @@
   // partitions, also the answers to its calls.
   Millis paused_at = 0;
   Millis paused_until = 0;
+  // The same for what its links and its calls deliver after the last pause, if
+  // the node wakes in pieces; 0 otherwise.
+  Millis links_paused_until = 0;
+  Millis calls_paused_until = 0;
 };
 
 // A frame on its way, or the notice that the other end was closed.
@@ -278,6 +284,11 @@
   bool orders_survive_restart = false;
   // Whether some jobs repeat.
   bool has_repeating_jobs = false;
+  // Whether a process can be frozen in pieces: a call to an instance waits
+  // inside the process for some milliseconds and, if that is paused meanwhile,
+  // until it wakes; after a pause the links, the answers and
+  // the timers of a process go on one after the other, in any order.
+  bool pauses_in_pieces = false;
   std::vector<std::string> violations;
   std::map<std::string, Job> jobs;
   std::vector<std::unique_ptr<Node> > nodes;
@@ -285,6 +296,12 @@
   std::map<std::string, StoreItem> store;
   std::mt19937_64 random;
 
+  // Runs an action after @delay_ms.
+  void
+  run_after (Millis delay_ms, std::function<void ()> action)
+  {
+    schedule (now () + delay_ms, std::move (action));
+  }
   // Handles all events up to @time and sets the clock to it.
   void run_until (Millis time);
   Millis now () const;
@@ -437,6 +454,12 @@
   uint64_t begin_call (Node &node, std::function<void ()> on_abort);
   // Returns whether the call was pending in this incarnation of the node.
   bool end_call (Node &node, uint64_t incarnation, uint64_t call);
+  // Lets a call leave the process: runs @send now or, if the node can be
+  // frozen in pieces, some milliseconds later while it isn't paused.  A call
+  // that is still inside when the process dies is never sent.
+  void send_call (Node &node, std::function<void ()> send);
+  void leave_process (Node &node, uint64_t incarnation,
+                      std::function<void ()> send);
   // Ends a call with @done and runs the node, or calls @drop if the call is no
   // longer pending.
   void finish_call (Node &node, uint64_t incarnation, uint64_t call,
@@ -478,6 +501,8 @@
   void refuse_instance_call (const InstanceCallRef &call, rst_result result);
   // Lets an instance report to the store, and schedules its next report.
   void report_instance (Instance &instance);
+  // Checks that no start was sent with the same attempt of the task before.
+  void check_attempt (const Order &order);
   void check_start (Instance &instance, const Order &order);
   void acknowledge_ends (Instance &instance, int64_t last_acked_end);
   void end_run (Instance &instance, const std::string &task, int end_reason);
--- a/test/unit/succession_chain_test.cc
+++ b/test/unit/succession_chain_test.cc
@@ -209,6 +209,30 @@
   EXPECT_TRUE (chain.third.sent_of_kind (RST_MSG_START).empty ());
 }
 
+// The journal names a run on an unreachable instance.  The first successor
+// hears that this lists it no more, while an instance that it has not heard
+// runs the task again; so does the third planner.
+TEST (SuccessionChain, KeepsATaskInDoubtWhoseRecordedRunIsGone)
+{
+  Chain chain;
+
+  chain.predecessor.report (1, chain.busy, {}, 1, RST_RESULT_UNKNOWN, 5000);
+  chain.predecessor.settle ();
+  for (Planner *planner : { &chain.successor, &chain.third })
+    {
+      chain.take_over (*planner, planner == &chain.third ? chain.successor
+                                                         : chain.predecessor);
+      planner->report (1, chain.busy, {});
+      planner->settle ();
+      EXPECT_TRUE (planner->sent_of_kind (RST_MSG_START).empty ());
+    }
+  chain.third.report (1, chain.idle,
+                      { Planner::make_running_run (task_a0, 2) });
+  chain.third.settle ();
+  EXPECT_TRUE (chain.third.sent_of_kind (RST_MSG_START).empty ());
+  EXPECT_TRUE (chain.third.sent_of_kind (RST_MSG_STOP).empty ());
+}
+
 // Of a gang, one instance is unreachable when the first planner ends, and the
 // other is never heard by the first successor.
 TEST (SuccessionChain, StartsNoGangWhileAMemberMayRun)
