--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -197,8 +197,8 @@
 
 /* plan_ends.c */
 
-/** rst_plan_instance_may_have_runs() - Whether an instance has runs, or ends of
-    runs that are in no segment yet. */
+/** rst_plan_instance_may_have_runs() - Whether an instance has runs, or ends
+   of runs that are in no segment yet. */
 bool rst_plan_instance_may_have_runs (const struct instance *instance);
 
 /** rst_plan_note_unstored_end() - Notes an end before it is applied. */
@@ -425,7 +425,6 @@
 /** rst_plan_mark_dirty() - Marks a job for the next commit. */
 void rst_plan_mark_dirty (struct rst_planner *planner, struct job *job);
 
-
 /** rst_plan_commit() - Commits what changed, if a commit is due. */
 void rst_plan_commit (struct rst_planner *planner);
 
--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -2,7 +2,7 @@
 // violations that the oracle found and the jobs that did not finish.
 //
 //   cell-fuzz --seed N [--seconds N] [--seeds COUNT] [--log info] [--fault N]
-//             [--outlive 1] [--partitions 1] [--repeating 1]
+//             [--outlive 1] [--partitions 1] [--repeating 1] [--sequences 1]
 //             [--listed-ends N] [--clock-steps 1]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
@@ -16,7 +16,10 @@
 // --listed-ends limits the ends that an instance lists at a time.
 // --clock-steps lets the time of day of an instance step before it starts
 // again, so that its start time may be below that of its last incarnation.
+// --sequences draws faults as sequences in the order of events, in a network
+// that can be cut, and freezes processes in pieces; see sequences.h.
 #include "partitions.h"
+#include "sequences.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -32,6 +35,18 @@
 
 using namespace cell;
 
+// What a run of the fuzzer draws.
+struct Options
+{
+  int seconds = 60;
+  bool orders_survive_restart = false;
+  bool has_partitions = false;
+  bool has_repeating_jobs = false;
+  bool has_sequences = false;
+  size_t listed_ends_max = SIZE_MAX;
+  bool has_instance_clock_steps = false;
+};
+
 // Time after the last fault in which all accepted jobs must finish.
 static const Millis settle_time_ms = 60000;
 // Factor of it where jobs repeat: with a third of the jobs repeating three
@@ -198,27 +213,17 @@
   return unfinished;
 }
 
-// What a run is drawn from besides its seed.
-struct Options
-{
-  int seconds = 60;
-  bool orders_survive_restart = false;
-  bool has_partitions = false;
-  bool has_repeating_jobs = false;
-  size_t listed_ends_max = SIZE_MAX;
-  bool has_instance_clock_steps = false;
-};
-
 static bool
 run_seed (uint64_t seed, const Options &options)
 {
-  World world (seed, 5, 12, options.has_partitions);
+  World world (seed, 5, 12, options.has_partitions || options.has_sequences);
   // Fewer of the other faults, so that partitions meet a cell at work.
-  double node_fault_probability = options.has_partitions ? 0.01 : 0.03;
+  double node_fault_probability = world.has_partitions ? 0.01 : 0.03;
+  double instance_fault_probability = 0.03;
   Millis start = world.now ();
   Millis end = start + options.seconds * 1000;
   Millis settle_ms
-      = options.has_partitions ? settle_time_after_cuts_ms : settle_time_ms;
+      = world.has_partitions ? settle_time_after_cuts_ms : settle_time_ms;
   int jobs = 0;
   int unfinished;
 
@@ -228,7 +233,15 @@
   world.has_repeating_jobs = options.has_repeating_jobs;
   world.listed_ends_max = options.listed_ends_max;
   world.has_instance_clock_steps = options.has_instance_clock_steps;
+  world.pauses_in_pieces = options.has_sequences;
   world.run_until (start + 3000);
+  if (options.has_sequences)
+    {
+      // Independent faults only disturb the order of a sequence.
+      node_fault_probability = 0.0;
+      instance_fault_probability = 0.0;
+      begin_sequences (world);
+    }
   while (world.now () < end)
     {
       world.run_until (world.now () + 50 + world.draw_below (100));
@@ -242,7 +255,7 @@
         inject_node_fault (world);
       if (world.draw_unit () < 0.06)
         repair_nodes (world, false);
-      if (world.draw_unit () < 0.03)
+      if (world.draw_unit () < instance_fault_probability)
         inject_instance_fault (world);
       if (world.draw_unit () < 0.02)
         draw_fault_probabilities (world);
@@ -295,6 +308,8 @@
         options.listed_ends_max = strtoull (argv[i + 1], nullptr, 10);
       else if (strcmp (argv[i], "--clock-steps") == 0)
         options.has_instance_clock_steps = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--sequences") == 0)
+        options.has_sequences = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--log") == 0)
         g_strlcpy (log.level, argv[i + 1], sizeof log.level);
     }
