Number a planner's advice requests unlike those of earlier planners

What callers see: starts that the instance rejects for want of a ticket, or a step that avoids instances which it may use, for a moment after a hand-over.

Cause: the class of: an agent reports the answer to an earlier planner's request to the present one, which knows its requests by a number, and each planner began at 1. The answer about one step was taken for that about another.

Succession.TakesNoAdviceThatAnEarlierPlannerRequested failed before (a start on the earlier planner's answer). No two runs follow from it: a wrong ticket is rejected.

--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -4,6 +4,9 @@
 
 #include "cell/planner_private.h"
 
+/** Bits of a request's handle below the planner's epoch. */
+#define HANDLE_EPOCH_SHIFT 32
+
 /** Time between checks of leases, unanswered orders and due occurrences. */
 #define CHECK_INTERVAL_MS 100
 
@@ -44,7 +47,8 @@
   planner->timing = *timing;
   planner->epoch = epoch;
   planner->next_segment = 1;
-  planner->next_handle = 1;
+  /* An agent reports answers to an earlier planner's requests to this one. */
+  planner->next_handle = ((uint64_t)epoch << HANDLE_EPOCH_SHIFT) + 1;
   planner->evacuated_zones
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   planner->rejected_entries
--- a/test/unit/succession_test.cc
+++ b/test/unit/succession_test.cc
@@ -479,3 +479,32 @@
   planner.advance_time (1000);
   EXPECT_TRUE (planner.sent_of_kind (RST_MSG_START).empty ());
 }
+
+// An agent reports the answer to a request of an earlier planner too.
+TEST (Succession, TakesNoAdviceThatAnEarlierPlannerRequested)
+{
+  Planner predecessor;
+  Planner successor (2);
+
+  predecessor.start_serving (1, true);
+  predecessor.send_call (7, RST_OPERATION_SUBMIT, job_a,
+                         Planner::make_job (1, 1000));
+  predecessor.settle ();
+  ASSERT_EQ (predecessor.sent_of_kind (RST_MSG_ADVISE).size (), 1u);
+  successor.restore (predecessor);
+  successor.configure (0, true);
+  successor.add_agent (1);
+  successor.add_instance ("i-0");
+  rst_planner_finish_restore (successor.planner);
+  successor.report (1, "i-0", {});
+  successor.settle ();
+  ASSERT_EQ (successor.sent_of_kind (RST_MSG_ADVISE).size (), 1u);
+  successor.send_advice (
+      1, predecessor.sent_of_kind (RST_MSG_ADVISE)[0].number, { "i-0" });
+  successor.settle ();
+  EXPECT_TRUE (successor.sent_of_kind (RST_MSG_START).empty ());
+  successor.send_advice (1, successor.sent_of_kind (RST_MSG_ADVISE)[0].number,
+                         { "i-0" });
+  successor.settle ();
+  EXPECT_EQ (successor.sent_of_kind (RST_MSG_START).size (), 1u);
+}
