--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -480,13 +480,14 @@
   if (incarnation != instance->incarnation)
     begin_incarnation (planner, instance, incarnation);
   instance->runs_known = true;
-  /* All runs that the predecessor started there are known once all ends are
-     listed. */
-  if (has_more_ends)
+  if (has_more_ends && !instance->omits_ends)
     rst_info (RST_PLAN_LOG,
               "Instance lists only some of its ends; its other runs are kept.",
               "instance", instance->entry.id);
-  else
+  instance->omits_ends = has_more_ends;
+  /* All runs that the predecessor started there are known once all ends are
+     listed. */
+  if (!has_more_ends)
     instance->inherited = false;
   /* The instance rejects earlier agents since it has answered this one. */
   instance->former_lease_until
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -148,9 +148,11 @@
   rst_ms runs_unknown_since;
   /* Whether its current agent has reported its runs. */
   bool runs_known;
-  /* Whether it comes from the predecessor's journal, and has neither
-     reported nor had its lease expire since. */
+  /* Whether it comes from the predecessor's journal, and has neither listed
+     all its runs and ends nor had its lease expire since. */
   bool inherited;
+  /* Whether its last list may omit ends. */
+  bool omits_ends;
   /* Whether its last report lists a run that the planner does not know; it
      takes no starts until a report no longer lists one. */
   bool has_unknown_run;
