--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -602,8 +602,7 @@
   EXPECT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 1u);
 }
 
-// A successor may have stored the end of an earlier run of the task, which the
-// instance then no longer lists.
+// A successor may have accepted the job.
 TEST (Planner, DeniesNoJobWhileItMayHaveASuccessor)
 {
   Planner cell;
@@ -611,7 +610,6 @@
   cell.start_serving (1);
   cell.is_confirmed = false;
   cell.advance_time (500);
-  /* A successor may have accepted the job. */
   cell.send_call (1, RST_OPERATION_CANCEL, job_a);
   cell.send_call (2, RST_OPERATION_READ, job_a);
   for (uint64_t number : { 1, 2 })
@@ -628,6 +626,8 @@
   EXPECT_EQ (cell.reply_to (4)->reply.outcome, RST_OUTCOME_NO_JOB);
 }
 
+// A successor may have stored the end of an earlier run of the task, which the
+// instance then no longer lists.
 TEST (Planner, RestartsNoTaskWhileItMayHaveASuccessor)
 {
   Planner cell;
