Log what tells an instance that ended from one that is cut off

New lines: an instance is registered (address, start time, and the instance that had the address before), another instance answers at the address of a lost one; a lost run is logged with its attempt and its age.

No behaviour changes.

--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -128,6 +128,40 @@
             registered);
 }
 
+/* Finds another instance whose entry has the same address: one that ran there
+   before, or runs there now.  Returns NULL if there is none. */
+static struct instance *
+find_address_sharer (const struct rst_planner *planner,
+                     const struct rst_instance_entry *entry)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, planner->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct instance *other = value;
+
+      if (strcmp (other->entry.address, entry->address) == 0
+          && strcmp (other->entry.id, entry->id) != 0)
+        return other;
+    }
+  return NULL;
+}
+
+static void
+log_registered (const struct rst_planner *planner,
+                const struct rst_instance_entry *entry)
+{
+  const struct instance *sharer = find_address_sharer (planner, entry);
+  char incarnation[24];
+
+  g_snprintf (incarnation, sizeof incarnation, "%" PRId64, entry->incarnation);
+  rst_info (RST_PLAN_LOG, "Instance was registered.", "instance", entry->id,
+            "address", entry->address, "incarnation", incarnation,
+            "same_address_as", sharer != NULL ? sharer->entry.id : "");
+}
+
 void
 rst_planner_update_instance (struct rst_planner *planner,
                              const struct rst_instance_entry *entry)
@@ -136,6 +170,8 @@
       = g_hash_table_lookup (planner->instances, entry->id);
   bool address_changed;
 
+  if (instance == NULL || !instance->registered)
+    log_registered (planner, entry);
   if (instance == NULL)
     instance = rst_plan_instance_new (planner, entry->id);
   address_changed = strcmp (instance->entry.address, entry->address) != 0;
@@ -435,6 +471,19 @@
                               LEASE_BASIS_REPORT);
 }
 
+/* Logs the first report that another instance answers at an instance's
+   address. */
+static void
+note_other_instance (struct instance *instance, enum rst_result result)
+{
+  if (result != RST_RESULT_OTHER_INCARNATION || instance->is_replaced)
+    return;
+  instance->is_replaced = true;
+  rst_info (RST_PLAN_LOG, "Another instance answers at an instance's address.",
+            "instance", instance->entry.id, "address",
+            instance->entry.address);
+}
+
 void
 rst_plan_receive_report (struct rst_planner *planner, uint64_t link,
                          struct rst_reader *reader)
@@ -466,8 +515,10 @@
     {
       if (instance->runs_known)
         note_no_answer (planner, instance, result, lease_left);
+      note_other_instance (instance, result);
       return;
     }
+  instance->is_replaced = false;
   /* A list that names no incarnation may be that of an earlier one. */
   if (incarnation == 0 && instance->incarnation != 0)
     return;
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -232,10 +232,15 @@
                         const char *why)
 {
   struct step *step = run->task->step;
+  char attempt[16];
+  char age_ms[24];
 
+  g_snprintf (attempt, sizeof attempt, "%d", run->attempt);
+  g_snprintf (age_ms, sizeof age_ms, "%" PRId64,
+              (int64_t)(planner->now - run->start_sent_at));
   rst_info (RST_PLAN_LOG, "Run was lost; its task may start elsewhere.",
-            "task", run->name, "instance", run->instance->entry.id, "why",
-            why);
+            "task", run->name, "attempt", attempt, "instance",
+            run->instance->entry.id, "why", why, "age_ms", age_ms);
   rst_plan_run_remove (planner, run);
   stop_gang (planner, step);
 }
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -153,6 +153,9 @@
   bool inherited;
   /* Whether its last list may omit ends. */
   bool omits_ends;
+  /* Whether another instance has answered at its address since it last
+     answered itself. */
+  bool is_replaced;
   /* Whether its last report lists a run that the planner does not know; it
      takes no starts until a report no longer lists one. */
   bool has_unknown_run;
