Reproduce BUDGET in the cell's fuzzer: tasks that crash their instances

The oracle breaks BUDGET with the third start in touch after the third crash, and LOST if a job without such a task is shown as failed. The other options draw the same worlds as before.

--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -3,7 +3,7 @@
 //
 //   cell-fuzz --seed N [--seconds N] [--seeds COUNT] [--log info] [--fault N]
 //             [--outlive 1] [--partitions 1] [--repeating 1] [--sequences 1]
-//             [--listed-ends N] [--clock-steps 1]
+//             [--listed-ends N] [--clock-steps 1] [--crashing 1]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
 // --fault selects a deliberate fault; see cell/fault_private.h.  It has an
@@ -16,6 +16,8 @@
 // --listed-ends limits the ends that an instance lists at a time.
 // --clock-steps lets the time of day of an instance step before it starts
 // again, so that its start time may be below that of its last incarnation.
+// --crashing draws jobs with a task that crashes each instance that starts it;
+// an instance that has crashed mostly comes back under another id.
 // --sequences draws faults as sequences in the order of events, in a network
 // that can be cut, and freezes processes in pieces; see sequences.h.
 #include "partitions.h"
@@ -45,6 +47,7 @@
   bool has_sequences = false;
   size_t listed_ends_max = SIZE_MAX;
   bool has_instance_clock_steps = false;
+  bool has_crashing_tasks = false;
 };
 
 // Time after the last fault in which all accepted jobs must finish.
@@ -97,6 +100,14 @@
       desc->steps[0].need.cpu = 100;
       desc->steps[0].estimate_ms = 6000 + world.draw_below (8000);
     }
+  if (world.has_crashing_tasks && world.draw_unit () < 0.06)
+    {
+      int step = world.draw_below (steps);
+
+      g_free (desc->spec);
+      desc->spec = g_strdup_printf (
+          "crash %d.%d", step, world.draw_below (desc->steps[step].count));
+    }
   if (world.has_repeating_jobs && world.draw_unit () < 0.33)
     {
       desc->repeats = 2 + world.draw_below (3);
@@ -233,6 +244,7 @@
   world.has_repeating_jobs = options.has_repeating_jobs;
   world.listed_ends_max = options.listed_ends_max;
   world.has_instance_clock_steps = options.has_instance_clock_steps;
+  world.has_crashing_tasks = options.has_crashing_tasks;
   world.pauses_in_pieces = options.has_sequences;
   world.run_until (start + 3000);
   if (options.has_sequences)
@@ -308,6 +320,8 @@
         options.listed_ends_max = strtoull (argv[i + 1], nullptr, 10);
       else if (strcmp (argv[i], "--clock-steps") == 0)
         options.has_instance_clock_steps = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--crashing") == 0)
+        options.has_crashing_tasks = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--sequences") == 0)
         options.has_sequences = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--log") == 0)
--- a/test/cell/instance_calls.cc
+++ b/test/cell/instance_calls.cc
@@ -165,6 +165,7 @@
   Order &order = copy->order;
 
   order.kind = kind;
+  order.expected_id = call.id;
   order.task = call.task != nullptr ? call.task : "";
   order.attempt = call.attempt;
   order.fencing_token = call.fencing_token;
--- a/test/cell/instances.cc
+++ b/test/cell/instances.cc
@@ -27,6 +27,12 @@
 static const int max_clock_step_ms = 20000;
 // Failed runs of a task at which its job fails; "attempts" in configure().
 static const size_t max_failures = 3;
+// After this many crashes under a task, at most max_starts_after_crashes
+// further starts of it may be ordered by nodes in touch.
+static const int max_crashes = 3;
+static const int max_starts_after_crashes = 2;
+// Time from the start of a task to the crash that it causes.
+static const Millis crash_delay_ms = 10;
 // A task may start up to this long after the cancellation of its job.
 static const Millis cancel_grace_ms = 3000;
 // The same after its job was shown as completed.
@@ -203,7 +209,8 @@
 //   was noted then or later, and none of a machine in touch once its job was
 //   shown as completed.
 // BUDGET: a task has no run after max_failures failed ones whose ends were
-//   noted then or later.
+//   noted then or later, and is not started three times more after it has
+//   crashed three instances.
 // ORDER: a step starts after the steps that it depends on are done, and not
 //   before its occurrence is due.
 // LIMIT: the runs of an instance fit its capacity.
@@ -235,6 +242,11 @@
     report_violation ("TWICE " + task + " starts after its job was completed");
   if (job.noted_failures[task].size () >= max_failures)
     report_violation ("BUDGET " + task + " starts after three failed runs");
+  if (job.crashes[task] >= max_crashes && order.is_in_touch
+      && ++job.starts_after_crashes[task] > max_starts_after_crashes)
+    report_violation ("BUDGET " + task + " starts again after "
+                      + std::to_string (job.crashes[task])
+                      + " instances have crashed under it");
   if (!order.is_late && job.cancelled_at > 0
       && now () > job.cancelled_at + cancel_grace_ms)
     report_violation ("UNASKED " + task
@@ -335,10 +347,42 @@
       run.gang_deadline = now () + gang_timeout_ms;
     }
   instance.runs[order.task] = run;
+  if (is_crashing (order.task))
+    crash_by_task (instance, run);
   if (step.gang)
     start_complete_gang (get_step_name (order.task), step.count);
 }
 
+// The spec of its job is "crash STEP.INDEX"; each occurrence has such a task.
+bool
+World::is_crashing (const std::string &task) const
+{
+  auto found = jobs.find (get_job_id (task));
+  std::string step = get_step_name (task);
+  std::string index = task.substr (step.rfind ('.') + 1);
+
+  return found != jobs.end () && "crash " + index == found->second.desc->spec;
+}
+
+void
+World::crash_by_task (Instance &instance, const Run &run)
+{
+  int64_t started_at = instance.started_at;
+
+  schedule (now () + crash_delay_ms, [=, this, &instance] {
+    auto found = instance.runs.find (run.task);
+    Job &job = jobs[get_job_id (run.task)];
+
+    if (!instance.is_up || instance.started_at != started_at
+        || found == instance.runs.end ()
+        || found->second.attempt != run.attempt)
+      return;
+    // Two crashes entitle the cell to give the task up.
+    job.may_fail |= ++job.crashes[run.task] >= 2;
+    crash_instance (instance, 500 + draw_below (3000));
+  });
+}
+
 void
 World::apply_stop (Instance &instance, const Order &order)
 {
@@ -377,6 +421,11 @@
   rst_instance_answer *answer = rst_instance_answer_new ();
 
   log_order (now (), instance, order, get_clock (instance));
+  if (order.expected_id != instance.id)
+    {
+      answer->result = RST_RESULT_OTHER_INCARNATION;
+      return answer;
+    }
   answer->clock_ms = get_clock (instance);
   answer->incarnation = instance.born;
   if (order.fencing_token < instance.fencing_token)
@@ -499,6 +548,19 @@
   return born == instance.born ? born + 1 : born;
 }
 
+// The entry under the earlier id is removed when its reports are missing.
+void
+World::rename_instance (Instance &instance)
+{
+  const std::string earlier_key = "servers/" + instance.id;
+
+  instance.id += "'";
+  schedule (now () + draw_below (3000), [=, this] {
+    if (store.count (earlier_key) > 0)
+      remove_key (earlier_key);
+  });
+}
+
 void
 World::crash_instance (Instance &instance, Millis down_ms, bool is_dark)
 {
@@ -512,6 +574,8 @@
   if (has_partitions && !is_dark)
     end_pending_polls (instance);
   schedule (now () + down_ms, [this, &instance] {
+    if (has_crashing_tasks && draw_unit () < 0.7)
+      rename_instance (instance);
     instance.is_up = true;
     instance.is_dark = false;
     instance.started_at = now ();
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -100,6 +100,8 @@
   std::string task;
   int attempt = 0;
   int64_t fencing_token = 0;
+  // The id that the caller expects at the address.
+  std::string expected_id;
   // On the clock of the instance; 0 leaves the lease as it is.
   Millis lease_expires_at = 0;
   // Acknowledges the ends up to this number.
@@ -174,6 +176,10 @@
   std::map<std::string, int> failures;
   // Tasks with a completed run whose end was noted.
   std::set<std::string> noted_tasks;
+  // Number of instances that have crashed because they started each task, and
+  // of the starts of it in touch since the third.
+  std::map<std::string, int> crashes;
+  std::map<std::string, int> starts_after_crashes;
   // Whether a task or a gang has failed often enough for the job to fail.
   bool may_fail = false;
 };
@@ -289,6 +295,9 @@
   bool orders_survive_restart = false;
   // Whether some jobs repeat.
   bool has_repeating_jobs = false;
+  // Whether some tasks crash each instance that starts them, and instances
+  // that have crashed come back under another id at their address.
+  bool has_crashing_tasks = false;
   // Number of ends that an instance lists at a time.
   size_t listed_ends_max = SIZE_MAX;
   // Whether the time of day of an instance may step before it starts again.
@@ -342,6 +351,8 @@
   // power (@is_dark).
   void crash_instance (Instance &instance, Millis down_ms,
                        bool is_dark = false);
+  // Whether a task crashes the instances that start it.
+  bool is_crashing (const std::string &task) const;
 
   // Nodes.
 
@@ -494,6 +505,10 @@
   void apply_start (Instance &instance, const Order &order,
                     rst_instance_answer *answer);
   void apply_stop (Instance &instance, const Order &order);
+  // Lets a task crash the instance that has just started it.
+  void crash_by_task (Instance &instance, const Run &run);
+  // Lets an instance come back under another id.
+  void rename_instance (Instance &instance);
   void note_lapsed_ends (Instance &instance);
   void fail_instance_call (const InstanceCallRef &call, Millis delay,
                            rst_result result);
