Count crashes of instances under the tasks that may have caused them

Cause: the planner ended the runs of an instance that had gone as lost, and the task was as good as new (hypothesis 1: it repeats without a change of planners, so 2 alone is ruled out). It could not tell a crash from a cut either (hypothesis 3): the instance comes back under another id, so its earlier life just looked silent. What shows the end is that another instance answers at its address.

Now the end of an instance that was not draining, seen so or as a restart under its id, is counted under the runs that started last if the last one had run for at most 0.5 s by the instance's own clock, else under all of them. Each attempt counts once and is in the job's record; the record of a silent instance says how long its runs had run, so a successor counts a crash that it did not see. A task fails its job with the third crash. A lapsed lease alone counts nothing.

--- a/src/cell/fault_private.h
+++ b/src/cell/fault_private.h
@@ -34,6 +34,8 @@
  * not answered yet is recorded as unreachable without runs.
  * @RST_CELL_FAULT_REUSE_ATTEMPTS: A planner that succeeds a successor may use
  *   the same attempt numbers as that.
+ * @RST_CELL_FAULT_IGNORE_CRASHES: No task is given up because instances crash
+ *   under it.
  */
 enum rst_cell_fault_kind
 {
@@ -52,6 +54,7 @@
   RST_CELL_FAULT_IGNORE_LOST_AGENT,
   RST_CELL_FAULT_EARLY_UNREACHABLE,
   RST_CELL_FAULT_REUSE_ATTEMPTS,
+  RST_CELL_FAULT_IGNORE_CRASHES,
 };
 
 #ifdef RST_FAULTS
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -23,6 +23,7 @@
 
   g_hash_table_destroy (instance->runs);
   g_array_free (instance->unstored_ends, TRUE);
+  g_array_free (instance->lapsed_runs, TRUE);
   g_free (instance);
 }
 
@@ -36,6 +37,8 @@
                                           rst_plan_run_free);
   instance->unstored_ends
       = g_array_new (FALSE, FALSE, sizeof (struct unstored_end));
+  instance->lapsed_runs
+      = g_array_new (FALSE, FALSE, sizeof (struct lapsed_run));
   instance->runs_unknown_since = planner->now;
   instance->lease_expires_at = rst_plan_get_latest_lease_expiry (planner);
   instance->number = ++planner->next_instance_number;
@@ -181,6 +184,7 @@
   if (g_hash_table_remove (planner->rejected_entries, entry->id))
     rst_info (RST_PLAN_LOG, "Instance entry can be used again.", "instance",
               entry->id);
+  instance->has_moved |= instance->entry.address[0] != '\0' && address_changed;
   instance->entry = *entry;
   instance->registered = true;
   instance->unregistered_at = 0;
@@ -353,7 +357,10 @@
       return;
     }
   rst_plan_run_mark_started (run);
+  if (run->from_journal)
+    run->started_clock_ms = instance->last_clock_ms;
   run->from_journal = false;
+  rst_plan_check_probation (planner, run);
   if (listed->progress_percent != run->progress_percent)
     run->progressed_at = planner->now;
   run->progress_percent = listed->progress_percent;
@@ -399,6 +406,8 @@
   int64_t last_applied_end = instance->last_applied_end;
 
   instance->has_unknown_run = false;
+  instance->last_clock_ms = MAX (instance->last_clock_ms, clock_ms);
+  g_array_set_size (instance->lapsed_runs, 0);
   for (uint32_t i = 0; i < runs->count; i++)
     {
       struct rst_run run = read_run (runs);
@@ -431,8 +440,12 @@
                    int64_t incarnation)
 {
   if (instance->incarnation != 0)
-    mark_runs_lost (planner, instance, "instance restarted");
+    {
+      rst_plan_count_crash (planner, instance);
+      mark_runs_lost (planner, instance, "instance restarted");
+    }
   instance->incarnation = incarnation;
+  instance->last_clock_ms = 0;
   instance->incarnation_seen_at = planner->now;
   rst_plan_discard_unstored_ends (instance);
   instance->last_applied_end = 0;
@@ -471,17 +484,21 @@
                               LEASE_BASIS_REPORT);
 }
 
-/* Logs the first report that another instance answers at an instance's
-   address. */
+/* Handles the report that another instance answers at an instance's address:
+   the instance has ended.  One that changed its address may have left the
+   earlier one to another. */
 static void
-note_other_instance (struct instance *instance, enum rst_result result)
+note_other_instance (struct rst_planner *planner, struct instance *instance)
 {
-  if (result != RST_RESULT_OTHER_INCARNATION || instance->is_replaced)
+  if (instance->is_replaced || instance->has_moved)
     return;
   instance->is_replaced = true;
-  rst_info (RST_PLAN_LOG, "Another instance answers at an instance's address.",
+  rst_info (RST_PLAN_LOG,
+            "Another instance answers at an instance's address; the instance "
+            "has ended.",
             "instance", instance->entry.id, "address",
             instance->entry.address);
+  rst_plan_count_crash (planner, instance);
 }
 
 void
@@ -515,10 +532,12 @@
     {
       if (instance->runs_known)
         note_no_answer (planner, instance, result, lease_left);
-      note_other_instance (instance, result);
+      if (result == RST_RESULT_OTHER_INCARNATION)
+        note_other_instance (planner, instance);
       return;
     }
   instance->is_replaced = false;
+  instance->has_moved = false;
   /* A list that names no incarnation may be that of an earlier one. */
   if (incarnation == 0 && instance->incarnation != 0)
     return;
@@ -586,6 +605,7 @@
             instance->entry.id, "basis", names[instance->lease_basis],
             "unknown_ms", unknown_ms);
   planner->stats.leases_expired++;
+  rst_plan_note_lapsed_runs (instance);
   mark_runs_lost (planner, instance, "lease expired");
   hold_with_new_token (planner, instance);
 }
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -50,6 +50,8 @@
   for (int i = 0; i < desc->step_count; i++)
     {
       rst_plan_forget_requests (&occurrence->steps[i]);
+      for (int t = 0; t < desc->steps[i].count; t++)
+        g_free (occurrence->steps[i].tasks[t].crashes);
       g_free (occurrence->steps[i].tasks);
       g_hash_table_destroy (occurrence->steps[i].approvals);
     }
--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -42,13 +42,56 @@
   g_byte_array_free (bytes, TRUE);
 }
 
+static void
+pack_crashes (struct rst_pack *pack, const struct task *task)
+{
+  const struct crash_history *crashes = task->crashes;
+
+  rst_pack_array (pack, 6);
+  rst_pack_int (pack, task->step->occurrence->number);
+  rst_pack_int (pack, task->step->index);
+  rst_pack_int (pack, task->index);
+  rst_pack_int (pack, crashes->is_suspect ? 1 : 0);
+  rst_pack_int (pack, crashes->survived_ms);
+  rst_pack_array (pack, (size_t)crashes->count);
+  for (int i = 0; i < crashes->count; i++)
+    rst_pack_int (pack, crashes->attempts[i]);
+}
+
+/* Packs the crashes counted under the tasks of a job; only counts these tasks
+   when @pack is NULL. */
+static size_t
+pack_job_crashes (struct rst_pack *pack, const struct job *job)
+{
+  size_t count = 0;
+
+  for (guint k = 0; k < job->occurrences->len; k++)
+    {
+      const struct occurrence *occurrence
+          = g_ptr_array_index (job->occurrences, k);
+
+      for (int i = 0; i < job->desc->step_count; i++)
+        for (int t = 0; t < job->desc->steps[i].count; t++)
+          {
+            const struct task *task = &occurrence->steps[i].tasks[t];
+
+            if (task->crashes == NULL)
+              continue;
+            if (pack != NULL)
+              pack_crashes (pack, task);
+            count++;
+          }
+    }
+  return count;
+}
+
 static void
 pack_progress (const struct rst_planner *planner, struct rst_pack *pack,
                const struct job *job)
 {
   bool has_ended = rst_plan_job_has_ended (job);
 
-  rst_pack_array (pack, 5);
+  rst_pack_array (pack, 6);
   rst_pack_int (pack, job->state);
   rst_pack_int (pack, job->occurrences_left);
   rst_pack_int (pack, job->next_occurrence);
@@ -64,6 +107,9 @@
         pack_tasks (pack, &occurrence->steps[i]);
     }
   rst_pack_int (pack, planner->epoch);
+  rst_pack_array (pack, has_ended ? 0 : pack_job_crashes (NULL, job));
+  if (!has_ended)
+    pack_job_crashes (pack, job);
 }
 
 /* Packs an ended job without its steps: only its state is still needed. */
@@ -136,12 +182,15 @@
   rst_pack_text (pack, instance->entry.zone);
 }
 
+/* Packs a run; @survived_ms is -1 if it is not known to have started. */
 static void
-pack_run_name (struct rst_pack *pack, const char *task, int attempt)
+pack_run (struct rst_pack *pack, const char *task, int attempt,
+          rst_ms survived_ms)
 {
-  rst_pack_array (pack, 2);
+  rst_pack_array (pack, 3);
   rst_pack_text (pack, task);
   rst_pack_int (pack, attempt);
+  rst_pack_int (pack, survived_ms);
 }
 
 /* Packs an unreachable instance with the runs that it may still have, the runs
@@ -169,14 +218,15 @@
     {
       const struct run *run = value;
 
-      pack_run_name (pack, run->name, run->attempt);
+      pack_run (pack, run->name, run->attempt,
+                run->has_started ? rst_plan_get_survived_ms (run) : -1);
     }
   for (guint i = 0; i < instance->unstored_ends->len; i++)
     {
       const struct unstored_end *end
           = &g_array_index (instance->unstored_ends, struct unstored_end, i);
 
-      pack_run_name (pack, end->task, end->attempt);
+      pack_run (pack, end->task, end->attempt, -1);
     }
 }
 
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -76,17 +76,48 @@
       if (occurrence->steps[i].tasks_left > 0)
         occurrence->steps_left++;
       for (int t = 0; t < occurrence->steps[i].spec->count; t++)
-        occurrence->steps[i].tasks[t].in_doubt = true;
+        {
+          occurrence->steps[i].tasks[t].in_doubt = true;
+          rst_plan_clear_crashes (&occurrence->steps[i].tasks[t]);
+        }
     }
   reader->bad |= in.bad;
 }
 
+/* Restores the crashes counted under one task. */
+static void
+restore_crashes (struct job *job, struct rst_reader *rows)
+{
+  struct rst_reader row = rst_reader_read_array (rows);
+  struct occurrence *occurrence
+      = rst_plan_find_occurrence (job, rst_reader_read_int (&row));
+  int64_t step = rst_reader_read_int (&row);
+  int64_t index = rst_reader_read_int (&row);
+  bool is_suspect = rst_reader_read_int (&row) != 0;
+  rst_ms survived_ms = rst_reader_read_int (&row);
+  struct rst_reader attempts = rst_reader_read_array (&row);
+  struct task *task;
+
+  rows->bad |= row.bad;
+  if (row.bad || occurrence == NULL || step < 0
+      || step >= job->desc->step_count || index < 0
+      || index >= job->desc->steps[step].count)
+    return;
+  task = &occurrence->steps[step].tasks[index];
+  rst_plan_restore_crashes (task, is_suspect, survived_ms);
+  for (uint32_t i = 0; i < attempts.count && i < RST_CRASHES_MAX; i++)
+    task->crashes->attempts[task->crashes->count++]
+        = (int)rst_reader_read_int (&attempts);
+  rows->bad |= attempts.bad;
+}
+
 static void
 restore_progress (struct rst_planner *planner, struct job *job,
                   struct rst_reader *reader)
 {
   struct rst_reader in = rst_reader_read_array (reader);
   struct rst_reader occurrences;
+  struct rst_reader crashes;
 
   job->state = (enum rst_job_state)rst_reader_read_int (&in);
   job->committed_state = job->state;
@@ -96,10 +127,13 @@
   for (uint32_t i = 0; i < occurrences.count; i++)
     restore_occurrence (job, &occurrences);
   job->record_epoch = rst_reader_read_int (&in);
+  crashes = rst_reader_read_array (&in);
+  for (uint32_t i = 0; i < crashes.count; i++)
+    restore_crashes (job, &crashes);
   job->unstored_occurrence = job->next_occurrence;
   if (rst_plan_job_has_ended (job))
     job->ended_at = planner->now;
-  reader->bad |= in.bad || occurrences.bad;
+  reader->bad |= in.bad || occurrences.bad || crashes.bad;
 }
 
 static void
@@ -243,6 +277,7 @@
   struct rst_reader row = rst_reader_read_array (rows);
   char *name = rst_reader_read_text (&row);
   int attempt = (int)rst_reader_read_int (&row);
+  rst_ms survived_ms = rst_reader_read_int (&row);
   struct task *task = rst_plan_find_task (planner, name);
 
   /* A later run of the task was started only after the earlier one had
@@ -255,6 +290,8 @@
 
       run->from_journal = true;
       rst_plan_run_mark_started (run);
+      run->has_started = survived_ms >= 0;
+      run->survived_ms = MAX (survived_ms, 0);
       /* The run may have ended since, and the task may run elsewhere. */
       task->in_doubt = true;
     }
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -74,6 +74,9 @@
 {
   if (run->state == RUN_STARTING)
     run->state = RUN_RUNNING;
+  if (!run->has_started)
+    run->started_clock_ms = run->instance->last_clock_ms;
+  run->has_started = true;
   rst_plan_job_mark_started (run->task->step->occurrence->job);
 }
 
@@ -322,6 +325,8 @@
   if (result == RST_RESULT_OK)
     {
       run->instance->rejections = 0;
+      run->instance->last_clock_ms
+          = MAX (run->instance->last_clock_ms, clock_ms);
       rst_plan_run_mark_started (run);
       return;
     }
@@ -368,6 +373,7 @@
   if (task->done)
     return;
   task->done = true;
+  rst_plan_clear_crashes (task);
   if (task->run == NULL)
     step->tasks_waiting--;
   step->tasks_left--;
@@ -487,6 +493,10 @@
       if (end->end_reason != RST_END_DONE && run != NULL)
         stop_gang (planner, step);
     }
+  if (run != NULL && end->end_reason == RST_END_FAILED)
+    rst_plan_clear_suspect (planner, task, "failed without a crash");
+  else if (run != NULL)
+    rst_plan_check_probation (planner, run);
   if (run != NULL)
     rst_plan_run_remove (planner, run);
   if (rst_log_enabled (G_LOG_LEVEL_INFO))
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -5,7 +5,8 @@
  * callers' requests, jobs and their steps.  plan_agents.c: agents and
  * the instances that they hold.  plan_instances.c: instances and reports.
  * plan_runs.c: runs, from the start order to the end.  plan_ends.c: ends that
- * wait to be stored.  plan_place.c: placement of waiting tasks.  plan_limit.c:
+ * wait to be stored.  plan_crash.c: which runs a crash of their instance is
+ * attributed to.  plan_place.c: placement of waiting tasks.  plan_limit.c:
  * upper limits of customers.  plan_pace.c: the pace of best-effort tasks.
  * plan_advice.c: requests to the advice service.  plan_journal.c: which
  * records are committed when; plan_record.c writes records, plan_restore.c
@@ -298,6 +299,48 @@
 void rst_plan_format_task_name (const struct task *task, char *out,
                                 size_t size);
 
+/* plan_crash.c */
+
+/** rst_plan_get_survived_ms() - How long a run is known to have run. */
+rst_ms rst_plan_get_survived_ms (const struct run *run);
+
+/**
+ * rst_plan_count_crash() - Counts the crash of an instance under the tasks
+ * that may have caused it.
+ *
+ * Called before the instance's runs are marked as lost.  Ends the job of a
+ * task that is certainly the cause.
+ */
+void rst_plan_count_crash (struct rst_planner *planner,
+                           struct instance *instance);
+
+/** rst_plan_note_lapsed_runs() - Remembers the runs of an instance whose lease
+    has expired, before they are marked as lost. */
+void rst_plan_note_lapsed_runs (struct instance *instance);
+
+/** rst_plan_is_suspect() - Whether a task has to be tried apart from other
+    jobs. */
+bool rst_plan_is_suspect (const struct task *task);
+
+void rst_plan_set_suspect (struct task *task, bool is_suspect);
+
+/** rst_plan_restore_crashes() - Begins the history of a task that is read from
+    the journal, without attempts. */
+void rst_plan_restore_crashes (struct task *task, bool is_suspect,
+                               rst_ms survived_ms);
+
+/** rst_plan_clear_crashes() - Forgets the crashes counted under a task. */
+void rst_plan_clear_crashes (struct task *task);
+
+/** rst_plan_clear_suspect() - The same for a suspect, which is logged and
+    recorded. */
+void rst_plan_clear_suspect (struct rst_planner *planner, struct task *task,
+                             const char *why);
+
+/** rst_plan_check_probation() - Clears the task of a run that has run for long
+    enough. */
+void rst_plan_check_probation (struct rst_planner *planner, struct run *run);
+
 /* plan_place.c */
 
 /** rst_plan_place_steps() - Runs one placement pass over all waiting steps. */
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -22,6 +22,9 @@
 /** Number of a task's failed runs whose attempts are remembered. */
 #define RST_FAILED_RUNS_MAX 16
 
+/** Number of crashes under a task whose attempts are remembered. */
+#define RST_CRASHES_MAX 8
+
 /** Longest time that a lease lasts by the planner's clock, in percent of its
  * time by the instance's clock, which may run 2 % slow. */
 #define RST_SLOW_CLOCK_PERCENT 102
@@ -100,6 +103,26 @@
   int attempt;
 };
 
+/**
+ * struct lapsed_run - A run that was taken for lost with its lease.
+ * @task: Name of the task.
+ * @attempt: Attempt of the run.
+ * @survived_ms: How long it is known to have run.
+ * @has_started: Whether it is known to have started.
+ * @on_trial: Whether its task was tried as a suspect.
+ *
+ * If it turns out that the instance had crashed, the crash is counted under
+ * these runs.
+ */
+struct lapsed_run
+{
+  char task[RST_TASK_NAME_SIZE];
+  int attempt;
+  rst_ms survived_ms;
+  bool has_started;
+  bool on_trial;
+};
+
 /** struct instance - An instance, registered or known from the journal. */
 struct instance
 {
@@ -126,6 +149,10 @@
   int64_t token_raises;
   /* The incarnation that the fencing token was last raised for. */
   int64_t fenced_incarnation;
+  /* The latest reading of its clock by its present incarnation. */
+  int64_t last_clock_ms;
+  /* struct lapsed_run, since it last answered. */
+  GArray *lapsed_runs;
   /* Numbers of the last end applied, of the last one acknowledged and of
      the last one in the commit under way. */
   int64_t last_applied_end;
@@ -154,8 +181,10 @@
   /* Whether its last list may omit ends. */
   bool omits_ends;
   /* Whether another instance has answered at its address since it last
-     answered itself. */
+     answered itself: it has ended. */
   bool is_replaced;
+  /* Whether its address has changed since it last answered. */
+  bool has_moved;
   /* Whether its last report lists a run that the planner does not know; it
      takes no starts until a report no longer lists one. */
   bool has_unknown_run;
@@ -210,8 +239,15 @@
   int64_t clock_ms;
   bool stop_answered;
   /* Whether only the journal says that the instance, while unreachable, may
-     still have this run. */
+     still have this run; and how long it had run by then. */
   bool from_journal;
+  rst_ms survived_ms;
+  /* Whether it is known to have started, and the earliest reading of the
+     instance's clock after that. */
+  bool has_started;
+  int64_t started_clock_ms;
+  /* Whether its task is tried as a suspect, see plan_trial.c. */
+  bool on_trial;
   int progress_percent;
   /* When progress_percent last changed. */
   rst_ms progressed_at;
@@ -227,6 +263,21 @@
 
 struct step;
 
+/**
+ * struct crash_history - Crashes of instances under a task.
+ * @count: Number of its runs that are counted.
+ * @attempts: Their attempts.
+ * @survived_ms: How long the longest of them had run.
+ * @is_suspect: Whether it has to be tried apart from other jobs.
+ */
+struct crash_history
+{
+  int count;
+  int attempts[RST_CRASHES_MAX];
+  rst_ms survived_ms;
+  bool is_suspect;
+};
+
 /** struct task - One task of a step. */
 struct task
 {
@@ -239,6 +290,8 @@
   int failed_runs;
   /* Attempt numbers of the first failed runs. */
   int failed_attempts[RST_FAILED_RUNS_MAX];
+  /* NULL if none is counted. */
+  struct crash_history *crashes;
   /* The highest attempt number used. */
   int attempt;
   /* Whether an instance inherited from the predecessor may run it although
@@ -387,6 +440,8 @@
   /* Epoch of the planner that wrote the record from which it was restored; 0
      for a job that this planner accepted. */
   int64_t record_epoch;
+  /* Number of its tasks that are suspected of crashes. */
+  int suspects;
   /* Whether it exceeded the customer's share when submitted. */
   bool over_share;
   /* struct pending_reply. */
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -29,6 +29,8 @@
  * @ends: Runs that ended, by enum rst_end.
  * @advice_calls: Advice requests sent.
  * @advice_failed: Advice requests that failed.
+ * @crashes: Crashes of instances with runs.
+ * @tasks_given_up: Tasks whose jobs failed because instances crash under them.
  * @leases_expired: Leases that expired while the runs of their instances were
  *   not known.
  * @pace_orders: Orders sent that set the pace of a run.
@@ -57,6 +59,8 @@
   uint64_t ends[RST_END_KINDS];
   uint64_t advice_calls;
   uint64_t advice_failed;
+  uint64_t crashes;
+  uint64_t tasks_given_up;
   uint64_t leases_expired;
   uint64_t pace_orders;
   uint64_t commits;
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -135,6 +135,11 @@
   rst_metrics_add_counter (page, "advice_failed_total",
                            "Calls for advice without a usable answer.",
                            stats->advice_failed);
+  rst_metrics_add_counter (page, "crashes_total",
+                           "Crashes of instances with runs.", stats->crashes);
+  rst_metrics_add_counter (page, "tasks_given_up_total",
+                           "Tasks given up as instances crash under them.",
+                           stats->tasks_given_up);
   rst_metrics_add_counter (page, "leases_expired_total",
                            "Leases of instances with runs that expired.",
                            stats->leases_expired);
--- /dev/null
+++ b/test/unit/crashing_task_test.cc
@@ -0,0 +1,248 @@
+// A task under which each instance crashes, and its innocent neighbours.
+#include <algorithm>
+#include <memory>
+
+#include <gtest/gtest.h>
+
+#include "cell_harness.h"
+
+using harness::Planner;
+
+static const char *const job_a = "00000000000000aa";
+static const char *const job_b = "00000000000000bb";
+static const std::string task_a0 = "00000000000000aa.0.0.0";
+static const std::string task_b0 = "00000000000000bb.0.0.0";
+static const rst_ms lease_left_ms = 6000;
+static const rst_ms longest_lease_ms = lease_left_ms * 102 / 100 + 300;
+// By the rule, three starts more after three crashes are too many.
+static const int starts_max = 5;
+
+static std::string
+get_state (Planner &cell, const char *job)
+{
+  cell.send_call (50, RST_OPERATION_READ, job);
+  const harness::Reply *reply = cell.reply_to (50);
+  rst_job_state state = reply->reply.state;
+
+  cell.replies.clear ();
+  return state == RST_JOB_FAILED      ? "failed"
+         : state == RST_JOB_COMPLETED ? "completed"
+                                      : "live";
+}
+
+// Returns the instance on which a task was started last, or "".
+static std::string
+find_start (const Planner &cell, const std::string &task, int *attempt)
+{
+  std::string id;
+
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    if (start.task == task)
+      {
+        id = start.id;
+        *attempt = start.attempt;
+      }
+  return id;
+}
+
+// Waits for the start of a task and answers it; returns its instance.
+static std::string
+await_start (Planner &cell, const std::string &task)
+{
+  int attempt = 0;
+  std::string id;
+
+  for (int i = 0; i < 50 && id.empty (); i++)
+    {
+      cell.settle ();
+      id = find_start (cell, task, &attempt);
+    }
+  if (id.empty ())
+    return id;
+  cell.sent.clear ();
+  cell.answer_order (1, RST_MSG_STARTED, id, task, attempt, RST_RESULT_OK);
+  return id;
+}
+
+// Lets an instance crash and come back under another id at its address, and
+// its lease expire.
+static void
+crash_and_return (Planner &cell, const std::string &id)
+{
+  cell.report (1, id, {}, 1, RST_RESULT_UNKNOWN, lease_left_ms);
+  cell.settle ();
+  rst_planner_remove_instance (cell.planner, id.c_str ());
+  cell.add_instance (id + "'");
+  cell.report (1, id + "'", {});
+  cell.report (1, id, {}, 0, RST_RESULT_OTHER_INCARNATION);
+  cell.advance_time (longest_lease_ms);
+  cell.settle ();
+}
+
+static void
+hand_over (const Planner &predecessor, Planner &successor,
+           const std::vector<std::string> &instances)
+{
+  successor.set_time (predecessor.now);
+  successor.restore (predecessor);
+  successor.configure ();
+  successor.add_agent (1);
+  for (const std::string &id : instances)
+    successor.add_instance (id);
+  rst_planner_finish_restore (successor.planner);
+  for (const std::string &id : instances)
+    successor.report (1, id, {});
+  successor.settle ();
+  successor.advance_time (longest_lease_ms);
+}
+
+TEST (CrashingTask, IsGivenUp)
+{
+  Planner cell;
+  int starts = 0;
+
+  cell.start_serving (3);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
+  while (starts <= starts_max && get_state (cell, job_a) == "live")
+    {
+      std::string id = await_start (cell, task_a0);
+
+      ASSERT_FALSE (id.empty ());
+      starts++;
+      crash_and_return (cell, id);
+    }
+  EXPECT_LE (starts, starts_max);
+  EXPECT_EQ (get_state (cell, job_a), "failed");
+}
+
+// The planner is replaced after each crash that it has seen.
+TEST (CrashingTask, IsGivenUpByPlannersThatSawOneCrashEach)
+{
+  std::vector<std::string> instances = { "i-0", "i-1", "i-2" };
+  std::vector<std::unique_ptr<Planner> > planners;
+  int starts = 0;
+
+  planners.push_back (std::make_unique<Planner> ());
+  planners[0]->start_serving (3);
+  planners[0]->send_call (7, RST_OPERATION_SUBMIT, job_a,
+                          Planner::make_job (1, 1000));
+  while (starts <= starts_max)
+    {
+      Planner &cell = *planners.back ();
+      std::string id;
+
+      if (get_state (cell, job_a) == "failed")
+        break;
+      id = await_start (cell, task_a0);
+      ASSERT_FALSE (id.empty ());
+      starts++;
+      crash_and_return (cell, id);
+      std::erase (instances, id);
+      instances.push_back (id + "'");
+      auto successor
+          = std::make_unique<Planner> ((int64_t)planners.size () + 1);
+
+      // Its segments follow those of its predecessors.
+      hand_over (cell, *successor, instances);
+      successor->commits.insert (successor->commits.begin (),
+                                 cell.commits.begin (), cell.commits.end ());
+      planners.push_back (std::move (successor));
+    }
+  EXPECT_LE (starts, starts_max);
+  EXPECT_EQ (get_state (*planners.back (), job_a), "failed");
+}
+
+// The planner is replaced after it has recorded that the instance is silent,
+// and before the instance is back.
+TEST (CrashingTask, IsCountedByASuccessorThatDidNotSeeItStart)
+{
+  Planner cell;
+  Planner successor (2);
+
+  cell.start_serving (3);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
+  std::string id = await_start (cell, task_a0);
+
+  cell.report (1, id, {}, 1, RST_RESULT_UNKNOWN, lease_left_ms);
+  cell.settle ();
+  successor.set_time (cell.now);
+  successor.restore (cell);
+  successor.configure ();
+  successor.add_agent (1);
+  for (const char *other : { "i-0", "i-1", "i-2" })
+    successor.add_instance (other);
+  rst_planner_finish_restore (successor.planner);
+  for (const char *other : { "i-0", "i-1", "i-2" })
+    if (id != other)
+      successor.report (1, other, {});
+  successor.report (1, id, {}, 0, RST_RESULT_OTHER_INCARNATION);
+
+  rst_planner_stats stats;
+
+  rst_planner_read_stats (successor.planner, &stats);
+  EXPECT_EQ (stats.crashes, 1u);
+}
+
+// A lease that lapses, and what follows it, says nothing about the task.
+TEST (CrashingTask, SilenceIsNoCrash)
+{
+  Planner cell;
+
+  cell.start_serving (3);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
+  for (int i = 0; i < starts_max; i++)
+    {
+      std::string id = await_start (cell, task_a0);
+
+      ASSERT_FALSE (id.empty ());
+      cell.report (1, id, {}, 1, RST_RESULT_UNKNOWN, lease_left_ms);
+      cell.advance_time (longest_lease_ms + 200);
+      cell.report (1, id, {});
+    }
+  EXPECT_EQ (get_state (cell, job_a), "live");
+}
+
+// What drains ends as planned.
+TEST (CrashingTask, DrainedInstanceIsNoCrash)
+{
+  Planner cell;
+
+  cell.start_serving (3);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
+  for (int i = 0; i < starts_max; i++)
+    {
+      std::string id = await_start (cell, task_a0);
+
+      ASSERT_FALSE (id.empty ());
+      cell.add_instance (id, true);
+      crash_and_return (cell, id);
+    }
+  EXPECT_EQ (get_state (cell, job_a), "live");
+}
+
+// Task a0 runs for long beside tasks that crash their instances.
+TEST (CrashingTask, NeighbourThatRanBeforeIsNotCounted)
+{
+  Planner cell;
+  rst_planner_stats stats;
+
+  cell.start_serving (1);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
+  std::string id = await_start (cell, task_a0);
+
+  cell.advance_time (2000);
+  cell.clock += 2000;
+  cell.report (1, id, { Planner::make_running_run (task_a0, 1) });
+  cell.send_call (8, RST_OPERATION_SUBMIT, job_b, Planner::make_job (1, 1000));
+  ASSERT_EQ (await_start (cell, task_b0), id);
+  cell.report (1, id, {}, 1, RST_RESULT_UNKNOWN, lease_left_ms);
+  cell.settle ();
+  cell.commits.clear ();
+  cell.report (1, id, {}, 0, RST_RESULT_OTHER_INCARNATION);
+  cell.settle ();
+  rst_planner_read_stats (cell.planner, &stats);
+  EXPECT_EQ (stats.crashes, 1u);
+  ASSERT_EQ (cell.commits.size (), 1u);
+  EXPECT_EQ (cell.commits[0].data.find (job_a), std::string::npos);
+  EXPECT_NE (cell.commits[0].data.find (job_b), std::string::npos);
+}
