Try tasks that are suspected of crashes apart from other jobs

Seen by callers: with the third crash a task was given up also if it had only been beside the guilty one, and each crash took all neighbours with it.

Cause: all runs that had just started when an instance crashed counted alike, and a suspect started next to others again. Now a suspect starts on an instance without runs of other jobs, and nothing joins it until it has run for 0.5 s, or twice as long as it had before a crash; the other tasks of its job wait. A job fails when an instance crashes that ran nothing else likely, after two crashes counted under the task; so only trials convict. If no instance is idle, one is held, for 3 s at most. Trials take one instance in eight, or half of the idle ones. A trial starts once what was counted is stored.

Planner.StartsNothingOnIncarnationsSeenSinceTheLastConfirmation completes the commit before it expects the start, since the crash has to be stored first; it still expects no start before and exactly one after.

--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -115,6 +115,35 @@
   return left < right ? -1 : left > right;
 }
 
+/* The same for the trial of suspects: the instances that can be cleared for it
+   soonest come first, however full they are now. */
+static void
+find_trial_candidates (const struct rst_planner *planner,
+                       const struct step *step, GArray *found)
+{
+  for (guint i = 0; i < planner->trial_instances->len; i++)
+    {
+      struct instance *instance
+          = g_ptr_array_index (planner->trial_instances, i);
+      const struct approval *approval
+          = rst_plan_find_approval (step, instance);
+      struct candidate candidate = { instance, 0, 1.0, 0.0 };
+
+      candidate.slots = rst_plan_count_trial_slots (instance, step);
+      if (candidate.slots == 0 || (approval != NULL && approval->rejected))
+        continue;
+      candidate.score = (double)g_hash_table_size (instance->runs);
+      if (approval == NULL)
+        candidate.chance = step->occurrence->job->queue->approval_rate;
+      else
+        candidate.score -= 1000.0;
+      if (!step->spec->gang)
+        candidate.slots = 1;
+      g_array_append_val (found, candidate);
+    }
+  g_array_sort (found, compare_scores);
+}
+
 /* Finds the instances that a request may name, best first.  They are eligible,
    not rejected before, and have room.  The first request of a gang may name
    instances without room too: approvals do not change, and the room may become
@@ -126,6 +155,11 @@
   double approval_rate = step->occurrence->job->queue->approval_rate;
   bool gang = step->spec->gang;
 
+  if (rst_plan_awaits_trial (step))
+    {
+      find_trial_candidates (planner, step, found);
+      return found;
+    }
   for (guint i = 0; i < planner->schedulable_instances->len; i++)
     {
       struct instance *instance
--- a/src/cell/plan_crash.c
+++ b/src/cell/plan_crash.c
@@ -23,9 +23,8 @@
 #define PROBATION_FACTOR 2
 
 /** Number of crashes under a task after which it is a suspect in any case, and
-    after which its job fails. */
-#define CRASHES_TO_SUSPECT 2
-#define CRASHES_MAX 3
+    after which its job fails if the last one leaves no other suspect. */
+#define CRASHES_MAX 2
 
 /** struct crashed_run - A run that was on an instance when it crashed. */
 struct crashed_run
@@ -155,11 +154,11 @@
   if (rst_plan_job_has_ended (job))
     return;
   count_crash (history, crashed);
-  if (is_fresh || history->count >= CRASHES_TO_SUSPECT)
+  if (is_fresh || history->count >= CRASHES_MAX)
     rst_plan_set_suspect (crashed->task, true);
   rst_plan_mark_dirty (planner, job);
   log_suspect (instance, crashed, is_alone);
-  if (history->count >= CRASHES_MAX
+  if (is_alone && history->count >= CRASHES_MAX
       && !RST_CELL_FAULT (RST_CELL_FAULT_IGNORE_CRASHES))
     give_up (planner, instance, crashed->task);
 }
@@ -331,4 +330,6 @@
       || rst_plan_get_survived_ms (run) < get_probation_ms (task->crashes))
     return;
   rst_plan_clear_suspect (planner, task, "keeps running");
+  rst_plan_end_trial (run);
+  rst_plan_end_gang_trial (task->step);
 }
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -54,6 +54,8 @@
         g_free (occurrence->steps[i].tasks[t].crashes);
       g_free (occurrence->steps[i].tasks);
       g_hash_table_destroy (occurrence->steps[i].approvals);
+      if (occurrence->steps[i].held_instances != NULL)
+        g_array_free (occurrence->steps[i].held_instances, TRUE);
     }
   g_free (occurrence->steps);
   g_free (occurrence);
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -61,6 +61,15 @@
   g_ptr_array_add (planner->dirty_jobs, job);
 }
 
+bool
+rst_plan_job_is_recorded (const struct rst_planner *planner,
+                          const struct job *job)
+{
+  return job->stored && !job->dirty
+         && (!planner->commit_busy
+             || job->last_record_segment != planner->next_segment - 1);
+}
+
 void
 rst_plan_add_segment (struct rst_planner *planner, int64_t number,
                       size_t bytes)
--- a/src/cell/plan_pace.c
+++ b/src/cell/plan_pace.c
@@ -48,9 +48,9 @@
   return worst;
 }
 
-static void
-send_poll_wait (struct rst_planner *planner, struct instance *instance,
-                int64_t wait_ms)
+void
+rst_plan_set_poll_wait (struct rst_planner *planner, struct instance *instance,
+                        int64_t wait_ms)
 {
   int64_t current_ms
       = instance->poll_wait_ms != 0 ? instance->poll_wait_ms : POLL_WAIT_MS;
@@ -125,9 +125,11 @@
 
   if (instance->agent == NULL)
     return;
-  send_poll_wait (planner, instance,
-                  has_best_effort && load_percent >= 0 ? SHARED_POLL_WAIT_MS
-                                                       : POLL_WAIT_MS);
+  if (instance->trial_runs == 0)
+    rst_plan_set_poll_wait (planner, instance,
+                            has_best_effort && load_percent >= 0
+                                ? SHARED_POLL_WAIT_MS
+                                : POLL_WAIT_MS);
   if (!has_best_effort)
     return;
   g_hash_table_iter_init (&iter, instance->runs);
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -295,8 +295,9 @@
          || known_at <= planner->confirmed_at;
 }
 
-static bool
-task_may_start (const struct rst_planner *planner, const struct task *task)
+bool
+rst_plan_task_may_start (const struct rst_planner *planner,
+                         const struct task *task)
 {
   return !task->done && task->run == NULL
          && !(task->in_doubt && planner->has_inherited)
@@ -315,7 +316,8 @@
       struct task *task = &step->tasks[i];
       struct instance *instance;
 
-      if (!task_may_start (planner, task))
+      if (rst_plan_is_suspect (task)
+          || !rst_plan_task_may_start (planner, task))
         continue;
       if (!rst_plan_is_below_limit (step, 1))
         return 0;
@@ -372,25 +374,32 @@
   return gang_slots;
 }
 
-static bool
-gang_may_start (struct rst_planner *planner, struct step *step)
+bool
+rst_plan_gang_may_start (const struct rst_planner *planner, struct step *step)
 {
   for (int i = 0; i < step->spec->count; i++)
-    if (!task_may_start (planner, &step->tasks[i]))
+    if (!rst_plan_task_may_start (planner, &step->tasks[i]))
       return false;
   step->gang_stopping = false;
   return true;
 }
 
-static void
-start_gang (struct rst_planner *planner, struct step *step, GArray *gang_slots)
+void
+rst_plan_begin_gang_attempt (struct step *step)
 {
-  int next = 0;
   int attempt = step->gang_attempt;
 
   for (int i = 0; i < step->spec->count; i++)
     attempt = MAX (attempt, step->tasks[i].attempt);
   step->gang_attempt = attempt + 1;
+}
+
+static void
+start_gang (struct rst_planner *planner, struct step *step, GArray *gang_slots)
+{
+  int next = 0;
+
+  rst_plan_begin_gang_attempt (step);
   for (guint i = 0; i < gang_slots->len && next < step->spec->count; i++)
     {
       struct instance_slots candidate
@@ -462,7 +471,7 @@
   int total;
   int unplaced = 0;
 
-  if (!gang_may_start (planner, step)
+  if (!rst_plan_gang_may_start (planner, step)
       || !rst_plan_is_below_limit (step, step->spec->count))
     return 0;
   gang_slots = find_gang_slots (planner, step, true, &total);
@@ -491,7 +500,8 @@
 
       instance->reserved = none;
       instance->schedulable
-          = rst_plan_instance_is_schedulable (planner, instance);
+          = instance->trial_runs == 0
+            && rst_plan_instance_is_schedulable (planner, instance);
       instance->pass_index = planner->schedulable_instances->len;
       if (instance->schedulable)
         g_ptr_array_add (planner->schedulable_instances, instance);
@@ -545,6 +555,8 @@
                                && job->queue->settings.needs_approval;
   int unplaced;
 
+  if (rst_plan_awaits_trial (step))
+    return;
   if (!is_first_gang_request && !has_room_for_step (planner, step))
     return;
   /* A successor waits only for the runs of occurrences in the journal, so
@@ -590,6 +602,7 @@
   g_ptr_array_sort (planner->waiting_steps, compare_ranks);
   begin_pass (planner);
   rst_plan_count_in_doubt (planner);
+  rst_plan_place_trials (planner);
   for (guint i = 0; i < planner->waiting_steps->len; i++)
     place_step (planner, g_ptr_array_index (planner->waiting_steps, i),
                 &reserving_gangs);
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -95,6 +95,7 @@
   struct task *task = run->task;
 
   planner->pass_wanted = true;
+  rst_plan_end_trial (run);
   rst_resources_add (&run->instance->used, &run->need, -1);
   rst_resources_add (&run->customer->used, &run->need, -1);
   task->run = NULL;
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -74,6 +74,7 @@
   planner->committing_jobs = g_ptr_array_new ();
   planner->schedulable_instances = g_ptr_array_new ();
   planner->candidates = g_ptr_array_new ();
+  planner->trial_instances = g_ptr_array_new ();
   planner->start_batches = g_ptr_array_new_with_free_func (g_free);
   planner->unmet_needs
       = g_array_new (FALSE, FALSE, sizeof (struct rst_resources));
@@ -111,6 +112,7 @@
   g_ptr_array_free (planner->committing_jobs, TRUE);
   g_ptr_array_free (planner->schedulable_instances, TRUE);
   g_ptr_array_free (planner->candidates, TRUE);
+  g_ptr_array_free (planner->trial_instances, TRUE);
   g_ptr_array_free (planner->start_batches, TRUE);
   g_array_free (planner->unmet_needs, TRUE);
   rst_cellconfig_destroy (planner->config);
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -6,11 +6,11 @@
  * the instances that they hold.  plan_instances.c: instances and reports.
  * plan_runs.c: runs, from the start order to the end.  plan_ends.c: ends that
  * wait to be stored.  plan_crash.c: which runs a crash of their instance is
- * attributed to.  plan_place.c: placement of waiting tasks.  plan_limit.c:
- * upper limits of customers.  plan_pace.c: the pace of best-effort tasks.
- * plan_advice.c: requests to the advice service.  plan_journal.c: which
- * records are committed when; plan_record.c writes records, plan_restore.c
- * reads them.
+ * attributed to.  plan_trial.c: trials of suspects.  plan_place.c: placement
+ * of waiting tasks.  plan_limit.c: upper limits of customers.  plan_pace.c:
+ * the pace of best-effort tasks. plan_advice.c: requests to the advice
+ * service.  plan_journal.c: which records are committed when; plan_record.c
+ * writes records, plan_restore.c reads them.
  */
 #ifndef RST_PLANNER_PRIVATE_H
 #define RST_PLANNER_PRIVATE_H
@@ -341,8 +341,43 @@
     enough. */
 void rst_plan_check_probation (struct rst_planner *planner, struct run *run);
 
+/* plan_trial.c */
+
+/** rst_plan_place_trials() - Starts or prepares the trials of all suspects, at
+    the beginning of a placement pass. */
+void rst_plan_place_trials (struct rst_planner *planner);
+
+/** rst_plan_awaits_trial() - Whether a step waits until the suspects of its
+   job are cleared. */
+bool rst_plan_awaits_trial (const struct step *step);
+
+/** rst_plan_count_trial_slots() - Number of a step's tasks that an instance
+   has room for once it runs nothing else; 0 if the step's trial can't use it.
+ */
+int rst_plan_count_trial_slots (const struct instance *instance,
+                                const struct step *step);
+
+/** rst_plan_end_trial() - Notes that a run is no longer a trial. */
+void rst_plan_end_trial (struct run *run);
+
+/** rst_plan_end_gang_trial() - The same for all runs of a gang without
+    suspects. */
+void rst_plan_end_gang_trial (const struct step *step);
+
 /* plan_place.c */
 
+/** rst_plan_task_may_start() - Whether a task has to be started and may be,
+    as far as this planner knows; its step and its room are not looked at. */
+bool rst_plan_task_may_start (const struct rst_planner *planner,
+                              const struct task *task);
+
+/** rst_plan_gang_may_start() - The same for all tasks of a gang. */
+bool rst_plan_gang_may_start (const struct rst_planner *planner,
+                              struct step *step);
+
+/** rst_plan_begin_gang_attempt() - Sets the attempt of a gang's next runs. */
+void rst_plan_begin_gang_attempt (struct step *step);
+
 /** rst_plan_place_steps() - Runs one placement pass over all waiting steps. */
 void rst_plan_place_steps (struct rst_planner *planner);
 
@@ -376,6 +411,11 @@
 
 /* plan_pace.c */
 
+/** rst_plan_set_poll_wait() - Sets how long the long polls of an instance
+    wait. */
+void rst_plan_set_poll_wait (struct rst_planner *planner,
+                             struct instance *instance, int64_t wait_ms);
+
 /**
  * rst_plan_adjust_pace() - Adjusts the pace of an instance's best-effort runs
  * to the response times of its other runs.
@@ -465,6 +505,10 @@
 /* plan_journal.c */
 bool rst_plan_job_has_runs (const struct job *job);
 
+/** rst_plan_job_is_recorded() - Whether the store has a job as it is. */
+bool rst_plan_job_is_recorded (const struct rst_planner *planner,
+                               const struct job *job);
+
 /** rst_plan_mark_dirty() - Marks a job for the next commit. */
 void rst_plan_mark_dirty (struct rst_planner *planner, struct job *job);
 
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -123,6 +123,8 @@
   bool on_trial;
 };
 
+struct step;
+
 /** struct instance - An instance, registered or known from the journal. */
 struct instance
 {
@@ -136,6 +138,10 @@
   struct rst_resources reserved;
   /* Whether it takes starts in the current placement pass. */
   bool schedulable;
+  /* Number of its runs that are trials, see plan_trial.c. */
+  int trial_runs;
+  /* The step whose trial it is held for in the current placement pass. */
+  const struct step *held_for;
   /* Its index in the planner's schedulable_instances. */
   guint pass_index;
   struct agent *agent;
@@ -350,6 +356,10 @@
   CK_LIST_HEAD (, advice_request) advice_requests;
   /* Whether advice was ever requested for it. */
   bool advice_requested;
+  /* guint: numbers of the instances held for the trial of its suspects, or
+     NULL; and since when the trial waits, or 0. */
+  GArray *held_instances;
+  rst_ms trial_wanted_at;
 };
 
 /** struct occurrence - One execution of all steps of a job. */
@@ -558,6 +568,11 @@
   rst_ms next_pass_at;
   /* Instances that take starts in the current pass. */
   GPtrArray *schedulable_instances;
+  /* Instances that trials may use in the current pass, how many trials have
+     taken, and how many they may take. */
+  GPtrArray *trial_instances;
+  int trial_count;
+  int trial_count_max;
   /* struct start_batch: start orders of the step being placed. */
   GPtrArray *start_batches;
   /* For the log: the ends that the report being applied lists. */
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -30,6 +30,7 @@
  * @advice_calls: Advice requests sent.
  * @advice_failed: Advice requests that failed.
  * @crashes: Crashes of instances with runs.
+ * @trials: Starts of suspects apart from other jobs.
  * @tasks_given_up: Tasks whose jobs failed because instances crash under them.
  * @leases_expired: Leases that expired while the runs of their instances were
  *   not known.
@@ -60,6 +61,7 @@
   uint64_t advice_calls;
   uint64_t advice_failed;
   uint64_t crashes;
+  uint64_t trials;
   uint64_t tasks_given_up;
   uint64_t leases_expired;
   uint64_t pace_orders;
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -137,6 +137,9 @@
                            stats->advice_failed);
   rst_metrics_add_counter (page, "crashes_total",
                            "Crashes of instances with runs.", stats->crashes);
+  rst_metrics_add_counter (page, "trials_total",
+                           "Starts of tasks suspected of crashes.",
+                           stats->trials);
   rst_metrics_add_counter (page, "tasks_given_up_total",
                            "Tasks given up as instances crash under them.",
                            stats->tasks_given_up);
--- a/test/unit/crashing_task_test.cc
+++ b/test/unit/crashing_task_test.cc
@@ -1,6 +1,8 @@
 // A task under which each instance crashes, and its innocent neighbours.
 #include <algorithm>
+#include <map>
 #include <memory>
+#include <set>
 
 #include <gtest/gtest.h>
 
@@ -246,3 +248,209 @@
   EXPECT_EQ (cell.commits[0].data.find (job_a), std::string::npos);
   EXPECT_NE (cell.commits[0].data.find (job_b), std::string::npos);
 }
+
+// Starts job_a and job_b at the same moment on the only instance, which
+// crashes, so that both are suspects.
+static void
+make_suspects (Planner &cell)
+{
+  cell.start_serving (1);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
+  cell.send_call (8, RST_OPERATION_SUBMIT, job_b, Planner::make_job (1, 1000));
+  cell.settle ();
+  ASSERT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 2u);
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    cell.answer_order (1, RST_MSG_STARTED, start.id, start.task, 1,
+                       RST_RESULT_OK);
+  cell.sent.clear ();
+  crash_and_return (cell, "i-0");
+}
+
+// Two suspects never share an instance, nor does anything join them.
+TEST (CrashingTask, SuspectIsTriedApartFromOtherJobs)
+{
+  Planner cell;
+  std::set<std::string> used;
+
+  make_suspects (cell);
+  cell.send_call (9, RST_OPERATION_SUBMIT, "00000000000000cc",
+                  Planner::make_job (8, 1000));
+  cell.add_instance ("i-2");
+  cell.report (1, "i-2", {});
+  cell.add_instance ("i-3");
+  cell.report (1, "i-3", {});
+  cell.settle ();
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    {
+      bool is_suspect = start.task == task_a0 || start.task == task_b0;
+
+      EXPECT_TRUE (!is_suspect || used.insert (start.id).second) << start.task;
+    }
+  EXPECT_EQ (used.size (), 2u);
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    {
+      bool is_suspect = start.task == task_a0 || start.task == task_b0;
+
+      EXPECT_TRUE (is_suspect || used.count (start.id) == 0) << start.task;
+    }
+}
+
+// Of two suspects, the one that crashes its instance alone is given up.
+TEST (CrashingTask, InnocentSuspectIsCleared)
+{
+  Planner cell;
+  int attempt = 0;
+
+  make_suspects (cell);
+  cell.add_instance ("i-2");
+  cell.report (1, "i-2", {});
+  cell.settle ();
+  std::string id_a = find_start (cell, task_a0, &attempt);
+  std::string id_b = find_start (cell, task_b0, &attempt);
+
+  ASSERT_FALSE (id_a.empty ());
+  ASSERT_FALSE (id_b.empty ());
+  cell.answer_order (1, RST_MSG_STARTED, id_a, task_a0, 2, RST_RESULT_OK);
+  cell.answer_order (1, RST_MSG_STARTED, id_b, task_b0, 2, RST_RESULT_OK);
+  cell.sent.clear ();
+  cell.clock += 1000;
+  cell.report (1, id_b, { Planner::make_running_run (task_b0, 2) });
+  crash_and_return (cell, id_a);
+  EXPECT_EQ (get_state (cell, job_a), "failed");
+  EXPECT_EQ (get_state (cell, job_b), "live");
+  // It was cleared, so another crash leaves it as good as new.
+  cell.report (1, id_b,
+               { Planner::make_ended_run (1, task_b0, 2, RST_END_DONE) });
+  cell.settle ();
+  EXPECT_EQ (get_state (cell, job_b), "completed");
+}
+
+// With no instance idle, one is held for the suspect, but not for ever.
+TEST (CrashingTask, SuspectWaitsForAnIdleInstanceForALimitedTime)
+{
+  static const rst_ms wait_max_ms = 3000;
+  static const std::string task_c0 = "00000000000000cc.0.0.0";
+  Planner cell;
+  int attempt = 0;
+
+  cell.start_serving (1);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
+  ASSERT_EQ (await_start (cell, task_a0), "i-0");
+  cell.report (1, "i-0", {}, 1, RST_RESULT_UNKNOWN, lease_left_ms);
+  cell.add_instance ("i-2");
+  cell.report (1, "i-2", {});
+  cell.send_call (8, RST_OPERATION_SUBMIT, job_b, Planner::make_job (1, 2000));
+  ASSERT_EQ (await_start (cell, task_b0), "i-2");
+  cell.report (1, "i-0", {}, 0, RST_RESULT_OTHER_INCARNATION);
+  for (int i = 0; i < 70; i++)
+    {
+      cell.advance_time (100);
+      cell.report (1, "i-2", { Planner::make_running_run (task_b0, 1) });
+    }
+  cell.settle ();
+  EXPECT_EQ (find_start (cell, task_a0, &attempt), "");
+  // Nothing else starts there meanwhile.
+  cell.send_call (9, RST_OPERATION_SUBMIT, "00000000000000cc",
+                  Planner::make_job (1, 1000));
+  cell.settle ();
+  EXPECT_EQ (find_start (cell, task_c0, &attempt), "");
+  cell.advance_time (wait_max_ms);
+  EXPECT_EQ (find_start (cell, task_a0, &attempt), "i-2");
+}
+
+// However many suspects there are, most instances serve others.
+TEST (CrashingTask, TrialsTakeAShareOfTheInstances)
+{
+  static const int instances = 32;
+  static const int jobs = 16;
+  Planner cell;
+  std::set<std::string> crashed;
+  std::set<std::string> tried;
+
+  cell.start_serving (instances);
+  for (int i = 0; i < jobs; i++)
+    cell.send_call (100 + (uint64_t)i, RST_OPERATION_SUBMIT,
+                    "00000000000001" + std::to_string (10 + i),
+                    Planner::make_job (1, 4000));
+  cell.settle ();
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    {
+      cell.answer_order (1, RST_MSG_STARTED, start.id, start.task,
+                         start.attempt, RST_RESULT_OK);
+      crashed.insert (start.id);
+    }
+  ASSERT_EQ (crashed.size (), (size_t)jobs);
+  cell.sent.clear ();
+  // The other instances are busy.
+  cell.send_call (9, RST_OPERATION_SUBMIT, job_b,
+                  Planner::make_job (instances - jobs, 4000));
+  cell.settle ();
+  ASSERT_EQ (cell.sent_of_kind (RST_MSG_START).size (),
+             (size_t)(instances - jobs));
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    cell.answer_order (1, RST_MSG_STARTED, start.id, start.task, start.attempt,
+                       RST_RESULT_OK);
+  cell.sent.clear ();
+  for (const std::string &id : crashed)
+    cell.report (1, id, {}, 1, RST_RESULT_UNKNOWN, lease_left_ms);
+  cell.settle ();
+  for (const std::string &id : crashed)
+    cell.report (1, id, {}, 0, RST_RESULT_OTHER_INCARNATION);
+  cell.settle ();
+  cell.advance_time (longest_lease_ms);
+  for (const std::string &id : crashed)
+    {
+      cell.add_instance (id + "'");
+      cell.report (1, id + "'", {});
+    }
+  cell.settle ();
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    tried.insert (start.id);
+  // Half of the 16 idle ones.
+  EXPECT_GE (tried.size (), 2u);
+  EXPECT_LE (tried.size (), (size_t)jobs / 2);
+}
+
+// A gang is tried as a whole, on instances without other jobs.
+TEST (CrashingTask, GangIsTriedApartAsAWhole)
+{
+  Planner cell;
+  std::map<std::string, int> attempts;
+  std::vector<rst_run> ends;
+
+  cell.start_serving (2);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a,
+                  Planner::make_job (4, 2000, true));
+  cell.settle ();
+  ASSERT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 4u);
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    cell.answer_order (1, RST_MSG_STARTED, start.id, start.task, 1,
+                       RST_RESULT_OK);
+  cell.report (1, "i-0", {}, 1, RST_RESULT_UNKNOWN, lease_left_ms);
+  cell.settle ();
+  cell.add_instance ("i-2");
+  cell.report (1, "i-2", {});
+  cell.report (1, "i-0", {}, 0, RST_RESULT_OTHER_INCARNATION);
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    if (start.id == "i-1")
+      ends.push_back (Planner::make_ended_run (
+          (int64_t)ends.size () + 1, start.task, 1, RST_END_GANG_BROKEN));
+  cell.report (1, "i-1", ends);
+  cell.settle ();
+  cell.sent.clear ();
+  cell.advance_time (longest_lease_ms);
+  cell.settle ();
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    attempts[start.id]++;
+  EXPECT_EQ (attempts["i-1"], 2);
+  EXPECT_EQ (attempts["i-2"], 2);
+  // An instance with the same tasks crashes again.
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    cell.answer_order (1, RST_MSG_STARTED, start.id, start.task, start.attempt,
+                       RST_RESULT_OK);
+  cell.report (1, "i-2", {}, 1, RST_RESULT_UNKNOWN, lease_left_ms);
+  cell.settle ();
+  cell.report (1, "i-2", {}, 0, RST_RESULT_OTHER_INCARNATION);
+  cell.settle ();
+  EXPECT_EQ (get_state (cell, job_a), "failed");
+}
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -315,7 +315,10 @@
   cell.report (1, "i-0", {}, 2);
   cell.advance_time (3000);
   EXPECT_TRUE (cell.sent_of_kind (RST_MSG_START).empty ());
+  // The task starts again once the crash under it is stored.
+  ASSERT_TRUE (cell.is_committing);
   cell.is_confirmed = true;
+  cell.complete_commit ();
   cell.advance_time (50);
   EXPECT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 1u);
 }
