End the runs of an instance when another one answers at its address

Cause (hypothesis 4): the runs of an instance that does not answer are kept until its lease has expired, 10.5 s on that site, though the instance itself is back after 3 s under another id. Hypothesis 5 is ruled out: they start within a pass once the lease is over. Now the answer of another instance at its address ends them: no run can be left there, and calls name the instance that they are for. Silence and resets still prove nothing, nor does an answer at an address that the instance has left.

GangIsTriedApart... clears what was sent before the gang may start, not after.

--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -485,8 +485,9 @@
 }
 
 /* Handles the report that another instance answers at an instance's address:
-   the instance has ended.  One that changed its address may have left the
-   earlier one to another. */
+   the instance has ended, with its runs, and no order to it can be carried out
+   any more, since calls name the instance that they are for.  One that changed
+   its address may have left the earlier one to another. */
 static void
 note_other_instance (struct rst_planner *planner, struct instance *instance)
 {
@@ -499,6 +500,9 @@
             "instance", instance->entry.id, "address",
             instance->entry.address);
   rst_plan_count_crash (planner, instance);
+  instance->inherited = false;
+  rst_plan_discard_unstored_ends (instance);
+  mark_runs_lost (planner, instance, "instance ended");
 }
 
 void
--- a/test/unit/crashing_task_test.cc
+++ b/test/unit/crashing_task_test.cc
@@ -435,9 +435,9 @@
     if (start.id == "i-1")
       ends.push_back (Planner::make_ended_run (
           (int64_t)ends.size () + 1, start.task, 1, RST_END_GANG_BROKEN));
+  cell.sent.clear ();
   cell.report (1, "i-1", ends);
   cell.settle ();
-  cell.sent.clear ();
   cell.advance_time (longest_lease_ms);
   cell.settle ();
   for (const auto &start : cell.sent_of_kind (RST_MSG_START))
