Keep max_per_instance in trials of suspects

Cause: the number of tasks that fit an instance is limited to max_per_instance, but a trial did not subtract those of the step that ran there already; elsewhere rst_plan_task_fits() does. An instance with runs of the same job now counts with the room that it has left.

Test: CrashingTask.TrialKeepsToTheTasksAllowedOnAnInstance, fails before.

--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -47,8 +47,9 @@
   return (int)MAX (slots, 0);
 }
 
-static int
-count_tasks_on (const struct instance *instance, const struct step *step)
+int
+rst_plan_count_tasks_on (const struct instance *instance,
+                         const struct step *step)
 {
   int count = 0;
 
@@ -64,7 +65,8 @@
   if (rst_plan_count_slots (instance, step) < 1)
     return false;
   return step->spec->max_per_instance == 0
-         || count_tasks_on (instance, step) < step->spec->max_per_instance;
+         || rst_plan_count_tasks_on (instance, step)
+                < step->spec->max_per_instance;
 }
 
 bool
--- a/src/cell/plan_trial.c
+++ b/src/cell/plan_trial.c
@@ -97,9 +97,14 @@
 {
   static const struct rst_resources none;
   struct instance unreserved = *instance;
+  int slots;
 
   unreserved.reserved = none;
-  return rst_plan_count_slots (&unreserved, step);
+  slots = rst_plan_count_slots (&unreserved, step);
+  if (step->spec->max_per_instance > 0)
+    slots = MIN (slots, step->spec->max_per_instance
+                            - rst_plan_count_tasks_on (instance, step));
+  return MAX (slots, 0);
 }
 
 static bool
@@ -139,6 +144,10 @@
         continue;
       room.free_slots = count_free_slots (instance, step);
       room.is_apart = !has_other_runs (instance, get_job (step));
+      if (room.is_apart)
+        room.slots = room.free_slots;
+      if (room.slots == 0)
+        continue;
       room.is_taken = instance->held_for == step || instance->trial_runs > 0;
       if (!room.is_apart)
         room.score = instance->held_for == step
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -381,6 +381,11 @@
 /** rst_plan_place_steps() - Runs one placement pass over all waiting steps. */
 void rst_plan_place_steps (struct rst_planner *planner);
 
+/** rst_plan_count_tasks_on() - Number of a step's tasks that have runs on an
+    instance. */
+int rst_plan_count_tasks_on (const struct instance *instance,
+                             const struct step *step);
+
 /** rst_plan_task_fits() - Whether an instance has room for one more task. */
 bool rst_plan_task_fits (const struct instance *instance,
                          const struct step *step);
--- a/test/unit/crashing_task_test.cc
+++ b/test/unit/crashing_task_test.cc
@@ -454,3 +454,32 @@
   cell.settle ();
   EXPECT_EQ (get_state (cell, job_a), "failed");
 }
+
+// Also a trial keeps tasks apart that may not share an instance.
+TEST (CrashingTask, TrialKeepsToTheTasksAllowedOnAnInstance)
+{
+  static const std::string task_a1 = "00000000000000aa.0.0.1";
+  Planner cell;
+  rst_jobdesc *desc = Planner::make_job (2, 1000);
+
+  desc->steps[0].max_per_instance = 1;
+  cell.start_serving (2);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, desc);
+  cell.settle ();
+  ASSERT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 2u);
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    cell.answer_order (1, RST_MSG_STARTED, start.id, start.task, 1,
+                       RST_RESULT_OK);
+  cell.sent.clear ();
+  for (const char *id : { "i-0", "i-1" })
+    {
+      cell.report (1, id, {}, 1, RST_RESULT_UNKNOWN, lease_left_ms);
+      cell.report (1, id, {}, 0, RST_RESULT_OTHER_INCARNATION);
+    }
+  cell.settle ();
+  cell.add_instance ("i-2");
+  cell.report (1, "i-2", {});
+  cell.settle ();
+  cell.advance_time (4000);
+  EXPECT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 1u);
+}
