Keep up with many suspects at once

Causes, found in this order: - Each suspect requested advice again as soon as the last answer had come, though it only waited for an instance: the agents were busy with that. Now a request is made if further instances may be taken, or if nothing but a ticket is missing. - Each crash left 2.7 suspects, since a returned instance is filled within 50 ms and all that started within 100 ms counted alike. Now those within 20 ms of the last one are suspects; the other runs of less than 0.5 s count, and are suspects with the third crash. - Each trial needed an instance cleared for it. Now a suspect joins others that have passed there: they started too early to be the cause. - One instance in eight served 1.5 trials a second, since an instance that crashed takes 3.3 s to be back.

--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -115,8 +115,8 @@
   return left < right ? -1 : left > right;
 }
 
-/* The same for the trial of suspects: the instances that can be cleared for it
-   soonest come first, however full they are now. */
+/* The same for the trial of suspects: those that the service was not asked
+   about, however full they are now, and those that only lack a ticket. */
 static void
 find_trial_candidates (const struct rst_planner *planner,
                        const struct step *step, GArray *found)
@@ -130,7 +130,11 @@
       struct candidate candidate = { instance, 0, 1.0, 0.0 };
 
       candidate.slots = rst_plan_count_trial_slots (instance, step);
-      if (candidate.slots == 0 || (approval != NULL && approval->rejected))
+      if (candidate.slots == 0 || (approval != NULL && approval->rejected)
+          || (approval != NULL && instance->held_for != step
+              && g_hash_table_size (instance->runs) > 0)
+          || (approval != NULL
+              && rst_plan_find_ticket (planner, step, instance) != NULL))
         continue;
       candidate.score = (double)g_hash_table_size (instance->runs);
       if (approval == NULL)
@@ -237,7 +241,8 @@
   int named_max = NAMED_MAX;
 
   if (found->len == 0
-      || (gang && step->advice_requested && !may_hold_gang (found, tasks)))
+      || (gang && step->advice_requested && !rst_plan_awaits_trial (step)
+          && !may_hold_gang (found, tasks)))
     return 0;
   if (gang)
     named_max = get_gang_named_max (
--- a/src/cell/plan_crash.c
+++ b/src/cell/plan_crash.c
@@ -9,21 +9,24 @@
 
 #include "cell/planner_private.h"
 
-/** A crash is attributed to the runs that started last, if the last of them
-    had run for at most this long. */
+/** A crash is attributed to the runs that had run for at most this long, if
+    there are any. */
 #define FRESH_RUN_MS 500
 
-/** Runs are suspects together with the last one if they started at most this
+/** Of these, the last one is a suspect, and those that started at most this
     much before it. */
-#define START_ORDER_MARGIN_MS 100
+#define START_ORDER_MARGIN_MS 20
 
 /** How long a suspect has to run to be cleared, if its runs crashed at once;
     otherwise this many times as long as they lasted. */
 #define PROBATION_MIN_MS 500
 #define PROBATION_FACTOR 2
 
-/** Number of crashes under a task after which it is a suspect in any case, and
-    after which its job fails if the last one leaves no other suspect. */
+/** Number of crashes under a task after which it is a suspect in any case. */
+#define CRASHES_TO_SUSPECT 3
+
+/** Number of crashes under a task after which its job fails, if the last one
+    leaves no other suspect. */
 #define CRASHES_MAX 2
 
 /** struct crashed_run - A run that was on an instance when it crashed. */
@@ -34,6 +37,8 @@
   rst_ms survived_ms;
   bool has_started;
   bool on_trial;
+  /* Whether it is among those that started last. */
+  bool is_suspect;
 };
 
 rst_ms
@@ -146,7 +151,7 @@
 
 static void
 suspect_run (struct rst_planner *planner, const struct instance *instance,
-             const struct crashed_run *crashed, bool is_fresh, bool is_alone)
+             const struct crashed_run *crashed, bool is_alone)
 {
   struct job *job = crashed->task->step->occurrence->job;
   struct crash_history *history = get_history (crashed->task);
@@ -154,11 +159,11 @@
   if (rst_plan_job_has_ended (job))
     return;
   count_crash (history, crashed);
-  if (is_fresh || history->count >= CRASHES_MAX)
+  if (crashed->is_suspect || history->count >= CRASHES_TO_SUSPECT)
     rst_plan_set_suspect (crashed->task, true);
   rst_plan_mark_dirty (planner, job);
   log_suspect (instance, crashed, is_alone);
-  if (is_alone && history->count >= CRASHES_MAX
+  if (is_alone && crashed->on_trial && history->count >= CRASHES_MAX
       && !RST_CELL_FAULT (RST_CELL_FAULT_IGNORE_CRASHES))
     give_up (planner, instance, crashed->task);
 }
@@ -168,7 +173,7 @@
                  rst_ms survived_ms, bool has_started, bool on_trial)
 {
   struct crashed_run crashed
-      = { task, attempt, survived_ms, has_started, on_trial };
+      = { task, attempt, survived_ms, has_started, on_trial, false };
 
   if (!task->done && !rst_plan_job_has_ended (task->step->occurrence->job))
     g_array_append_val (found, crashed);
@@ -206,29 +211,52 @@
   return found;
 }
 
-/* Keeps the runs that started last, if they had just started.  Otherwise all
-   are equally likely and kept.  Returns whether they had just started. */
+/* Returns how long the last run had run that is known to have started. */
+static rst_ms
+find_shortest_run_ms (const GArray *runs)
+{
+  rst_ms shortest = G_MAXINT64;
+
+  for (guint i = 0; i < runs->len; i++)
+    {
+      const struct crashed_run *run
+          = &g_array_index (runs, struct crashed_run, i);
+
+      if (run->has_started)
+        shortest = MIN (shortest, run->survived_ms);
+    }
+  return shortest;
+}
+
+/* Keeps the runs that had just started, if there are any, and marks the last
+   ones as suspects.  Otherwise all are equally likely and kept.  Returns
+   whether some had just started. */
 static bool
 keep_likely_causes (GArray *runs)
 {
-  rst_ms shortest = G_MAXINT64;
+  rst_ms shortest = find_shortest_run_ms (runs);
+  bool is_fresh = false;
 
   for (guint i = 0; i < runs->len; i++)
-    shortest = MIN (shortest,
-                    g_array_index (runs, struct crashed_run, i).survived_ms);
-  if (shortest > FRESH_RUN_MS)
-    return false;
-  for (guint i = runs->len; i-- > 0;)
-    if (g_array_index (runs, struct crashed_run, i).survived_ms
-        > shortest + START_ORDER_MARGIN_MS)
-      g_array_remove_index_fast (runs, i);
-  return true;
+    is_fresh |= g_array_index (runs, struct crashed_run, i).survived_ms
+                <= FRESH_RUN_MS;
+  for (guint i = runs->len; is_fresh && i-- > 0;)
+    {
+      struct crashed_run *run = &g_array_index (runs, struct crashed_run, i);
+
+      run->is_suspect
+          = !run->has_started
+            || run->survived_ms - START_ORDER_MARGIN_MS <= shortest;
+      if (run->survived_ms > FRESH_RUN_MS)
+        g_array_remove_index_fast (runs, i);
+    }
+  return is_fresh;
 }
 
-/* Whether all runs are trials of one job, so that it alone can be the
-   cause. */
+/* Whether all runs, or all suspects if there are any, are trials of one job,
+   so that it alone can be the cause. */
 static bool
-are_trials_of_one_job (const GArray *runs)
+are_trials_of_one_job (const GArray *runs, bool has_suspects)
 {
   const struct job *job = NULL;
 
@@ -237,6 +265,8 @@
       const struct crashed_run *run
           = &g_array_index (runs, struct crashed_run, i);
 
+      if (has_suspects && !run->is_suspect)
+        continue;
       if (!run->on_trial
           || (job != NULL && job != run->task->step->occurrence->job))
         return false;
@@ -261,7 +291,7 @@
   runs = collect_crashed_runs (planner, instance);
   lost = runs->len;
   is_fresh = keep_likely_causes (runs);
-  is_alone = are_trials_of_one_job (runs);
+  is_alone = are_trials_of_one_job (runs, is_fresh);
   if (lost > 0)
     {
       planner->stats.crashes++;
@@ -273,8 +303,7 @@
     }
   for (guint i = 0; i < runs->len; i++)
     suspect_run (planner, instance,
-                 &g_array_index (runs, struct crashed_run, i), is_fresh,
-                 is_alone);
+                 &g_array_index (runs, struct crashed_run, i), is_alone);
   g_array_free (runs, TRUE);
 }
 
@@ -305,6 +334,16 @@
   return MAX (PROBATION_MIN_MS, history->survived_ms * PROBATION_FACTOR);
 }
 
+bool
+rst_plan_suspects_crash_at_start (const struct step *step)
+{
+  for (int i = 0; i < step->spec->count; i++)
+    if (rst_plan_is_suspect (&step->tasks[i])
+        && get_probation_ms (step->tasks[i].crashes) > PROBATION_MIN_MS)
+      return false;
+  return true;
+}
+
 void
 rst_plan_clear_suspect (struct rst_planner *planner, struct task *task,
                         const char *why)
--- a/src/cell/plan_pace.c
+++ b/src/cell/plan_pace.c
@@ -125,7 +125,7 @@
 
   if (instance->agent == NULL)
     return;
-  if (instance->trial_runs == 0)
+  if (instance->trial_runs == 0 && instance->held_for == NULL)
     rst_plan_set_poll_wait (planner, instance,
                             has_best_effort && load_percent >= 0
                                 ? SHARED_POLL_WAIT_MS
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -501,6 +501,7 @@
       struct instance *instance = value;
 
       instance->reserved = none;
+      instance->held_for = NULL;
       instance->schedulable
           = instance->trial_runs == 0
             && rst_plan_instance_is_schedulable (planner, instance);
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -332,6 +332,10 @@
 /** rst_plan_clear_crashes() - Forgets the crashes counted under a task. */
 void rst_plan_clear_crashes (struct task *task);
 
+/** rst_plan_suspects_crash_at_start() - Whether all suspects of a step crash
+    their instances soon after they have started, if they do. */
+bool rst_plan_suspects_crash_at_start (const struct step *step);
+
 /** rst_plan_clear_suspect() - The same for a suspect, which is logged and
     recorded. */
 void rst_plan_clear_suspect (struct rst_planner *planner, struct task *task,
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -140,7 +140,7 @@
   bool schedulable;
   /* Number of its runs that are trials, see plan_trial.c. */
   int trial_runs;
-  /* The step whose trial it is held for in the current placement pass. */
+  /* The step whose trial it is held for since the last placement pass. */
   const struct step *held_for;
   /* Its index in the planner's schedulable_instances. */
   guint pass_index;
@@ -252,8 +252,10 @@
      instance's clock after that. */
   bool has_started;
   int64_t started_clock_ms;
-  /* Whether its task is tried as a suspect, see plan_trial.c. */
+  /* Whether its task is tried as a suspect, see plan_trial.c, and whether it
+     was at its start. */
   bool on_trial;
+  bool was_tried;
   int progress_percent;
   /* When progress_percent last changed. */
   rst_ms progressed_at;
