--- a/src/cell/fault_private.h
+++ b/src/cell/fault_private.h
@@ -36,6 +36,8 @@
  *   the same attempt numbers as that.
  * @RST_CELL_FAULT_IGNORE_CRASHES: No task is given up because instances crash
  *   under it.
+ * @RST_CELL_FAULT_KEEP_CAPACITY: An instance whose capacity has shrunk is
+ *   still taken to have the former one.
  */
 enum rst_cell_fault_kind
 {
@@ -55,6 +57,7 @@
   RST_CELL_FAULT_EARLY_UNREACHABLE,
   RST_CELL_FAULT_REUSE_ATTEMPTS,
   RST_CELL_FAULT_IGNORE_CRASHES,
+  RST_CELL_FAULT_KEEP_CAPACITY,
 };
 
 #ifdef RST_FAULTS
--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -4,6 +4,7 @@
 //   cell-fuzz --seed N [--seconds N] [--seeds COUNT] [--log info] [--fault N]
 //             [--outlive 1] [--partitions 1] [--repeating 1] [--sequences 1]
 //             [--listed-ends N] [--clock-steps 1] [--crashing 1]
+//             [--resizing 1]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
 // --fault selects a deliberate fault; see cell/fault_private.h.  It has an
@@ -18,6 +19,7 @@
 // again, so that its start time may be below that of its last incarnation.
 // --crashing draws jobs with a task that crashes each instance that starts it;
 // an instance that has crashed mostly comes back under another id.
+// --resizing changes the capacity of instances while they run.
 // --sequences draws faults as sequences in the order of events, in a network
 // that can be cut, and freezes processes in pieces; see sequences.h.
 #include "partitions.h"
@@ -48,6 +50,7 @@
   size_t listed_ends_max = SIZE_MAX;
   bool has_instance_clock_steps = false;
   bool has_crashing_tasks = false;
+  bool has_resizing = false;
 };
 
 // Time after the last fault in which all accepted jobs must finish.
@@ -180,6 +183,16 @@
     instance.is_unreachable = !instance.is_unreachable;
 }
 
+static void
+resize_any_instance (World &world)
+{
+  Instance &instance = *world.instances[(size_t)world.draw_below (
+      (int)world.instances.size ())];
+
+  if (instance.is_up)
+    world.resize_instance (instance);
+}
+
 static void
 draw_fault_probabilities (World &world)
 {
@@ -269,6 +282,8 @@
         repair_nodes (world, false);
       if (world.draw_unit () < instance_fault_probability)
         inject_instance_fault (world);
+      if (options.has_resizing && world.draw_unit () < 0.1)
+        resize_any_instance (world);
       if (world.draw_unit () < 0.02)
         draw_fault_probabilities (world);
       if (options.has_partitions && world.draw_unit () < 0.025)
@@ -322,6 +337,8 @@
         options.has_instance_clock_steps = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--crashing") == 0)
         options.has_crashing_tasks = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--resizing") == 0)
+        options.has_resizing = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--sequences") == 0)
         options.has_sequences = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--log") == 0)
--- a/test/cell/instances.cc
+++ b/test/cell/instances.cc
@@ -23,6 +23,9 @@
 static const Millis instance_tick_ms = 20;
 // Capacities of which a restarted instance has one, with partitions.
 static const int capacities_milli[] = { 2000, 4000, 6000 };
+// For how long a capacity that has shrunk does not count: stable_ms in
+// RULES.md, and the longest time between two reports of an instance.
+static const Millis shrink_grace_ms = 3000 + 1550;
 // Longest step of an instance's time of day; far below first_born_ms.
 static const int max_clock_step_ms = 20000;
 // Failed runs of a task at which its job fails; "attempts" in configure().
@@ -186,6 +189,31 @@
   return cpu;
 }
 
+int
+World::get_allowed_cpu (const Instance &instance) const
+{
+  int allowed = instance.cpu_milli;
+
+  for (auto &former : instance.former_cpu_milli)
+    if (former.first > now ())
+      allowed = std::max (allowed, former.second);
+  return allowed;
+}
+
+void
+World::resize_instance (Instance &instance)
+{
+  instance.former_cpu_milli.push_back (
+      { now () + shrink_grace_ms, instance.cpu_milli });
+  instance.cpu_milli
+      = capacities_milli[draw_below ((int)std::size (capacities_milli))];
+  rst_info ("world", "Instance is resized.", "at",
+            std::to_string (now ()).c_str (), "instance", instance.id.c_str (),
+            "cpu", std::to_string (instance.cpu_milli).c_str ());
+  if (!has_partitions)
+    register_instance (instance);
+}
+
 // ATTEMPT: an attempt number of a task is used for one order only, as the
 //   answer to an order is known by it.
 void
@@ -213,7 +241,8 @@
 //   crashed three instances.
 // ORDER: a step starts after the steps that it depends on are done, and not
 //   before its occurrence is due.
-// LIMIT: the runs of an instance fit its capacity.
+// LIMIT: the runs of an instance fit its capacity, or one that it had a short
+//   time ago.
 // QUOTA: the runs of the customer fit its limit, with a tolerance.
 void
 World::check_start (Instance &instance, const Order &order)
@@ -264,7 +293,7 @@
              < job.desc->start_at_ms
                    + get_occurrence (task) * job.desc->period_ms)
     report_violation ("ORDER " + task + " starts before it is due");
-  if (cpu + step.need.cpu > instance.cpu_milli)
+  if (cpu + step.need.cpu > get_allowed_cpu (instance))
     report_violation ("LIMIT " + instance.id + " at " + std::to_string (cpu));
   job.last_starts[task] = now ();
   // The sum excludes the task that starts, so the usage may exceed the limit
@@ -578,6 +607,7 @@
       rename_instance (instance);
     instance.is_up = true;
     instance.is_dark = false;
+    instance.former_cpu_milli.clear ();
     instance.started_at = now ();
     instance.born = draw_born (instance);
     instance.restarts++;
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -130,6 +130,8 @@
   bool is_dark = false;
   // Capacity of its present incarnation.
   int cpu_milli = 4000;
+  // Larger capacities that it had before, and until when each still counts.
+  std::vector<std::pair<Millis, int> > former_cpu_milli;
   // Time at which the store last accepted its report.
   Millis reported_at = 0;
   int restarts = 0;
@@ -346,6 +348,9 @@
   void put_key (const std::string &key, const std::string &value);
   void remove_key (const std::string &key);
   void register_instance (Instance &instance, bool draining = false);
+  // Changes the capacity of an instance while it runs; its entry says so, with
+  // partitions from its next report on.
+  void resize_instance (Instance &instance);
   // Stops an instance at once, and restarts it without its runs after
   // @down_ms.  With partitions, its connections are closed unless it loses
   // power (@is_dark).
@@ -469,6 +474,8 @@
   void report_violation (const std::string &text);
   Millis get_early_ms () const;
   int64_t sum_running_cpu (const Instance &instance);
+  // Returns the capacity that a start must not exceed now.
+  int get_allowed_cpu (const Instance &instance) const;
   // Registers a call of a node; @on_abort runs if the node dies before it
   // ends.
   uint64_t begin_call (Node &node, std::function<void ()> on_abort);
