Request the tickets of a gang on trial together

Cause: a trial requested tickets for the instances that lacked one. A preference for idle instances made it change to others without a ticket besides. Ruled out: the limit of trials and a lack of approvals (17 of 39 approved). Now a gang keeps the idle instances that it holds, and renews all tickets at once when it has all its room.

Test: CrashingTask.GangOnTrialGetsTicketsThatAreValidTogether, fails before.

--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -115,6 +115,18 @@
   return left < right ? -1 : left > right;
 }
 
+/* Whether a trial has no use for another ticket of an approved instance.  The
+   tickets of a gang have to be valid at the same time, so all are renewed. */
+static bool
+is_ticket_useless (const struct rst_planner *planner, const struct step *step,
+                   const struct instance *instance)
+{
+  if (instance->held_for != step && g_hash_table_size (instance->runs) > 0)
+    return true;
+  return !step->spec->gang
+         && rst_plan_find_ticket (planner, step, instance) != NULL;
+}
+
 /* The same for the trial of suspects: those that the service was not asked
    about, however full they are now, and those that only lack a ticket. */
 static void
@@ -131,16 +143,13 @@
 
       candidate.slots = rst_plan_count_trial_slots (instance, step);
       if (candidate.slots == 0 || (approval != NULL && approval->rejected)
-          || (approval != NULL && instance->held_for != step
-              && g_hash_table_size (instance->runs) > 0)
-          || (approval != NULL
-              && rst_plan_find_ticket (planner, step, instance) != NULL))
+          || (approval != NULL && is_ticket_useless (planner, step, instance)))
         continue;
       candidate.score = (double)g_hash_table_size (instance->runs);
       if (approval == NULL)
         candidate.chance = step->occurrence->job->queue->approval_rate;
       else
-        candidate.score -= 1000.0;
+        candidate.score -= instance->held_for == step ? 2000.0 : 1000.0;
       if (!step->spec->gang)
         candidate.slots = 1;
       g_array_append_val (found, candidate);
--- a/src/cell/plan_trial.c
+++ b/src/cell/plan_trial.c
@@ -153,8 +153,24 @@
          - ((const struct trial_room *)b)->score;
 }
 
-/* Finds the approved instances that a step may use: idle ones first, then
-   those that are held for it, then those with the fewest runs. */
+/* Returns the order in which a trial prefers an instance: idle ones come
+   first. Of these it keeps those that it holds, so that a wide gang does not
+   change to others for which it has no ticket yet. */
+static int
+get_score (const struct rst_planner *planner, const struct step *step,
+           const struct trial_room *room)
+{
+  bool is_held = room->instance->held_for == step;
+
+  if (room->is_apart && is_held)
+    return 0;
+  if (room->is_apart)
+    return rst_plan_find_ticket (planner, step, room->instance) != NULL ? 1
+                                                                        : 2;
+  return is_held ? 3 : 4 + (int)g_hash_table_size (room->instance->runs);
+}
+
+/* Finds the approved instances that a step may use, best first. */
 static GArray *
 find_rooms (struct rst_planner *planner, const struct step *step)
 {
@@ -177,10 +193,7 @@
       if (room.slots == 0)
         continue;
       room.is_taken = instance->held_for == step || instance->trial_runs > 0;
-      if (!room.is_apart)
-        room.score = instance->held_for == step
-                         ? 1
-                         : 2 + (int)g_hash_table_size (instance->runs);
+      room.score = get_score (planner, step, &room);
       g_array_append_val (rooms, room);
     }
   g_array_sort (rooms, compare_scores);
@@ -425,6 +438,9 @@
 needs_advice (const struct rst_planner *planner, const struct step *step,
               const GArray *rooms, bool lacks_rooms)
 {
+  int accessible_slots = 0;
+  bool lacks_ticket = false;
+
   if (!get_job (step)->queue->settings.needs_approval
       || !CK_LIST_EMPTY (&step->advice_requests))
     return false;
@@ -437,11 +453,15 @@
       const struct trial_room *room
           = &g_array_index (rooms, struct trial_room, i);
 
-      if (has_access (planner, step, room)
-          && rst_plan_find_ticket (planner, step, room->instance) == NULL)
-        return true;
+      if (!has_access (planner, step, room))
+        continue;
+      accessible_slots += room->free_slots;
+      lacks_ticket
+          |= rst_plan_find_ticket (planner, step, room->instance) == NULL;
     }
-  return false;
+  /* The tickets of a gang are requested together once it has all its room. */
+  return lacks_ticket
+         && (!step->spec->gang || accessible_slots >= step->spec->count);
 }
 
 static int
--- a/test/unit/crashing_task_test.cc
+++ b/test/unit/crashing_task_test.cc
@@ -560,3 +560,53 @@
     answer_requests ();
   EXPECT_EQ (requests, 0u);
 }
+
+// A gang needs the tickets of all its instances at the same time, so they are
+// requested together.
+TEST (CrashingTask, GangOnTrialGetsTicketsThatAreValidTogether)
+{
+  // Longer than a ticket is valid, less the margin.
+  static const rst_ms answer_ms = 1990;
+  Planner cell;
+  std::vector<rst_run> ends;
+  auto answer_requests = [&cell] {
+    for (const auto &request : cell.sent_of_kind (RST_MSG_ADVISE))
+      cell.send_advice (1, request.number, request.ids);
+    std::erase_if (cell.sent, [] (const harness::Sent &message) {
+      return message.kind == RST_MSG_ADVISE;
+    });
+  };
+
+  cell.start_serving (2, true);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a,
+                  Planner::make_job (2, 4000, true));
+  cell.settle ();
+  answer_requests ();
+  cell.settle ();
+  ASSERT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 2u);
+  for (const auto &start : cell.sent_of_kind (RST_MSG_START))
+    {
+      cell.answer_order (1, RST_MSG_STARTED, start.id, start.task, 1,
+                         RST_RESULT_OK);
+      if (start.id == "i-1")
+        ends.push_back (
+            Planner::make_ended_run (1, start.task, 1, RST_END_GANG_BROKEN));
+    }
+  cell.sent.clear ();
+  cell.report (1, "i-0", {}, 1, RST_RESULT_UNKNOWN, lease_left_ms);
+  cell.report (1, "i-1", ends);
+  cell.report (1, "i-0", {}, 0, RST_RESULT_OTHER_INCARNATION);
+  // The ticket of i-1 has expired when i-2 is registered.
+  cell.advance_time (2500);
+  cell.settle ();
+  cell.add_instance ("i-2");
+  cell.report (1, "i-2", {});
+  for (int i = 0; i < 4; i++)
+    {
+      cell.settle ();
+      cell.advance_time (answer_ms);
+      answer_requests ();
+      cell.settle ();
+    }
+  EXPECT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 2u);
+}
