Give a task up though each of its trials is disturbed

Cause: a job fails if an instance crashes during a trial that leaves no other suspect. Now the record of a silent instance says which runs are trials, the wait is that of each instance, and a suspect is given up in any case with its fourth crash, or with the third that leaves no other suspect.

Test: CrashingTask.IsGivenUpByTheSuccessorOfThePlannerThatTriedIt, fails before.

--- a/src/cell/plan_crash.c
+++ b/src/cell/plan_crash.c
@@ -25,9 +25,12 @@
 /** Number of crashes under a task after which it is a suspect in any case. */
 #define CRASHES_TO_SUSPECT 3
 
-/** Number of crashes under a task after which its job fails, if the last one
-    leaves no other suspect. */
-#define CRASHES_MAX 2
+/** Number of crashes under a suspect after which its job fails: if the last
+   one was during its trial and leaves no other suspect, if it leaves no other
+    suspect, and in any case. */
+#define CRASHES_ON_TRIAL_MAX 2
+#define CRASHES_ALONE_MAX 3
+#define CRASHES_MAX 4
 
 /** struct crashed_run - A run that was on an instance when it crashed. */
 struct crashed_run
@@ -149,6 +152,14 @@
   rst_plan_end_job (planner, task->step->occurrence->job, RST_JOB_FAILED);
 }
 
+static int
+get_crashes_max (const struct crashed_run *crashed, bool is_alone)
+{
+  if (!is_alone)
+    return CRASHES_MAX;
+  return crashed->on_trial ? CRASHES_ON_TRIAL_MAX : CRASHES_ALONE_MAX;
+}
+
 static void
 suspect_run (struct rst_planner *planner, const struct instance *instance,
              const struct crashed_run *crashed, bool is_alone)
@@ -163,7 +174,8 @@
     rst_plan_set_suspect (crashed->task, true);
   rst_plan_mark_dirty (planner, job);
   log_suspect (instance, crashed, is_alone);
-  if (is_alone && crashed->on_trial && history->count >= CRASHES_MAX
+  if (rst_plan_is_suspect (crashed->task)
+      && history->count >= get_crashes_max (crashed, is_alone)
       && !RST_CELL_FAULT (RST_CELL_FAULT_IGNORE_CRASHES))
     give_up (planner, instance, crashed->task);
 }
@@ -253,10 +265,10 @@
   return is_fresh;
 }
 
-/* Whether all runs, or all suspects if there are any, are trials of one job,
-   so that it alone can be the cause. */
+/* Whether all runs, or all suspects if there are any, are of one job, so that
+   it alone can be the cause. */
 static bool
-are_trials_of_one_job (const GArray *runs, bool has_suspects)
+are_of_one_job (const GArray *runs, bool has_suspects)
 {
   const struct job *job = NULL;
 
@@ -267,8 +279,7 @@
 
       if (has_suspects && !run->is_suspect)
         continue;
-      if (!run->on_trial
-          || (job != NULL && job != run->task->step->occurrence->job))
+      if (job != NULL && job != run->task->step->occurrence->job)
         return false;
       job = run->task->step->occurrence->job;
     }
@@ -291,7 +302,7 @@
   runs = collect_crashed_runs (planner, instance);
   lost = runs->len;
   is_fresh = keep_likely_causes (runs);
-  is_alone = are_trials_of_one_job (runs, is_fresh);
+  is_alone = are_of_one_job (runs, is_fresh);
   if (lost > 0)
     {
       planner->stats.crashes++;
--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -185,12 +185,13 @@
 /* Packs a run; @survived_ms is -1 if it is not known to have started. */
 static void
 pack_run (struct rst_pack *pack, const char *task, int attempt,
-          rst_ms survived_ms)
+          rst_ms survived_ms, bool on_trial)
 {
-  rst_pack_array (pack, 3);
+  rst_pack_array (pack, 4);
   rst_pack_text (pack, task);
   rst_pack_int (pack, attempt);
   rst_pack_int (pack, survived_ms);
+  rst_pack_int (pack, on_trial ? 1 : 0);
 }
 
 /* Packs an unreachable instance with the runs that it may still have, the runs
@@ -219,14 +220,15 @@
       const struct run *run = value;
 
       pack_run (pack, run->name, run->attempt,
-                run->has_started ? rst_plan_get_survived_ms (run) : -1);
+                run->has_started ? rst_plan_get_survived_ms (run) : -1,
+                run->on_trial);
     }
   for (guint i = 0; i < instance->unstored_ends->len; i++)
     {
       const struct unstored_end *end
           = &g_array_index (instance->unstored_ends, struct unstored_end, i);
 
-      pack_run (pack, end->task, end->attempt, -1);
+      pack_run (pack, end->task, end->attempt, -1, false);
     }
 }
 
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -278,6 +278,7 @@
   char *name = rst_reader_read_text (&row);
   int attempt = (int)rst_reader_read_int (&row);
   rst_ms survived_ms = rst_reader_read_int (&row);
+  bool on_trial = rst_reader_read_int (&row) != 0;
   struct task *task = rst_plan_find_task (planner, name);
 
   /* A later run of the task was started only after the earlier one had
@@ -292,6 +293,8 @@
       rst_plan_run_mark_started (run);
       run->has_started = survived_ms >= 0;
       run->survived_ms = MAX (survived_ms, 0);
+      if (on_trial)
+        rst_plan_begin_trial (run);
       /* The run may have ended since, and the task may run elsewhere. */
       task->in_doubt = true;
     }
--- a/src/cell/plan_trial.c
+++ b/src/cell/plan_trial.c
@@ -226,12 +226,13 @@
 
 static void
 hold_instance (struct rst_planner *planner, struct instance *instance,
-               const struct step *step)
+               const struct step *step, rst_ms since)
 {
   if (instance->held_for == NULL && instance->trial_runs == 0)
     planner->trial_count++;
   rst_plan_set_poll_wait (planner, instance, TRIAL_POLL_WAIT_MS);
   instance->held_for = step;
+  instance->held_since = since;
   instance->schedulable = false;
   instance->reserved = instance->entry.capacity;
 }
@@ -244,12 +245,21 @@
   step->trial_wanted_at = 0;
 }
 
+/* Returns since when an instance is held for a step. */
+static rst_ms
+get_held_since (const struct rst_planner *planner, const struct step *step,
+                const struct instance *instance)
+{
+  return instance->held_for == step ? instance->held_since : planner->now;
+}
+
 static void
 hold_rooms (struct rst_planner *planner, struct step *step,
             const GArray *rooms)
 {
   if (step->held_instances == NULL)
-    step->held_instances = g_array_new (FALSE, FALSE, sizeof (guint));
+    step->held_instances
+        = g_array_new (FALSE, FALSE, sizeof (struct held_instance));
   g_array_set_size (step->held_instances, 0);
   if (step->trial_wanted_at == 0)
     step->trial_wanted_at = planner->now;
@@ -257,9 +267,11 @@
     {
       struct instance *instance
           = g_array_index (rooms, struct trial_room, i).instance;
+      struct held_instance held
+          = { instance->number, get_held_since (planner, step, instance) };
 
-      g_array_append_val (step->held_instances, instance->number);
-      hold_instance (planner, instance, step);
+      g_array_append_val (step->held_instances, held);
+      hold_instance (planner, instance, step, held.since);
     }
 }
 
@@ -289,10 +301,9 @@
 
   rst_plan_start_task (planner, task, instance, attempt,
                        rst_plan_find_ticket (planner, task->step, instance));
-  task->run->on_trial = true;
-  task->run->was_tried = true;
-  if (instance->trial_runs++ == 0 && instance->held_for == NULL)
+  if (instance->trial_runs == 0 && instance->held_for == NULL)
     planner->trial_count++;
+  rst_plan_begin_trial (task->run);
   instance->schedulable = false;
   instance->reserved = instance->entry.capacity;
   rst_plan_set_poll_wait (planner, instance, TRIAL_POLL_WAIT_MS);
@@ -301,6 +312,14 @@
     log_trial (planner, task, instance, room->is_apart);
 }
 
+void
+rst_plan_begin_trial (struct run *run)
+{
+  run->on_trial = true;
+  run->was_tried = true;
+  run->instance->trial_runs++;
+}
+
 void
 rst_plan_end_trial (struct run *run)
 {
@@ -326,8 +345,8 @@
             const struct trial_room *room)
 {
   bool has_waited
-      = step->trial_wanted_at > 0
-        && planner->now - step->trial_wanted_at >= TRIAL_WAIT_MAX_MS;
+      = planner->now - get_held_since (planner, step, room->instance)
+        >= TRIAL_WAIT_MAX_MS;
 
   return room->free_slots > 0 && (room->is_apart || has_waited);
 }
@@ -519,11 +538,13 @@
   for (guint i = 0;
        step->held_instances != NULL && i < step->held_instances->len; i++)
     {
-      struct instance *instance = rst_plan_find_numbered (
-          planner, g_array_index (step->held_instances, guint, i));
+      struct held_instance held
+          = g_array_index (step->held_instances, struct held_instance, i);
+      struct instance *instance
+          = rst_plan_find_numbered (planner, held.number);
 
       if (instance != NULL && instance->held_for == NULL)
-        hold_instance (planner, instance, step);
+        hold_instance (planner, instance, step, held.since);
     }
   CK_LIST_FOREACH (request, &step->advice_requests, entry)
   for (guint i = 0; i < request->instance_numbers->len; i++)
@@ -534,7 +555,7 @@
       if (instance != NULL && instance->held_for == NULL
           && g_hash_table_size (instance->runs) == 0
           && planner->trial_count < planner->trial_count_max)
-        hold_instance (planner, instance, step);
+        hold_instance (planner, instance, step, planner->now);
     }
 }
 
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -361,6 +361,9 @@
 int rst_plan_count_trial_slots (const struct instance *instance,
                                 const struct step *step);
 
+/** rst_plan_begin_trial() - Notes that a run is a trial: nothing joins it. */
+void rst_plan_begin_trial (struct run *run);
+
 /** rst_plan_end_trial() - Notes that a run is no longer a trial. */
 void rst_plan_end_trial (struct run *run);
 
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -125,6 +125,17 @@
 
 struct step;
 
+/**
+ * struct held_instance - An instance that is held for a trial.
+ * @number: Its number.
+ * @since: Since when it takes no other starts.
+ */
+struct held_instance
+{
+  guint number;
+  rst_ms since;
+};
+
 /** struct instance - An instance, registered or known from the journal. */
 struct instance
 {
@@ -142,6 +153,7 @@
   int trial_runs;
   /* The step whose trial it is held for since the last placement pass. */
   const struct step *held_for;
+  rst_ms held_since;
   /* Its index in the planner's schedulable_instances. */
   guint pass_index;
   struct agent *agent;
@@ -358,7 +370,7 @@
   CK_LIST_HEAD (, advice_request) advice_requests;
   /* Whether advice was ever requested for it. */
   bool advice_requested;
-  /* guint: numbers of the instances held for the trial of its suspects, or
+  /* struct held_instance: the instances held for the trial of its suspects, or
      NULL; and since when the trial waits, or 0. */
   GArray *held_instances;
   rst_ms trial_wanted_at;
--- a/test/unit/crashing_task_test.cc
+++ b/test/unit/crashing_task_test.cc
@@ -610,3 +610,30 @@
     }
   EXPECT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 2u);
 }
+
+// The planner that tried the suspect is replaced before the instance is back.
+TEST (CrashingTask, IsGivenUpByTheSuccessorOfThePlannerThatTriedIt)
+{
+  Planner cell;
+  Planner successor (2);
+
+  cell.start_serving (3);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
+  crash_and_return (cell, await_start (cell, task_a0));
+  std::string id = await_start (cell, task_a0);
+
+  ASSERT_FALSE (id.empty ());
+  cell.report (1, id, {}, 1, RST_RESULT_UNKNOWN, lease_left_ms);
+  cell.settle ();
+  successor.set_time (cell.now);
+  successor.restore (cell);
+  successor.configure ();
+  successor.add_agent (1);
+  successor.add_instance (id);
+  rst_planner_finish_restore (successor.planner);
+  EXPECT_EQ (get_state (successor, job_a), "live");
+  successor.report (1, id, {}, 0, RST_RESULT_OTHER_INCARNATION);
+  successor.settle ();
+  successor.complete_commit ();
+  EXPECT_EQ (get_state (successor, job_a), "failed");
+}
