Try suspects together that are probably guilty

Cause: each guilty task needs a second crash, which takes an instance for 3.3 s, and a quarter of the instances serves 3.6 trials a second. Trials may take as many instances as the free capacity would be. A crash during a trial convicts with the second count only if it was seen within 60 ms of the start; the record of a silent instance says that too.

--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -141,7 +141,12 @@
           = rst_plan_find_approval (step, instance);
       struct candidate candidate = { instance, 0, 1.0, 0.0 };
 
-      candidate.slots = rst_plan_count_trial_slots (instance, step);
+      /* Without a further instance for trials, one is shared. */
+      if (planner->trial_count >= planner->trial_count_max
+          && planner->trial_count > 0 && instance->held_for == NULL)
+        continue;
+      candidate.slots
+          = rst_plan_count_trial_slots (instance, step, planner->now);
       if (candidate.slots == 0 || (approval != NULL && approval->rejected)
           || (approval != NULL && is_ticket_useless (planner, step, instance)))
         continue;
--- a/src/cell/plan_crash.c
+++ b/src/cell/plan_crash.c
@@ -17,6 +17,15 @@
     much before it. */
 #define START_ORDER_MARGIN_MS 20
 
+/** A crash that is seen at most this long after a start was ordered follows
+   the start at once. */
+#define PROBABLE_CRASH_MS 60
+
+/** If more than this number of other instances are lost within the same time,
+    there is another cause. */
+#define COMMON_LOSSES_MAX 2
+#define COMMON_LOSS_MS 25
+
 /** How long a suspect has to run to be cleared, if its runs crashed at once;
     otherwise this many times as long as they lasted. */
 #define PROBATION_MIN_MS 500
@@ -26,8 +35,8 @@
 #define CRASHES_TO_SUSPECT 3
 
 /** Number of crashes under a suspect after which its job fails: if the last
-   one was during its trial and leaves no other suspect, if it leaves no other
-    suspect, and in any case. */
+    one followed the start of its trial at once, if it leaves no other suspect,
+    and in any case. */
 #define CRASHES_ON_TRIAL_MAX 2
 #define CRASHES_ALONE_MAX 3
 #define CRASHES_MAX 4
@@ -40,6 +49,8 @@
   rst_ms survived_ms;
   bool has_started;
   bool on_trial;
+  /* Time from the start order to the loss of the instance. */
+  rst_ms lost_after_ms;
   /* Whether it is among those that started last. */
   bool is_suspect;
 };
@@ -54,6 +65,18 @@
   return MAX (run->instance->last_clock_ms - run->started_clock_ms, 0);
 }
 
+rst_ms
+rst_plan_get_lost_after_ms (const struct run *run)
+{
+  const struct instance *instance = run->instance;
+
+  if (run->from_journal)
+    return run->lost_after_ms;
+  if (instance->runs_known || instance->lease_basis != LEASE_BASIS_REPORT)
+    return G_MAXINT64;
+  return instance->runs_unknown_since - run->start_sent_at;
+}
+
 static struct crash_history *
 get_history (struct task *task)
 {
@@ -68,6 +91,12 @@
   return task->crashes != NULL && task->crashes->is_suspect;
 }
 
+bool
+rst_plan_is_probable (const struct task *task)
+{
+  return rst_plan_is_suspect (task) && task->crashes->is_probable;
+}
+
 void
 rst_plan_set_suspect (struct task *task, bool is_suspect)
 {
@@ -86,13 +115,14 @@
 }
 
 void
-rst_plan_restore_crashes (struct task *task, bool is_suspect,
+rst_plan_restore_crashes (struct task *task, bool is_suspect, bool is_probable,
                           rst_ms survived_ms)
 {
   struct crash_history *history = get_history (task);
 
   history->count = 0;
   history->survived_ms = survived_ms;
+  history->is_probable = is_probable;
   rst_plan_set_suspect (task, is_suspect);
 }
 
@@ -155,14 +185,18 @@
 static int
 get_crashes_max (const struct crashed_run *crashed, bool is_alone)
 {
-  if (!is_alone)
-    return CRASHES_MAX;
-  return crashed->on_trial ? CRASHES_ON_TRIAL_MAX : CRASHES_ALONE_MAX;
+  bool is_probable = rst_plan_is_probable (crashed->task);
+
+  if (crashed->on_trial && (is_alone || is_probable)
+      && crashed->lost_after_ms <= PROBABLE_CRASH_MS)
+    return CRASHES_ON_TRIAL_MAX;
+  return is_alone ? CRASHES_ALONE_MAX : CRASHES_MAX;
 }
 
 static void
 suspect_run (struct rst_planner *planner, const struct instance *instance,
-             const struct crashed_run *crashed, bool is_alone)
+             const struct crashed_run *crashed, bool is_alone,
+             bool is_probable)
 {
   struct job *job = crashed->task->step->occurrence->job;
   struct crash_history *history = get_history (crashed->task);
@@ -172,6 +206,7 @@
   count_crash (history, crashed);
   if (crashed->is_suspect || history->count >= CRASHES_TO_SUSPECT)
     rst_plan_set_suspect (crashed->task, true);
+  history->is_probable |= is_probable;
   rst_plan_mark_dirty (planner, job);
   log_suspect (instance, crashed, is_alone);
   if (rst_plan_is_suspect (crashed->task)
@@ -182,10 +217,12 @@
 
 static void
 add_crashed_run (GArray *found, struct task *task, int attempt,
-                 rst_ms survived_ms, bool has_started, bool on_trial)
+                 rst_ms survived_ms, bool has_started, bool on_trial,
+                 rst_ms lost_after_ms)
 {
   struct crashed_run crashed
-      = { task, attempt, survived_ms, has_started, on_trial, false };
+      = { task,     attempt,       survived_ms, has_started,
+          on_trial, lost_after_ms, false };
 
   if (!task->done && !rst_plan_job_has_ended (task->step->occurrence->job))
     g_array_append_val (found, crashed);
@@ -207,7 +244,7 @@
 
       add_crashed_run (found, run->task, run->attempt,
                        rst_plan_get_survived_ms (run), run->has_started,
-                       run->on_trial);
+                       run->on_trial, rst_plan_get_lost_after_ms (run));
     }
   for (guint i = 0; i < instance->lapsed_runs->len; i++)
     {
@@ -217,7 +254,7 @@
 
       if (task != NULL)
         add_crashed_run (found, task, lapsed->attempt, lapsed->survived_ms,
-                         lapsed->has_started, lapsed->on_trial);
+                         lapsed->has_started, lapsed->on_trial, G_MAXINT64);
     }
   g_array_set_size (instance->lapsed_runs, 0);
   return found;
@@ -286,6 +323,44 @@
   return true;
 }
 
+/* Whether the crash followed the start of each suspect at once. */
+static bool
+crashed_at_start (const GArray *runs)
+{
+  for (guint i = 0; i < runs->len; i++)
+    {
+      const struct crashed_run *run
+          = &g_array_index (runs, struct crashed_run, i);
+
+      if (run->is_suspect
+          && (!run->has_started || run->lost_after_ms > PROBABLE_CRASH_MS))
+        return false;
+    }
+  return true;
+}
+
+/* Whether several other instances were lost at the same moment. */
+static bool
+has_common_loss (const struct rst_planner *planner,
+                 const struct instance *instance)
+{
+  int others = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, planner->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct instance *other = value;
+
+      if (other != instance && !other->runs_known
+          && ABS (other->runs_unknown_since - instance->runs_unknown_since)
+                 <= COMMON_LOSS_MS)
+        others++;
+    }
+  return others > COMMON_LOSSES_MAX;
+}
+
 void
 rst_plan_count_crash (struct rst_planner *planner, struct instance *instance)
 {
@@ -293,6 +368,7 @@
   guint lost;
   bool is_fresh;
   bool is_alone;
+  bool is_probable;
   char lost_text[16];
   char suspects_text[16];
 
@@ -303,6 +379,8 @@
   lost = runs->len;
   is_fresh = keep_likely_causes (runs);
   is_alone = are_of_one_job (runs, is_fresh);
+  is_probable = is_alone && is_fresh && crashed_at_start (runs)
+                && !has_common_loss (planner, instance);
   if (lost > 0)
     {
       planner->stats.crashes++;
@@ -314,7 +392,8 @@
     }
   for (guint i = 0; i < runs->len; i++)
     suspect_run (planner, instance,
-                 &g_array_index (runs, struct crashed_run, i), is_alone);
+                 &g_array_index (runs, struct crashed_run, i), is_alone,
+                 is_probable);
   g_array_free (runs, TRUE);
 }
 
--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -47,11 +47,12 @@
 {
   const struct crash_history *crashes = task->crashes;
 
-  rst_pack_array (pack, 6);
+  rst_pack_array (pack, 7);
   rst_pack_int (pack, task->step->occurrence->number);
   rst_pack_int (pack, task->step->index);
   rst_pack_int (pack, task->index);
   rst_pack_int (pack, crashes->is_suspect ? 1 : 0);
+  rst_pack_int (pack, crashes->is_probable ? 1 : 0);
   rst_pack_int (pack, crashes->survived_ms);
   rst_pack_array (pack, (size_t)crashes->count);
   for (int i = 0; i < crashes->count; i++)
@@ -185,13 +186,14 @@
 /* Packs a run; @survived_ms is -1 if it is not known to have started. */
 static void
 pack_run (struct rst_pack *pack, const char *task, int attempt,
-          rst_ms survived_ms, bool on_trial)
+          rst_ms survived_ms, bool on_trial, rst_ms lost_after_ms)
 {
-  rst_pack_array (pack, 4);
+  rst_pack_array (pack, 5);
   rst_pack_text (pack, task);
   rst_pack_int (pack, attempt);
   rst_pack_int (pack, survived_ms);
   rst_pack_int (pack, on_trial ? 1 : 0);
+  rst_pack_int (pack, lost_after_ms);
 }
 
 /* Packs an unreachable instance with the runs that it may still have, the runs
@@ -221,14 +223,14 @@
 
       pack_run (pack, run->name, run->attempt,
                 run->has_started ? rst_plan_get_survived_ms (run) : -1,
-                run->on_trial);
+                run->on_trial, rst_plan_get_lost_after_ms (run));
     }
   for (guint i = 0; i < instance->unstored_ends->len; i++)
     {
       const struct unstored_end *end
           = &g_array_index (instance->unstored_ends, struct unstored_end, i);
 
-      pack_run (pack, end->task, end->attempt, -1, false);
+      pack_run (pack, end->task, end->attempt, -1, false, G_MAXINT64);
     }
 }
 
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -94,6 +94,7 @@
   int64_t step = rst_reader_read_int (&row);
   int64_t index = rst_reader_read_int (&row);
   bool is_suspect = rst_reader_read_int (&row) != 0;
+  bool is_probable = rst_reader_read_int (&row) != 0;
   rst_ms survived_ms = rst_reader_read_int (&row);
   struct rst_reader attempts = rst_reader_read_array (&row);
   struct task *task;
@@ -104,7 +105,7 @@
       || index >= job->desc->steps[step].count)
     return;
   task = &occurrence->steps[step].tasks[index];
-  rst_plan_restore_crashes (task, is_suspect, survived_ms);
+  rst_plan_restore_crashes (task, is_suspect, is_probable, survived_ms);
   for (uint32_t i = 0; i < attempts.count && i < RST_CRASHES_MAX; i++)
     task->crashes->attempts[task->crashes->count++]
         = (int)rst_reader_read_int (&attempts);
@@ -279,6 +280,7 @@
   int attempt = (int)rst_reader_read_int (&row);
   rst_ms survived_ms = rst_reader_read_int (&row);
   bool on_trial = rst_reader_read_int (&row) != 0;
+  rst_ms lost_after_ms = rst_reader_read_int (&row);
   struct task *task = rst_plan_find_task (planner, name);
 
   /* A later run of the task was started only after the earlier one had
@@ -293,6 +295,7 @@
       rst_plan_run_mark_started (run);
       run->has_started = survived_ms >= 0;
       run->survived_ms = MAX (survived_ms, 0);
+      run->lost_after_ms = lost_after_ms;
       if (on_trial)
         rst_plan_begin_trial (run);
       /* The run may have ended since, and the task may run elsewhere. */
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -304,6 +304,10 @@
 /** rst_plan_get_survived_ms() - How long a run is known to have run. */
 rst_ms rst_plan_get_survived_ms (const struct run *run);
 
+/** rst_plan_get_lost_after_ms() - How long after its start order the run's
+    instance was reported to be silent; INT64_MAX if it was not. */
+rst_ms rst_plan_get_lost_after_ms (const struct run *run);
+
 /**
  * rst_plan_count_crash() - Counts the crash of an instance under the tasks
  * that may have caused it.
@@ -322,12 +326,16 @@
     jobs. */
 bool rst_plan_is_suspect (const struct task *task);
 
+/** rst_plan_is_probable() - Whether a suspect probably is the cause of its
+    crash, so that it may be tried together with others like it. */
+bool rst_plan_is_probable (const struct task *task);
+
 void rst_plan_set_suspect (struct task *task, bool is_suspect);
 
 /** rst_plan_restore_crashes() - Begins the history of a task that is read from
     the journal, without attempts. */
 void rst_plan_restore_crashes (struct task *task, bool is_suspect,
-                               rst_ms survived_ms);
+                               bool is_probable, rst_ms survived_ms);
 
 /** rst_plan_clear_crashes() - Forgets the crashes counted under a task. */
 void rst_plan_clear_crashes (struct task *task);
@@ -359,7 +367,7 @@
    has room for once it runs nothing else; 0 if the step's trial can't use it.
  */
 int rst_plan_count_trial_slots (const struct instance *instance,
-                                const struct step *step);
+                                const struct step *step, rst_ms now);
 
 /** rst_plan_begin_trial() - Notes that a run is a trial: nothing joins it. */
 void rst_plan_begin_trial (struct run *run);
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -257,9 +257,11 @@
   int64_t clock_ms;
   bool stop_answered;
   /* Whether only the journal says that the instance, while unreachable, may
-     still have this run; and how long it had run by then. */
+     still have this run; how long it had run by then; and how long after its
+     start order the instance was reported to be silent. */
   bool from_journal;
   rst_ms survived_ms;
+  rst_ms lost_after_ms;
   /* Whether it is known to have started, and the earliest reading of the
      instance's clock after that. */
   bool has_started;
@@ -289,6 +291,8 @@
  * @attempts: Their attempts.
  * @survived_ms: How long the longest of them had run.
  * @is_suspect: Whether it has to be tried apart from other jobs.
+ * @is_probable: Whether it was the only suspect of a crash that followed its
+ *   start at once, so that it may be tried together with others like it.
  */
 struct crash_history
 {
@@ -296,6 +300,7 @@
   int attempts[RST_CRASHES_MAX];
   rst_ms survived_ms;
   bool is_suspect;
+  bool is_probable;
 };
 
 /** struct task - One task of a step. */
@@ -587,6 +592,8 @@
   GPtrArray *trial_instances;
   int trial_count;
   int trial_count_max;
+  /* Number of the waiting steps whose suspects may be tried together. */
+  int probable_steps;
   /* struct start_batch: start orders of the step being placed. */
   GPtrArray *start_batches;
   /* For the log: the ends that the report being applied lists. */
