--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -165,13 +165,23 @@
             "same_address_as", sharer != NULL ? sharer->entry.id : "");
 }
 
+static void
+set_entry (struct instance *instance, const struct rst_instance_entry *entry)
+{
+  struct rst_instance_entry copy = *entry;
+
+  if (RST_CELL_FAULT (RST_CELL_FAULT_KEEP_CAPACITY)
+      && instance->entry.capacity.cpu > entry->capacity.cpu)
+    copy.capacity = instance->entry.capacity;
+  instance->entry = copy;
+}
+
 void
 rst_planner_update_instance (struct rst_planner *planner,
                              const struct rst_instance_entry *entry)
 {
   struct instance *instance
       = g_hash_table_lookup (planner->instances, entry->id);
-  struct rst_resources former_capacity;
   bool address_changed;
 
   if (instance == NULL || !instance->registered)
@@ -186,11 +196,7 @@
     rst_info (RST_PLAN_LOG, "Instance entry can be used again.", "instance",
               entry->id);
   instance->has_moved |= instance->entry.address[0] != '\0' && address_changed;
-  former_capacity = instance->entry.capacity;
-  instance->entry = *entry;
-  if (RST_CELL_FAULT (RST_CELL_FAULT_KEEP_CAPACITY)
-      && former_capacity.cpu > entry->capacity.cpu)
-    instance->entry.capacity = former_capacity;
+  set_entry (instance, entry);
   instance->registered = true;
   instance->unregistered_at = 0;
   planner->pass_wanted = true;
