--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,5 +9,3 @@
   target/librst_transport.a target/librst_util.a target/librosemarystile.a \
   $(pkg-config --libs glib-2.0 json-c libmicrohttpd libcurl libsodium \
     libxxhash ck) -largtable2 -lpthread
-cc -O2 -Wall -Wextra -std=gnu11 -D_GNU_SOURCE -o target/review-proxy \
-  review/standin2/proxy.c -lpthread
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -1,5 +1,5 @@
 # Functions of the second review's scripts.  A script sources this file from
-# the repository root.  It sets $case_dir first.  Programs are those of the
+# the repository root and sets $case_dir first.  Programs are those of the
 # deploy file under target/ and the stand-ins of review/build-2.sh.
 set -u
 export LC_ALL=C
@@ -135,13 +135,3 @@
   call "$1" GET "$2"
   echo "$body" | grep -q "\"state\":\"$3\""
 }
-
-# start_proxy DELAY_MS - starts the proxy to the store, without a delay yet.
-start_proxy ()
-{
-  target/review-proxy "${http_address_of[platform]}" "$1" \
-    >"$run_dir/proxy.out" 2>>"$run_dir/proxy.log" &
-  pid_of[proxy]=$!
-  wait_for_start proxy '^ready' "$run_dir/proxy.out" || return 1
-  http_address_of[proxy]=$(get_start_field http)
-}
