--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,8 +1,9 @@
 #!/bin/bash
-# Case 10; claim.txt tells what it shows.  Run in the repository root.
+# Case 10; claim.txt tells what it shows.
 #   TROUBLE=0  the runner does not crash
 #   SIZE=16    checkpoints are as long as that of the example on the pages
-case_dir=$(dirname "$0")
+cd "$(dirname "$0")/../.." || exit 2
+case_dir=review/10
 . review/lib-2.sh
 size=${SIZE:-80}
 
