Carry checkpoints whole or not at all

Cause: a checkpoint was copied with g_strlcpy() into 64 bytes, by the adapter and twice by the planner. Ruled out: the instance's list (it has the whole text) and msgpack (a text that does not fit is a mismatch).

A checkpoint is a text of its own length now, from the instance's list to the start order. The planner keeps one checkpoint for a gang, so its members carry the same value in any case.

Also: a run that a successor adopts keeps the checkpoint of the instance's first list; it was read from the second one on.

--- a/src/cell/agent.c
+++ b/src/cell/agent.c
@@ -13,6 +13,11 @@
     before the next poll, in milliseconds. */
 #define ACK_WAIT_MS 800
 
+/** Most bytes of checkpoints in a report, so that it stays far below the
+    largest frame of a link.  The checkpoints of the other runs are left to the
+    following reports. */
+#define REPORT_CHECKPOINT_BYTES_MAX (1024 * 1024)
+
 /** Longest time between two calls of rst_agent_run(), in milliseconds. */
 #define IDLE_MS 1000
 
@@ -80,25 +85,82 @@
   return held->clock_ms + (now - held->clock_read_at) + agent->config.lease_ms;
 }
 
+/* Returns how many runs, counted from @first on and then from the beginning,
+   can report their checkpoints together. */
+static guint
+count_reported_checkpoints (const GArray *runs, guint first)
+{
+  size_t bytes = 0;
+
+  for (guint i = 0; i < runs->len; i++)
+    {
+      const struct rst_run *run
+          = &g_array_index (runs, struct rst_run, (first + i) % runs->len);
+
+      if (run->checkpoint != NULL)
+        bytes += strlen (run->checkpoint);
+      if (bytes > REPORT_CHECKPOINT_BYTES_MAX)
+        return i;
+    }
+  return runs->len;
+}
+
+/* An empty checkpoint tells the planner nothing. */
 static void
-pack_run (struct rst_pack *pack, const struct rst_run *run)
+pack_run (struct rst_pack *pack, const struct rst_run *run,
+          bool reports_checkpoint)
 {
   rst_pack_array (pack, 7);
   rst_pack_int (pack, run->end_number);
   rst_pack_text (pack, run->task);
   rst_pack_int (pack, run->attempt);
   rst_pack_int (pack, run->end_reason);
-  rst_pack_text (pack, run->checkpoint);
+  rst_pack_text (pack, reports_checkpoint ? run->checkpoint : NULL);
   rst_pack_int (pack, run->progress_percent);
   rst_pack_int (pack, run->usage);
 }
 
+/* Packs the runs of an instance.  If their checkpoints don't fit into one
+   report, reports take turns with them. */
+static void
+pack_runs (struct rst_pack *pack, struct held_instance *held,
+           const GArray *runs)
+{
+  guint first = runs->len > 0 ? held->first_checkpoint % runs->len : 0;
+  guint count = count_reported_checkpoints (runs, first);
+
+  rst_pack_array (pack, runs->len);
+  for (guint i = 0; i < runs->len; i++)
+    pack_run (pack, &g_array_index (runs, struct rst_run, i),
+              (i + runs->len - first) % runs->len < count);
+  held->first_checkpoint = first + count;
+}
+
+/* Logs once for an instance, until all its checkpoints are short enough. */
+static void
+check_checkpoints (struct held_instance *held,
+                   const struct rst_instance_answer *answer)
+{
+  char count[16];
+
+  held->agent->checkpoints_too_long += answer->checkpoints_too_long;
+  if (answer->checkpoints_too_long > 0 && !held->has_long_checkpoints)
+    {
+      g_snprintf (count, sizeof count, "%u", answer->checkpoints_too_long);
+      rst_warning (RST_AGENT_LOG,
+                   "Checkpoints exceed 65536 bytes; tasks keep older ones.",
+                   "instance", held->id, "checkpoints", count);
+    }
+  held->has_long_checkpoints = answer->checkpoints_too_long > 0;
+}
+
 static void
 send_report (struct held_instance *held,
              const struct rst_instance_answer *answer, rst_ms now)
 {
   struct rst_pack pack;
 
+  check_checkpoints (held, answer);
   rst_pack_init (&pack, 9);
   rst_pack_int (&pack, RST_MSG_REPORT);
   rst_pack_text (&pack, held->id);
@@ -108,9 +170,7 @@
   rst_pack_int (&pack, MAX (held->lease_expires_at - now, 0));
   rst_pack_int (&pack, held->fencing_token);
   rst_pack_int (&pack, answer->has_more_ends ? 1 : 0);
-  rst_pack_array (&pack, answer->runs->len);
-  for (guint i = 0; i < answer->runs->len; i++)
-    pack_run (&pack, &g_array_index (answer->runs, struct rst_run, i));
+  pack_runs (&pack, held, answer->runs);
   rst_agent_send (held->agent, &pack);
 }
 
@@ -409,6 +469,12 @@
   g_list_free (instances);
 }
 
+uint64_t
+rst_agent_count_long_checkpoints (const struct rst_agent *agent)
+{
+  return agent->checkpoints_too_long;
+}
+
 rst_ms
 rst_agent_run (struct rst_agent *agent)
 {
--- a/src/cell/backend.c
+++ b/src/cell/backend.c
@@ -37,12 +37,26 @@
   g_free (answer);
 }
 
+void
+rst_run_clear (struct rst_run *run)
+{
+  g_free (run->checkpoint);
+  run->checkpoint = NULL;
+}
+
+static void
+clear_run (gpointer run)
+{
+  rst_run_clear (run);
+}
+
 struct rst_instance_answer *
 rst_instance_answer_new (void)
 {
   struct rst_instance_answer *answer = g_new0 (struct rst_instance_answer, 1);
 
   answer->runs = g_array_new (FALSE, TRUE, sizeof (struct rst_run));
+  g_array_set_clear_func (answer->runs, clear_run);
   return answer;
 }
 
--- a/src/cell/backend.h
+++ b/src/cell/backend.h
@@ -23,7 +23,10 @@
 /** Size of a task's name, with the final NUL. */
 #define RST_TASK_NAME_SIZE 64
 
-/** Size of a checkpoint or of an advice ticket, with the final NUL. */
+/** Longest checkpoint that is carried, in bytes.  A longer one is left out. */
+#define RST_CHECKPOINT_BYTES_MAX 65536
+
+/** Size of an advice ticket, with the final NUL. */
 #define RST_TOKEN_SIZE 64
 
 /**
@@ -129,7 +132,8 @@
  * @task: Name of the task.
  * @attempt: Attempt of the task that this run is.
  * @end_reason: Why the run ended; a value of enum rst_end.
- * @checkpoint: Last checkpoint, or "".
+ * @checkpoint: Last checkpoint; NULL or "" if there is none that is carried.
+ *   Owned by the run, see rst_run_clear().
  * @progress_percent: Progress of a run that has not ended.
  * @usage: Measured over the last half second of a run that has not ended:
  *   the response time of a long-running task in milliseconds; the processor
@@ -141,11 +145,14 @@
   char task[RST_TASK_NAME_SIZE];
   int attempt;
   int end_reason;
-  char checkpoint[RST_TOKEN_SIZE];
+  char *checkpoint;
   int progress_percent;
   int64_t usage;
 };
 
+/** rst_run_clear() - Frees what a run owns, but not the run itself. */
+void rst_run_clear (struct rst_run *run);
+
 /**
  * enum rst_end - Why a run ended.
  * @RST_END_DONE: The task is complete.
@@ -173,6 +180,8 @@
  *   incarnation; 0 when unknown.
  * @has_more_ends: Whether runs may have ended that @runs does not list; they
  *   are listed once earlier ends are acknowledged.
+ * @checkpoints_too_long: Number of checkpoints that are left out of @runs
+ *   because they exceed RST_CHECKPOINT_BYTES_MAX.
  * @runs: Elements of type struct rst_run: first those that run, then those
  *   that have ended.
  */
@@ -182,6 +191,7 @@
   int64_t clock_ms;
   int64_t incarnation;
   bool has_more_ends;
+  unsigned checkpoints_too_long;
   GArray *runs;
 };
 
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -291,6 +291,7 @@
                                         instance->entry.zone));
 }
 
+/* The caller frees it with rst_run_clear(). */
 static struct rst_run
 read_run (struct rst_reader *reader)
 {
@@ -301,7 +302,7 @@
   rst_reader_copy_text (&row, run.task, sizeof run.task);
   run.attempt = (int)rst_reader_read_int (&row);
   run.end_reason = (int)rst_reader_read_int (&row);
-  rst_reader_copy_text (&row, run.checkpoint, sizeof run.checkpoint);
+  run.checkpoint = rst_reader_read_text (&row);
   run.progress_percent = (int)rst_reader_read_int (&row);
   run.usage = rst_reader_read_int (&row);
   reader->bad |= row.bad;
@@ -350,6 +351,7 @@
   run = rst_plan_run_new (planner, task, instance, listed->attempt);
   rst_plan_run_mark_started (run);
   run->progress_percent = listed->progress_percent;
+  rst_plan_keep_checkpoint (planner, task, listed->checkpoint);
   task->step->gang_attempt = MAX (task->step->gang_attempt, listed->attempt);
   if (rst_plan_job_has_ended (job)
       || (!planner->has_inherited && task->step->spec->gang))
@@ -376,13 +378,7 @@
     run->progressed_at = planner->now;
   run->progress_percent = listed->progress_percent;
   run->usage = listed->usage;
-  if (listed->checkpoint[0] != '\0' && run->task->step->spec->has_checkpoints)
-    {
-      g_strlcpy (run->task->checkpoint, listed->checkpoint,
-                 sizeof run->task->checkpoint);
-      g_strlcpy (run->task->step->checkpoint, listed->checkpoint,
-                 sizeof run->task->step->checkpoint);
-    }
+  rst_plan_keep_checkpoint (planner, run->task, listed->checkpoint);
 }
 
 /* Marks as lost the runs that the instance does not list, neither as running
@@ -408,6 +404,18 @@
   g_list_free (runs);
 }
 
+/* Applies a row of a report that says that a run has ended. */
+static void
+apply_listed_end (struct rst_planner *planner, struct instance *instance,
+                  const struct rst_run *end)
+{
+  instance->last_applied_end
+      = MAX (instance->last_applied_end, end->end_number);
+  rst_plan_note_unstored_end (instance, end);
+  rst_plan_apply_end (planner, instance, end);
+  planner->acks_pending = true;
+}
+
 static void
 apply_report (struct rst_planner *planner, struct instance *instance,
               struct rst_reader *runs, int64_t clock_ms, bool has_more_ends)
@@ -419,25 +427,18 @@
   instance->has_unknown_run = false;
   instance->last_clock_ms = MAX (instance->last_clock_ms, clock_ms);
   g_array_set_size (instance->lapsed_runs, 0);
-  for (uint32_t i = 0; i < runs->count; i++)
+  for (uint32_t i = 0; i < runs->count && !runs->bad; i++)
     {
       struct rst_run run = read_run (runs);
 
-      if (runs->bad)
-        break;
-      if (run.end_number == 0)
+      if (!runs->bad && run.end_number == 0)
         {
           g_hash_table_add (listed, g_strdup (run.task));
           update_listed_run (planner, instance, &run);
         }
-      else if (run.end_number > last_applied_end)
-        {
-          instance->last_applied_end
-              = MAX (instance->last_applied_end, run.end_number);
-          rst_plan_note_unstored_end (instance, &run);
-          rst_plan_apply_end (planner, instance, &run);
-          planner->acks_pending = true;
-        }
+      else if (!runs->bad && run.end_number > last_applied_end)
+        apply_listed_end (planner, instance, &run);
+      rst_run_clear (&run);
     }
   rst_plan_log_ends (planner, instance);
   if (!has_more_ends && !runs->bad)
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -51,7 +51,11 @@
     {
       rst_plan_forget_requests (&occurrence->steps[i]);
       for (int t = 0; t < desc->steps[i].count; t++)
-        g_free (occurrence->steps[i].tasks[t].crashes);
+        {
+          g_free (occurrence->steps[i].tasks[t].crashes);
+          g_free (occurrence->steps[i].tasks[t].checkpoint);
+        }
+      g_free (occurrence->steps[i].checkpoint);
       g_free (occurrence->steps[i].tasks);
       g_hash_table_destroy (occurrence->steps[i].approvals);
       if (occurrence->steps[i].held_instances != NULL)
@@ -301,6 +305,7 @@
     job->queue->pending--;
   if (!RST_CELL_FAULT (RST_CELL_FAULT_IGNORE_CANCEL))
     stop_steps (planner, job);
+  rst_plan_forget_job_checkpoints (planner, job);
   rst_plan_mark_dirty (planner, job);
   count_ended_job (planner, job);
   rst_info (RST_PLAN_LOG, "Job ended.", "job", job->id, "state",
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -25,6 +25,11 @@
     estimate, is stopped. */
 #define STALL_TIMEOUT_MS 3500
 
+/** Size from which no further task is added to a start message: a message of
+    any number of tasks with checkpoints stays far below the largest frame of a
+    link. */
+#define START_BATCH_BYTES_MAX (1024 * 1024)
+
 /** Weight of a new run in the mean run time of its queue's tasks. */
 #define RUN_TIME_WEIGHT 0.02
 
@@ -162,7 +167,8 @@
   for (guint i = 0; i < planner->start_batches->len; i++)
     {
       batch = g_ptr_array_index (planner->start_batches, i);
-      if (batch->link == link)
+      if (batch->link == link
+          && batch->rows.buffer.size < START_BATCH_BYTES_MAX)
         return batch;
     }
   batch = g_new0 (struct start_batch, 1);
@@ -180,8 +186,6 @@
                      const char *ticket)
 {
   struct step *step = task->step;
-  const char *checkpoint
-      = step->spec->gang ? step->checkpoint : task->checkpoint;
   struct start_batch *batch = get_start_batch (planner, instance->agent->link);
 
   rst_plan_run_new (planner, task, instance, attempt);
@@ -192,7 +196,7 @@
   rst_pack_text (&batch->rows, instance->entry.id);
   rst_pack_int (&batch->rows, task->index);
   rst_pack_int (&batch->rows, attempt);
-  rst_pack_text (&batch->rows, checkpoint);
+  rst_pack_text (&batch->rows, rst_plan_get_checkpoint (task));
   rst_pack_text (&batch->rows, ticket);
   if (batch->log != NULL)
     g_string_append_printf (batch->log, "%s%d/%d@%s",
@@ -378,6 +382,7 @@
   if (task->run == NULL)
     step->tasks_waiting--;
   step->tasks_left--;
+  rst_plan_forget_checkpoint (planner, task);
   if (step->tasks_left == 0)
     rst_plan_finish_step (planner, step);
 }
@@ -470,11 +475,7 @@
     return;
   step = task->step;
   planner->stats.ends[end->end_reason]++;
-  if (end->checkpoint[0] != '\0' && step->spec->has_checkpoints)
-    {
-      g_strlcpy (task->checkpoint, end->checkpoint, sizeof task->checkpoint);
-      g_strlcpy (step->checkpoint, end->checkpoint, sizeof step->checkpoint);
-    }
+  rst_plan_keep_checkpoint (planner, task, end->checkpoint);
   task->attempt = MAX (task->attempt, end->attempt);
   rst_plan_job_mark_started (step->occurrence->job);
   if (!rst_plan_job_has_ended (step->occurrence->job))
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -95,6 +95,30 @@
  */
 void rst_plan_reply_committed (struct rst_planner *planner, struct job *job);
 
+/* plan_checkpoint.c */
+
+/** rst_plan_get_checkpoint() - Returns the checkpoint from which a run of a
+    task goes on, or "". */
+const char *rst_plan_get_checkpoint (struct task *task);
+
+/**
+ * rst_plan_keep_checkpoint() - Keeps the last checkpoint of a task.
+ * @text: The checkpoint; NULL or "" if there is none, which changes nothing.
+ *
+ * A checkpoint is kept whole or not at all; then the one before it stays.
+ */
+void rst_plan_keep_checkpoint (struct rst_planner *planner, struct task *task,
+                               const char *text);
+
+/** rst_plan_forget_checkpoint() - Forgets the checkpoint of a task that is
+    done. */
+void rst_plan_forget_checkpoint (struct rst_planner *planner,
+                                 struct task *task);
+
+/** rst_plan_forget_job_checkpoints() - Forgets all checkpoints of a job. */
+void rst_plan_forget_job_checkpoints (struct rst_planner *planner,
+                                      struct job *job);
+
 /* plan_instances.c */
 void rst_plan_instance_free (gpointer data);
 
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -324,7 +324,8 @@
   bool in_doubt;
   /* When its last run was removed. */
   rst_ms freed_at;
-  char checkpoint[RST_TOKEN_SIZE];
+  /* Its last checkpoint, or NULL; unused in gangs. */
+  char *checkpoint;
   /* The instance where it last failed or stalled, or NULL. */
   struct instance *avoided_instance;
 };
@@ -357,8 +358,8 @@
   int gang_attempt;
   /* Whether the runs of the gang are being stopped. */
   bool gang_stopping;
-  /* Last checkpoint of any of its tasks, used for gangs. */
-  char checkpoint[RST_TOKEN_SIZE];
+  /* Last checkpoint of any member of the gang, or NULL. */
+  char *checkpoint;
   /* Number of an instance to struct approval. */
   GHashTable *approvals;
   /* When advice may be requested again. */
@@ -562,6 +563,9 @@
   /* Jobs that changed since their last record. */
   GPtrArray *dirty_jobs;
   GPtrArray *committing_jobs;
+  /* Size of all checkpoints, and whether the last one did not fit. */
+  size_t checkpoint_bytes;
+  bool checkpoints_are_full;
   bool commit_busy;
   rst_ms last_commit_at;
   int64_t next_segment;
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -34,6 +34,8 @@
  * @tasks_given_up: Tasks whose jobs failed because instances crash under them.
  * @leases_expired: Leases that expired while the runs of their instances were
  *   not known.
+ * @checkpoints_dropped: Checkpoints that were not kept because all of them
+ *   take too much memory.
  * @pace_orders: Orders sent that set the pace of a run.
  * @journal_bytes: Size of the journal's segments, which a successor reads.
  * @journal_needed_bytes: About what they would have without replaced records.
@@ -64,6 +66,7 @@
   uint64_t trials;
   uint64_t tasks_given_up;
   uint64_t leases_expired;
+  uint64_t checkpoints_dropped;
   uint64_t pace_orders;
   uint64_t commits;
   struct rst_histogram commit_ms;
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -146,6 +146,9 @@
   rst_metrics_add_counter (page, "leases_expired_total",
                            "Leases of instances with runs that expired.",
                            stats->leases_expired);
+  rst_metrics_add_counter (page, "checkpoints_dropped_total",
+                           "Checkpoints not kept for lack of memory.",
+                           stats->checkpoints_dropped);
   rst_metrics_add_counter (page, "paced_total", "Orders on the pace of tasks.",
                            stats->pace_orders);
   rst_metrics_add_counter (page, "commits_total", "Segments appended.",
@@ -215,6 +218,10 @@
 
   rst_metrics_add_gauge (page, "is_planner", "Whether this process plans.",
                          planner != NULL);
+  rst_metrics_add_counter (
+      page, "checkpoints_too_long_total",
+      "Checkpoints above 65536 bytes in answers of instances.",
+      rst_agent_count_long_checkpoints (rst_cell_node_get_agent (node)));
   if (planner != NULL)
     {
       rst_planner_read_stats (planner, &stats);
--- a/src/daemon/cell_node.c
+++ b/src/daemon/cell_node.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "cell/agent.h"
 #include "cell/planner_client.h"
 #include "daemon/term.h"
 #include "util/log.h"
@@ -233,6 +232,12 @@
                                        : NULL;
 }
 
+const struct rst_agent *
+rst_cell_node_get_agent (const struct rst_cell_node *node)
+{
+  return node->agent;
+}
+
 struct rst_cell_node *
 rst_cell_node_create (const struct rst_cell_node_config *config)
 {
--- a/src/daemon/cell_node.h
+++ b/src/daemon/cell_node.h
@@ -10,6 +10,7 @@
 #ifndef RST_CELL_NODE_H
 #define RST_CELL_NODE_H
 
+#include "cell/agent.h"
 #include "cell/planner.h"
 #include "transport/net.h"
 
@@ -89,6 +90,10 @@
  * takeover is still being tried. */
 bool rst_cell_node_has_term (const struct rst_cell_node *node);
 
+/** rst_cell_node_get_agent() - Returns the node's agent. */
+const struct rst_agent *
+rst_cell_node_get_agent (const struct rst_cell_node *node);
+
 /** rst_cell_node_get_planner() - Returns the node's planner, or NULL. */
 const struct rst_planner *
 rst_cell_node_get_planner (const struct rst_cell_node *node);
--- a/test/unit/agent_test.cc
+++ b/test/unit/agent_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -65,6 +66,7 @@
           for (int i = 0; i < 3; i++)
             rst_reader_read_int (&reader);
           self->reported_lease = rst_reader_read_int (&reader);
+          self->count_checkpoints (&reader);
         }
       msgpack_unpacked_destroy (&unpacked);
     };
@@ -161,6 +163,50 @@
     rst_agent_handle_heartbeat (agent, &heartbeat);
   }
 
+  // Counts the runs with a checkpoint in a report behind its lease.
+  void
+  count_checkpoints (rst_reader *reader)
+  {
+    rst_reader_read_int (reader);
+    rst_reader_read_int (reader);
+    rst_reader runs = rst_reader_read_array (reader);
+
+    for (uint32_t i = 0; i < runs.count; i++)
+      {
+        rst_reader row = rst_reader_read_array (&runs);
+
+        rst_reader_read_int (&row);
+        g_free (rst_reader_read_text (&row));
+        rst_reader_read_int (&row);
+        rst_reader_read_int (&row);
+        char *checkpoint = rst_reader_read_text (&row);
+
+        reported_checkpoints[i] += checkpoint[0] != '\0' ? 1 : 0;
+        g_free (checkpoint);
+      }
+  }
+
+  // Answers the oldest call with @count runs that all have a long checkpoint.
+  void
+  answer_with_long_checkpoints (int count)
+  {
+    AgentCall call = calls.front ();
+    rst_instance_answer *answer = rst_instance_answer_new ();
+
+    calls.erase (calls.begin ());
+    answer->result = RST_RESULT_OK;
+    answer->clock_ms = 5000;
+    answer->incarnation = 1;
+    for (int i = 0; i < count; i++)
+      {
+        rst_run run = {};
+
+        run.checkpoint = g_strnfill (RST_CHECKPOINT_BYTES_MAX, 'c');
+        g_array_append_val (answer->runs, run);
+      }
+    call.done (answer, call.data);
+  }
+
   rst_backend backend = {};
   rst_agent *agent = nullptr;
   std::vector<AgentCall> calls;
@@ -168,8 +214,22 @@
   // Time left of the lease in the last report.
   int64_t reported_lease = 0;
   std::vector<int> pace_percents;
+  // How often a report had the checkpoint of each run.
+  std::map<uint32_t, int> reported_checkpoints;
 };
 
+// All checkpoints of an instance in one report would exceed the largest frame,
+// and the link to the planner would be closed for each of them.
+TEST_F (Agent, ReportsTakeTurnsWithCheckpointsThatDoNotFitTogether)
+{
+  hold_instance ();
+  for (int i = 0; i < 5; i++)
+    answer_with_long_checkpoints (40);
+  EXPECT_EQ (reported_checkpoints.size (), 40u);
+  for (const auto &run : reported_checkpoints)
+    EXPECT_EQ (run.second, 2) << "run " << run.first;
+}
+
 TEST_F (Agent, PollsAtOnceThenLongPollsWithALease)
 {
   hold_instance ();
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -3,6 +3,7 @@
 #ifndef RST_TEST_CELL_HARNESS_H
 #define RST_TEST_CELL_HARNESS_H
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -26,6 +27,7 @@
   int64_t number;
   int attempt = 0;
   std::vector<std::string> ids; // instances named in an advice request
+  std::string checkpoint;       // of a start order
 };
 
 struct Reply
@@ -74,6 +76,8 @@
   std::vector<uint64_t> links;
   // Number of start messages; each has a row for each task.
   int start_messages = 0;
+  // Size of the longest message sent, in bytes.
+  size_t longest_message = 0;
   // Number of journal segments with a record that could not be read.
   int unreadable = 0;
   // Fencing token and address of the last hold message for each instance.
@@ -466,6 +470,7 @@
             = step + "." + std::to_string (rst_reader_read_int (&row));
         message.number = rst_reader_read_int (&row);
         message.attempt = (int)message.number;
+        message.checkpoint = read_string (&row);
         sent.push_back (message);
       }
   }
@@ -479,6 +484,7 @@
     Sent message = {};
 
     rst_reader_open (&reader, &unpacked, data, length);
+    self->longest_message = std::max (self->longest_message, length);
     message.link = link;
     message.kind = (int)rst_reader_read_int (&reader);
     if (message.kind == RST_MSG_START)
