Carry advice tickets whole or not at all

On a queue with advice whose tickets have more than 63 characters no task would start: the ticket was cut by the adapter and again by the planner, and each start that carried the rest of it was rejected (409, ticket).

A ticket is a text of its own length, at most 4096 bytes.

--- a/src/cell/backend.c
+++ b/src/cell/backend.c
@@ -67,12 +67,21 @@
   g_free (answer);
 }
 
+static void
+clear_ticket (gpointer data)
+{
+  struct rst_ticket *ticket = data;
+
+  g_free (ticket->ticket);
+}
+
 struct rst_advice_answer *
 rst_advice_answer_new (void)
 {
   struct rst_advice_answer *answer = g_new0 (struct rst_advice_answer, 1);
 
   answer->tickets = g_array_new (FALSE, TRUE, sizeof (struct rst_ticket));
+  g_array_set_clear_func (answer->tickets, clear_ticket);
   return answer;
 }
 
--- a/src/cell/backend.h
+++ b/src/cell/backend.h
@@ -26,8 +26,10 @@
 /** Longest checkpoint that is carried, in bytes.  A longer one is left out. */
 #define RST_CHECKPOINT_BYTES_MAX 65536
 
-/** Size of an advice ticket, with the final NUL. */
-#define RST_TOKEN_SIZE 64
+/** Longest advice ticket that is carried, in bytes.  The approval with a
+    longer one is left out.  An answer has at most 100 tickets, which fit into
+    one frame of a link together. */
+#define RST_TICKET_BYTES_MAX 4096
 
 /**
  * enum rst_result - Result of a call to an outside system.
@@ -239,12 +241,13 @@
 /**
  * struct rst_ticket - Approval to run a step on an instance.
  * @id: Id of the instance.
- * @ticket: Ticket that the start of a task there must carry.
+ * @ticket: Ticket that the start of a task there must carry; freed with the
+ *   answer.
  */
 struct rst_ticket
 {
   char id[RST_ID_SIZE];
-  char ticket[RST_TOKEN_SIZE];
+  char *ticket;
 };
 
 /**
--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -596,8 +596,8 @@
       approval->rejected = ticket == NULL;
       approval->incarnation = instance->incarnation;
       approval->expires_at = get_ticket_expiry (planner, request, instance);
-      if (ticket != NULL)
-        g_strlcpy (approval->ticket, ticket, sizeof approval->ticket);
+      g_free (approval->ticket);
+      approval->ticket = g_strdup (ticket);
     }
   g_hash_table_destroy (tickets);
 }
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -129,6 +129,15 @@
   return NULL;
 }
 
+static void
+approval_free (gpointer data)
+{
+  struct approval *approval = data;
+
+  g_free (approval->ticket);
+  g_free (approval);
+}
+
 static void
 init_step (struct occurrence *occurrence, int index)
 {
@@ -140,7 +149,7 @@
   step->tasks_left = step->spec->count;
   step->tasks_waiting = step->spec->count;
   step->tasks = g_new0 (struct task, step->spec->count);
-  step->approvals = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  step->approvals = g_hash_table_new_full (NULL, NULL, NULL, approval_free);
   for (int i = 0; i < step->spec->count; i++)
     {
       step->tasks[i].step = step;
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -335,8 +335,9 @@
 {
   /* Whether the step may not run there. */
   bool rejected;
-  /* Token that a start of the step there has to carry. */
-  char ticket[RST_TOKEN_SIZE];
+  /* Token that a start of the step there has to carry; NULL without an
+     approval. */
+  char *ticket;
   /* Incarnation of the instance that the ticket is valid for. */
   int64_t incarnation;
   /* When the ticket is no longer used. */
--- a/test/cell/instance_calls.cc
+++ b/test/cell/instance_calls.cc
@@ -256,9 +256,10 @@
       rst_ticket ticket = {};
 
       g_strlcpy (ticket.id, ids[i], sizeof ticket.id);
-      g_strlcpy (ticket.ticket, "ticket", sizeof ticket.ticket);
-      if (i % 3 != 2)
-        g_array_append_val (answer->tickets, ticket);
+      if (i % 3 == 2)
+        continue;
+      ticket.ticket = g_strdup ("ticket");
+      g_array_append_val (answer->tickets, ticket);
     }
   schedule (now () + advice_ms, [=, this, &node] {
     finish_call (
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -28,6 +28,7 @@
   int attempt = 0;
   std::vector<std::string> ids; // instances named in an advice request
   std::string checkpoint;       // of a start order
+  std::string ticket;           // of a start order
 };
 
 struct Reply
@@ -232,7 +233,8 @@
   // Delivers an agent's answer to an advice request.
   void
   send_advice (uint64_t link, int64_t handle,
-               const std::vector<std::string> &approved)
+               const std::vector<std::string> &approved,
+               const std::string &ticket = "ticket")
   {
     rst_pack pack;
 
@@ -244,7 +246,7 @@
       {
         rst_pack_array (&pack, 2);
         rst_pack_text (&pack, id.c_str ());
-        rst_pack_text (&pack, "ticket");
+        rst_pack_text (&pack, ticket.c_str ());
       }
     deliver (link, RST_MSG_ADVICE, &pack);
   }
@@ -471,6 +473,7 @@
         message.number = rst_reader_read_int (&row);
         message.attempt = (int)message.number;
         message.checkpoint = read_string (&row);
+        message.ticket = read_string (&row);
         sent.push_back (message);
       }
   }
