Carry a spec with U+0000 whole

Cause: texts of others are C strings inside; json-c hands out the whole text, but each copy ended at the first NUL. A text of another type counted as "", so that a job with the spec 5 was accepted and started with an empty one.

state/text.h takes such a text whole, with U+0000 as C0 80 ("modified UTF-8"), or not at all; the adapter turns it back when it formats an order. The limit of 4000 bytes counts the caller's bytes. A job whose spec or labels can't be carried is answered 400 with a log line that names the field.

--- a/src/cell/agent.c
+++ b/src/cell/agent.c
@@ -136,22 +136,22 @@
   held->first_checkpoint = first + count;
 }
 
-/* Logs once for an instance, until all its checkpoints are short enough. */
+/* Logs once for an instance, until all its checkpoints can be carried. */
 static void
 check_checkpoints (struct held_instance *held,
                    const struct rst_instance_answer *answer)
 {
   char count[16];
 
-  held->agent->checkpoints_too_long += answer->checkpoints_too_long;
-  if (answer->checkpoints_too_long > 0 && !held->has_long_checkpoints)
+  held->agent->checkpoints_left_out += answer->checkpoints_left_out;
+  if (answer->checkpoints_left_out > 0 && !held->leaves_checkpoints_out)
     {
-      g_snprintf (count, sizeof count, "%u", answer->checkpoints_too_long);
+      g_snprintf (count, sizeof count, "%u", answer->checkpoints_left_out);
       rst_warning (RST_AGENT_LOG,
-                   "Checkpoints exceed 65536 bytes; tasks keep older ones.",
+                   "Checkpoints can't be carried; tasks keep older ones.",
                    "instance", held->id, "checkpoints", count);
     }
-  held->has_long_checkpoints = answer->checkpoints_too_long > 0;
+  held->leaves_checkpoints_out = answer->checkpoints_left_out > 0;
 }
 
 static void
@@ -470,9 +470,9 @@
 }
 
 uint64_t
-rst_agent_count_long_checkpoints (const struct rst_agent *agent)
+rst_agent_count_checkpoints_left_out (const struct rst_agent *agent)
 {
-  return agent->checkpoints_too_long;
+  return agent->checkpoints_left_out;
 }
 
 rst_ms
--- a/src/cell/agent.h
+++ b/src/cell/agent.h
@@ -70,9 +70,9 @@
  */
 void rst_agent_handle_link_closed (struct rst_agent *agent);
 
-/** rst_agent_count_long_checkpoints() - Returns how many checkpoints instances
-    have listed that are too long to be carried; each answer counts. */
-uint64_t rst_agent_count_long_checkpoints (const struct rst_agent *agent);
+/** rst_agent_count_checkpoints_left_out() - Returns how many checkpoints
+   instances have listed that can't be carried; each answer counts. */
+uint64_t rst_agent_count_checkpoints_left_out (const struct rst_agent *agent);
 
 /**
  * rst_agent_run() - Polls the instances whose next poll is due.
--- a/src/cell/agent_private.h
+++ b/src/cell/agent_private.h
@@ -43,8 +43,8 @@
   rst_ms next_poll_at;
   /* The run whose checkpoint the next report has first. */
   guint first_checkpoint;
-  /* Whether its last answer had checkpoints that are too long. */
-  bool has_long_checkpoints;
+  /* Whether its last answer had checkpoints that can't be carried. */
+  bool leaves_checkpoints_out;
 };
 
 struct rst_agent
@@ -58,8 +58,8 @@
   /* The last heartbeat of that link was sent at this time or later, and so
      were the messages that followed it. */
   rst_ms heartbeat_sent_at;
-  /* Number of checkpoints in answers that were too long. */
-  uint64_t checkpoints_too_long;
+  /* Number of checkpoints in answers that can't be carried. */
+  uint64_t checkpoints_left_out;
 };
 
 /** rst_agent_send() - Sends a message to the planner and frees its bytes. */
--- a/src/cell/backend.h
+++ b/src/cell/backend.h
@@ -182,8 +182,8 @@
  *   incarnation; 0 when unknown.
  * @has_more_ends: Whether runs may have ended that @runs does not list; they
  *   are listed once earlier ends are acknowledged.
- * @checkpoints_too_long: Number of checkpoints that are left out of @runs
- *   because they exceed RST_CHECKPOINT_BYTES_MAX.
+ * @checkpoints_left_out: Number of checkpoints that are left out of @runs
+ *   because they exceed RST_CHECKPOINT_BYTES_MAX or are not valid texts.
  * @runs: Elements of type struct rst_run: first those that run, then those
  *   that have ended.
  */
@@ -193,7 +193,7 @@
   int64_t clock_ms;
   int64_t incarnation;
   bool has_more_ends;
-  unsigned checkpoints_too_long;
+  unsigned checkpoints_left_out;
   GArray *runs;
 };
 
--- a/src/cell/jobdesc.c
+++ b/src/cell/jobdesc.c
@@ -1,6 +1,6 @@
 #include "cell/jobdesc.h"
 
-#include <string.h>
+#include "state/text.h"
 
 /** Number of members of an encoded description and of an encoded step. */
 #define DESC_MEMBERS 5
@@ -78,7 +78,7 @@
 const char *
 rst_jobdesc_check (const struct rst_jobdesc *desc)
 {
-  if (desc->spec == NULL || strlen (desc->spec) > RST_SPEC_BYTES_MAX)
+  if (desc->spec == NULL || rst_text_length (desc->spec) > RST_SPEC_BYTES_MAX)
     return "spec: must be text of up to 4000 bytes";
   if (desc->step_count < 1 || desc->step_count > RST_STEPS_MAX)
     return "phases: must have from 1 to 64 steps";
--- a/src/cell/jobdesc.h
+++ b/src/cell/jobdesc.h
@@ -81,7 +81,7 @@
 
 /**
  * struct rst_jobdesc - Description of a job.
- * @spec: Text that each task receives.
+ * @spec: Text that each task receives, as in state/text.h.
  * @steps: The steps.
  * @step_count: Length of @steps.
  * @repeats: Number of occurrences of a repeating job; 0 for a job that runs
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -219,9 +219,9 @@
   rst_metrics_add_gauge (page, "is_planner", "Whether this process plans.",
                          planner != NULL);
   rst_metrics_add_counter (
-      page, "checkpoints_too_long_total",
-      "Checkpoints above 65536 bytes in answers of instances.",
-      rst_agent_count_long_checkpoints (rst_cell_node_get_agent (node)));
+      page, "checkpoints_left_out_total",
+      "Checkpoints of instances that can't be carried.",
+      rst_agent_count_checkpoints_left_out (rst_cell_node_get_agent (node)));
   if (planner != NULL)
     {
       rst_planner_read_stats (planner, &stats);
--- a/src/state/json.c
+++ b/src/state/json.c
@@ -3,6 +3,10 @@
 #include <limits.h>
 #include <string.h>
 
+#include <glib.h>
+
+#include "state/text.h"
+
 struct json_object *
 rst_json_parse (const char *text)
 {
@@ -117,6 +121,27 @@
   return true;
 }
 
+char *
+rst_json_dup_text (struct json_object *value)
+{
+  if (!json_object_is_type (value, json_type_string))
+    return NULL;
+  return rst_text_encode (json_object_get_string (value),
+                          (size_t)json_object_get_string_len (value));
+}
+
+void
+rst_json_set_carried_text (struct json_object *object, const char *key,
+                           const char *text)
+{
+  size_t length;
+  char *bytes = rst_text_decode (text, &length);
+
+  json_object_object_add (object, key,
+                          json_object_new_string_len (bytes, (int)length));
+  g_free (bytes);
+}
+
 void
 rst_json_set_text (struct json_object *object, const char *key,
                    const char *value)
--- a/src/state/json.h
+++ b/src/state/json.h
@@ -37,7 +37,9 @@
  * @object: The object.
  * @key: Name of the member.
  *
- * Return: The text, owned by @object, or NULL when it is absent.
+ * Return: The text, owned by @object, or NULL when it is absent.  It ends at
+ * its first NUL; use rst_json_copy_text() or rst_json_dup_text() where a part
+ * must not be taken for the whole.
  */
 const char *rst_json_get_text (struct json_object *object, const char *key);
 
@@ -97,6 +99,20 @@
 bool rst_json_copy_text (struct json_object *object, const char *key,
                          char *out, size_t size);
 
+/**
+ * rst_json_dup_text() - Copies a string that is carried as it is.
+ * @value: A JSON value, or NULL.
+ *
+ * Return: The string as rst_text_encode() returns it, to be freed with
+ * g_free(), or NULL if the value is no string or can't be carried.
+ */
+char *rst_json_dup_text (struct json_object *value);
+
+/** rst_json_set_carried_text() - Sets a string member to the text that
+    rst_json_dup_text() has returned. */
+void rst_json_set_carried_text (struct json_object *object, const char *key,
+                                const char *text);
+
 /** rst_json_set_text() - Sets a string member. */
 void rst_json_set_text (struct json_object *object, const char *key,
                         const char *value);
--- a/test/unit/carried_text_test.cc
+++ b/test/unit/carried_text_test.cc
@@ -1,11 +1,13 @@
-// Texts of others that the scheduler carries: advice tickets.
+// Texts of others that the scheduler carries: tickets, specs, checkpoints.
 #include <gtest/gtest.h>
 
 #include "cell_harness.h"
 
 extern "C"
 {
+#include "adapter.h"
 #include "adapter_private.h"
+#include "state/text.h"
 }
 
 using harness::Planner;
@@ -66,3 +68,81 @@
   EXPECT_EQ (parse_ticket (std::string (RST_TICKET_BYTES_MAX + 1, 't')),
              "(none)");
 }
+
+// An instance was told the text before the first NUL of a spec, and the caller
+// was told that the job was accepted.
+TEST (CarriedText, WithANulIsNotCut)
+{
+  const char *problem = nullptr;
+  rst_jobdesc *desc = rst_adapter_parse_job (
+      "{\"spec\":\"a\\u0000b\\u0000\",\"phases\":[{\"cpu\":1}]}", &problem);
+  rst_pack pack;
+  msgpack_unpacked unpacked;
+  rst_reader reader;
+  rst_instance_call call = {};
+
+  ASSERT_NE (desc, nullptr) << problem;
+  rst_pack_init (&pack, 1);
+  rst_jobdesc_pack (&pack, desc);
+  rst_jobdesc_destroy (desc);
+  ASSERT_TRUE (rst_reader_open (&reader, &unpacked, pack.buffer.data,
+                                pack.buffer.size));
+  desc = rst_jobdesc_read (&reader);
+  ASSERT_NE (desc, nullptr);
+  call.task = "t";
+  call.attempt = 1;
+  call.spec = desc->spec;
+  call.checkpoint = desc->spec;
+  call.ticket = desc->spec;
+  char *body = rst_platform_format_order (&call);
+
+  EXPECT_STREQ (body, "{\"fencing_token\":0,\"task\":\"t\",\"attempt\":1,"
+                      "\"spec\":\"a\\u0000b\\u0000\","
+                      "\"checkpoint\":\"a\\u0000b\\u0000\","
+                      "\"ticket\":\"a\\u0000b\\u0000\"}");
+  free (body);
+  rst_jobdesc_destroy (desc);
+  msgpack_unpacked_destroy (&unpacked);
+  rst_pack_clear (&pack);
+}
+
+TEST (CarriedText, OfAJobIsRejectedIfItCanNotBeCarried)
+{
+  static const struct
+  {
+    const char *text;
+    const char *field;
+  } invalid[] = {
+    { "{\"spec\":\"a\xC0\x80\",\"phases\":[{}]}", "spec:" },
+    { "{\"spec\":5,\"phases\":[{}]}", "spec:" },
+    { "{\"spec\":\"\",\"phases\":[{\"constraints\":[]}]}", "constraints:" },
+    { "{\"spec\":\"\",\"phases\":[{\"image\":\"\xC0\x80\"}]}", "image:" },
+  };
+
+  for (const auto &test : invalid)
+    {
+      const char *problem = nullptr;
+
+      EXPECT_EQ (rst_adapter_parse_job (test.text, &problem), nullptr);
+      ASSERT_NE (problem, nullptr) << test.text;
+      EXPECT_EQ (std::string (problem).find (test.field), 0u) << problem;
+    }
+}
+
+// The limit of a spec counts the caller's bytes.
+TEST (CarriedText, CountsANulAsOneByte)
+{
+  std::string nuls;
+  const char *problem = nullptr;
+
+  for (int i = 0; i < RST_SPEC_BYTES_MAX; i++)
+    nuls += "\\u0000";
+  std::string body = "{\"spec\":\"" + nuls + "\",\"phases\":[{}]}";
+  rst_jobdesc *desc = rst_adapter_parse_job (body.c_str (), &problem);
+
+  ASSERT_NE (desc, nullptr) << problem;
+  EXPECT_EQ (rst_text_length (desc->spec), (size_t)RST_SPEC_BYTES_MAX);
+  rst_jobdesc_destroy (desc);
+  body.insert (body.find ("\\u"), "x");
+  EXPECT_EQ (rst_adapter_parse_job (body.c_str (), &problem), nullptr);
+}
--- a/test/unit/checkpoint_test.cc
+++ b/test/unit/checkpoint_test.cc
@@ -121,7 +121,7 @@
              "before");
   EXPECT_EQ (get_checkpoint_of_next_start (other, { too_long }), "");
   EXPECT_EQ (Listed (format_running (task, 1, too_long), "")
-                 .answer->checkpoints_too_long,
+                 .answer->checkpoints_left_out,
              1u);
 }
 
