Keep the promise of a cancel that found no job

Cause: the planner kept no note of a cancel of an id that it did not know, and a submission carried no time; jobd took the time at which it read a call for the time at which it was sent. So the same happens with a call that waits in jobd for a planner, or in a link.

- The planner notes such an id in the store before it answers 410, and rejects submissions of it unless they were certainly sent later, also after it was replaced.
- jobd dates each submission: a process that stood still dates what it reads before the stall.
The date travels with the call as a time of the planner's clock, a lower bound from its heartbeats.
- jobd rejects a submission, as not accepted, whose deadline is over or whose caller has closed the connection, also when it sends it to a later planner.

A caller that submits the id again after its 410 is accepted.

Planner.DeniesNoJobWhileItMayHaveASuccessor expected the 410 to a cancel in the same call; it follows the commit now, so the test requires that it does not come before, and that it comes.

--- a/src/cell/fault_private.h
+++ b/src/cell/fault_private.h
@@ -38,6 +38,8 @@
  *   under it.
  * @RST_CELL_FAULT_KEEP_CAPACITY: An instance whose capacity has shrunk is
  *   still taken to have the former one.
+ * @RST_CELL_FAULT_IGNORE_NOTES: A submission is accepted although its caller
+ *   was told that the job, which it cancelled, does not exist.
  */
 enum rst_cell_fault_kind
 {
@@ -58,6 +60,7 @@
   RST_CELL_FAULT_REUSE_ATTEMPTS,
   RST_CELL_FAULT_IGNORE_CRASHES,
   RST_CELL_FAULT_KEEP_CAPACITY,
+  RST_CELL_FAULT_IGNORE_NOTES,
 };
 
 #ifdef RST_FAULTS
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -15,8 +15,8 @@
  * enum rst_msg_kind - Kinds of messages.
  * @RST_MSG_HELLO: To the planner: role, name, zone, sender's clock.  The first
  *   message on a link; also counts as a ping.
- * @RST_MSG_WELCOME: From the planner: epoch, serving (0 or 1).  Sent in reply
- *   to a hello and whenever a member changes.
+ * @RST_MSG_WELCOME: From the planner: epoch, serving (0 or 1), sender's clock.
+ *   Sent in reply to a hello and whenever the planner begins to serve.
  * @RST_MSG_REDIRECT: Epoch, address.  Another process is the planner now.
  * @RST_MSG_HOLD: To an agent: instance, address, fencing token, number of the
  *   last stored end, incarnation that numbered it.  The agent is to hold the
@@ -35,8 +35,10 @@
  * @RST_MSG_STOPPED: To the planner: instance, task, attempt, result, clock.
  * @RST_MSG_ADVICE: To the planner: handle, result, rows of instance and
  *   ticket.
- * @RST_MSG_CALL: To the planner: number, operation, host, path, key,
- *   description.  A caller's request.
+ * @RST_MSG_CALL: To the planner: number, operation, host, path, key.  A
+ *   caller's request.  With the submission of a job also: its description, the
+ *   time of the planner's clock at which it was sent at the earliest, 0 if
+ *   unknown.
  * @RST_MSG_REPLY: From the planner: number of the call, outcome, state, count,
  *   seconds after which to retry.
  * @RST_MSG_HEARTBEAT: From the planner: milliseconds since the store last
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -10,6 +10,10 @@
     milliseconds; it is in the store when it is due. */
 #define OCCURRENCE_LEAD_MS 2000
 
+/** When the caller of a submission that may be outdated should retry, in
+    seconds.  Any time will do: the next one is certainly sent later. */
+#define OUTDATED_RETRY_S 1
+
 /** Size of a customer's token bucket, in seconds of its share. */
 #define SHARE_BURST_S 2.0
 
@@ -391,7 +395,8 @@
 void
 rst_plan_reply_committed (struct rst_planner *planner, struct job *job)
 {
-  struct rst_reply reply = { .outcome = RST_OUTCOME_OK };
+  struct rst_reply reply
+      = { .outcome = job->is_note ? RST_OUTCOME_NO_JOB : RST_OUTCOME_OK };
 
   for (guint i = job->pending_replies->len; i-- > 0;)
     {
@@ -523,13 +528,25 @@
   struct job *job = g_hash_table_lookup (planner->jobs, id);
   int retry_s = get_retry_s (planner, id);
 
-  if (job == NULL && retry_s > 0)
+  if ((job == NULL || job->is_note) && retry_s > 0)
     {
       log_rejected (planner, id, retry_s);
       rst_jobdesc_destroy (call->desc);
       reply_rejected (planner, call->link, call->number, retry_s);
       return;
     }
+  if ((job == NULL || job->is_note)
+      && rst_plan_submission_is_outdated (planner, id, job, call->sent_at))
+    {
+      rst_jobdesc_destroy (call->desc);
+      reply_rejected (planner, call->link, call->number, OUTDATED_RETRY_S);
+      return;
+    }
+  if (job != NULL && job->is_note)
+    {
+      rst_plan_note_free (planner, job);
+      job = NULL;
+    }
   if (job != NULL)
     {
       rst_jobdesc_destroy (call->desc);
@@ -579,7 +596,7 @@
   struct job *job = g_hash_table_lookup (planner->jobs, id);
   struct rst_reply reply = { .outcome = RST_OUTCOME_STATE };
 
-  if (id[0] != '\0' && job == NULL)
+  if (id[0] != '\0' && (job == NULL || job->is_note))
     {
       reply_no_job (planner, call, id);
       return;
@@ -598,15 +615,39 @@
   planner->ops.reply (planner->ops.userdata, call->link, call->number, &reply);
 }
 
+/* The answer that there is no such job has to hold for a submission that is
+   still on its way, also after the planner has been replaced. */
+static void
+cancel_unknown_job (struct rst_planner *planner,
+                    const struct rst_planner_call *call, struct queue *queue,
+                    struct customer *customer, const char *id)
+{
+  struct job *note = g_hash_table_lookup (planner->jobs, id);
+  int retry_s = get_retry_s (planner, id);
+
+  if (note == NULL && retry_s == 0 && !rst_plan_may_have_successor (planner))
+    note = rst_plan_note_cancel (planner, id, queue, customer);
+  if (note == NULL)
+    {
+      reply_rejected (planner, call->link, call->number, MAX (retry_s, 1));
+      return;
+    }
+  note->ended_at = planner->now;
+  if (note->stored)
+    reply_no_job (planner, call, id);
+  else
+    reply_after_commit (note, call);
+}
+
 static void
 cancel_job (struct rst_planner *planner, const struct rst_planner_call *call,
-            const char *id)
+            struct queue *queue, struct customer *customer, const char *id)
 {
   struct job *job = g_hash_table_lookup (planner->jobs, id);
 
-  if (job == NULL)
+  if (job == NULL || job->is_note)
     {
-      reply_no_job (planner, call, id);
+      cancel_unknown_job (planner, call, queue, customer, id);
       return;
     }
   rst_plan_end_job (planner, job, RST_JOB_CANCELLED);
@@ -652,7 +693,8 @@
     reply_with_state (planner, call, rst_plan_get_queue (planner, route->name),
                       id);
   else if (call->operation == RST_OPERATION_CANCEL)
-    cancel_job (planner, call, id);
+    cancel_job (planner, call, rst_plan_get_queue (planner, route->name),
+                customer, id);
   else if (call->desc != NULL && id[0] != '\0')
     {
       submit_job (planner, call, route, customer, id);
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -119,6 +119,8 @@
 static bool
 can_be_forgotten (const struct rst_planner *planner, const struct job *job)
 {
+  if (job->is_note)
+    return !job->dirty && rst_plan_note_is_outdated (planner, job);
   return rst_plan_job_has_ended (job) && !job->dirty
          && !rst_plan_job_has_runs (job)
          && planner->now - job->ended_at >= planner->timing.status_ms;
@@ -241,6 +243,8 @@
         continue;
       if (can_be_forgotten (planner, job))
         {
+          if (job->is_note)
+            planner->note_count--;
           g_hash_table_iter_remove (&iter);
           continue;
         }
--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -113,12 +113,14 @@
     pack_job_crashes (pack, job);
 }
 
-/* Packs an ended job without its steps: only its state is still needed. */
+/* Packs an ended job without its steps, of which only the state is still
+   needed, or a note. */
 static void
 pack_ended_job (struct rst_pack *pack, const struct job *job)
 {
   rst_pack_array (pack, 6);
-  rst_pack_int (pack, RST_RECORD_JOB_ENDED);
+  rst_pack_int (pack,
+                job->is_note ? RST_RECORD_CANCELLED_ID : RST_RECORD_JOB_ENDED);
   rst_pack_text (pack, job->id);
   rst_pack_text (pack, job->queue->settings.name);
   rst_pack_text (pack, job->customer->settings.name);
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -137,6 +137,18 @@
   reader->bad |= in.bad || occurrences.bad || crashes.bad;
 }
 
+/* Returns the job with an id, or NULL.  A note ends when its id is used. */
+static struct job *
+find_restored_job (struct rst_planner *planner, const char *id)
+{
+  struct job *job = g_hash_table_lookup (planner->jobs, id);
+
+  if (job == NULL || !job->is_note)
+    return job;
+  rst_plan_note_free (planner, job);
+  return NULL;
+}
+
 static void
 restore_job (struct rst_planner *planner, struct rst_reader *in,
              int64_t segment)
@@ -155,7 +167,7 @@
   submitted_ms = rst_reader_read_int (in);
   over_share = rst_reader_read_int (in) != 0;
   desc = rst_jobdesc_read (in);
-  job = g_hash_table_lookup (planner->jobs, id);
+  job = find_restored_job (planner, id);
   if (desc != NULL && job == NULL)
     job = rst_plan_job_new (planner, id, rst_plan_get_queue (planner, queue),
                             rst_plan_get_customer (planner, customer), desc);
@@ -192,7 +204,7 @@
   customer = rst_reader_read_text (in);
   submitted_ms = rst_reader_read_int (in);
   state = (enum rst_job_state)rst_reader_read_int (in);
-  job = g_hash_table_lookup (planner->jobs, id);
+  job = find_restored_job (planner, id);
   if (job == NULL && !in->bad)
     {
       struct rst_jobdesc *desc = rst_jobdesc_create (0);
@@ -215,6 +227,54 @@
   g_free (customer);
 }
 
+/* Removes a job that the predecessor had forgotten.  Its records stay in the
+   journal until their segments are removed. */
+static void
+remove_forgotten_job (struct rst_planner *planner, struct job *job)
+{
+  if (job->desc->repeats > 0)
+    g_ptr_array_remove_fast (planner->repeating_jobs, job);
+  else if (!job->has_started)
+    job->queue->pending--;
+  g_hash_table_remove (planner->jobs, job->id);
+}
+
+/* Restores the note that an id was cancelled.  Submissions that were sent
+   before this planner's term count as sent before the cancel. */
+static void
+restore_note (struct rst_planner *planner, struct rst_reader *in,
+              int64_t segment)
+{
+  char id[RST_JOB_ID_SIZE];
+  char *queue;
+  char *customer;
+  struct job *job;
+
+  rst_reader_copy_text (in, id, sizeof id);
+  queue = rst_reader_read_text (in);
+  customer = rst_reader_read_text (in);
+  job = g_hash_table_lookup (planner->jobs, id);
+  if (job != NULL && !job->is_note && rst_plan_job_has_ended (job)
+      && !rst_plan_job_has_runs (job))
+    {
+      remove_forgotten_job (planner, job);
+      job = NULL;
+    }
+  if (job == NULL && !in->bad)
+    job = rst_plan_note_new (planner, id, rst_plan_get_queue (planner, queue),
+                             rst_plan_get_customer (planner, customer));
+  if (job != NULL && job->is_note)
+    {
+      job->ended_at = planner->now;
+      job->stored = true;
+      job->committed_state = job->state;
+      job->full_record_segment = segment;
+      job->last_record_segment = segment;
+    }
+  g_free (queue);
+  g_free (customer);
+}
+
 static struct instance *
 restore_instance_entry (struct rst_planner *planner, struct rst_reader *in,
                         int64_t segment)
@@ -365,7 +425,7 @@
     case RST_RECORD_PROGRESS:
       rst_reader_copy_text (&in, id, sizeof id);
       job = g_hash_table_lookup (planner->jobs, id);
-      if (job != NULL)
+      if (job != NULL && !job->is_note)
         {
           job->last_record_segment = segment;
           restore_progress (planner, job, &in);
@@ -374,6 +434,9 @@
     case RST_RECORD_JOB_ENDED:
       restore_ended_job (planner, &in, segment);
       break;
+    case RST_RECORD_CANCELLED_ID:
+      restore_note (planner, &in, segment);
+      break;
     case RST_RECORD_INSTANCE:
       restore_instance (planner, &in, segment);
       break;
@@ -433,7 +496,8 @@
 {
   bool has_ended = rst_plan_job_has_ended (job);
 
-  if (has_ended && !job->has_started && job->desc->repeats == 0)
+  if (has_ended && !job->has_started && job->desc->repeats == 0
+      && !job->is_note)
     job->queue->pending--;
   if (has_ended)
     return;
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -238,6 +238,7 @@
 
   *out = planner->stats;
   out->jobs = g_hash_table_size (planner->jobs);
+  out->notes = (uint64_t)planner->note_count;
   out->agents = planner->agents->len;
   out->waiting_steps = planner->waiting_steps->len;
   out->journal_bytes = planner->journal_bytes;
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -239,6 +239,8 @@
  * @path: Path of the request.
  * @key: API key, or "".
  * @desc: The job's description; set with RST_OPERATION_SUBMIT.
+ * @sent_at: The caller sent it at this time of the planner's clock or later; 0
+ *   if that is unknown.  Set with RST_OPERATION_SUBMIT.
  */
 struct rst_planner_call
 {
@@ -249,6 +251,7 @@
   const char *path;
   const char *key;
   struct rst_jobdesc *desc;
+  rst_ms sent_at;
 };
 
 /**
--- a/src/cell/planner_client.c
+++ b/src/cell/planner_client.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "cell/peer_clock.h"
 #include "util/log.h"
 
 #define LOG_DOMAIN "seeker"
@@ -47,6 +48,8 @@
   rst_ms connect_started_at;
   /* When the store last confirmed the planner. */
   rst_ms confirmed_at;
+  /* The clock of the planner that the link leads to. */
+  struct rst_peer_clock planner_clock;
   bool closed_by_peer;
   bool read_pending;
   rst_ms next_read_at;
@@ -159,6 +162,7 @@
   g_strlcpy (client->address, address, sizeof client->address);
   client->connect_started_at = client->config.now ();
   client->closed_by_peer = false;
+  memset (&client->planner_clock, 0, sizeof client->planner_clock);
   client->link = client->config.connect (client->config.userdata, address);
 }
 
@@ -221,6 +225,10 @@
   client->link_epoch = epoch;
   client->welcomed = true;
   client->confirmed_at = client->config.now ();
+  /* Absent from the messages of earlier versions. */
+  if (reader->position < reader->count)
+    rst_peer_clock_read (&client->planner_clock, client->confirmed_at,
+                         rst_reader_read_int (reader));
   client->config.on_connected (client->config.userdata, serving);
 }
 
@@ -249,6 +257,9 @@
   int64_t planner_clock = rst_reader_read_int (reader);
 
   client->confirmed_at = client->config.now () - store_age_ms;
+  if (!reader->bad)
+    rst_peer_clock_read (&client->planner_clock, client->config.now (),
+                         planner_clock);
   if (ping_at != 0 && !reader->bad)
     {
       heartbeat.sent_at = ping_at + ping_age_ms;
@@ -302,6 +313,13 @@
   return true;
 }
 
+rst_ms
+rst_planner_client_convert_time (const struct rst_planner_client *client,
+                                 rst_ms at)
+{
+  return rst_peer_clock_convert (&client->planner_clock, at);
+}
+
 /* Whether the planner record has not changed for long enough to take over. */
 static bool
 is_record_stale (const struct rst_planner_client *client, rst_ms now)
--- a/src/cell/planner_client.h
+++ b/src/cell/planner_client.h
@@ -153,6 +153,17 @@
 bool rst_planner_client_send (struct rst_planner_client *client,
                               const void *data, size_t length);
 
+/**
+ * rst_planner_client_convert_time() - Converts a time to the planner's clock.
+ * @at: A time of this process's clock.
+ *
+ * Return: The least that the planner's clock showed at that time; 0 if that is
+ * unknown.
+ */
+rst_ms
+rst_planner_client_convert_time (const struct rst_planner_client *client,
+                                 rst_ms at);
+
 /**
  * rst_planner_client_redirect() - Connects to another planner.
  * @epoch: Its epoch; one that is not later than the present planner's is
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -95,6 +95,39 @@
  */
 void rst_plan_reply_committed (struct rst_planner *planner, struct job *job);
 
+/* plan_cancelled.c */
+
+/** rst_plan_note_new() - Creates the note that an id was cancelled now. */
+struct job *rst_plan_note_new (struct rst_planner *planner, const char *id,
+                               struct queue *queue, struct customer *customer);
+
+/** rst_plan_note_free() - Forgets a note that no commit under way contains. */
+void rst_plan_note_free (struct rst_planner *planner, struct job *note);
+
+/** rst_plan_note_is_outdated() - Whether a note is no longer needed. */
+bool rst_plan_note_is_outdated (const struct rst_planner *planner,
+                                const struct job *note);
+
+/**
+ * rst_plan_note_cancel() - Notes the cancel of an id that no job has.
+ *
+ * Return: The note, to be committed before the caller gets its answer, or NULL
+ * if there are too many.
+ */
+struct job *rst_plan_note_cancel (struct rst_planner *planner, const char *id,
+                                  struct queue *queue,
+                                  struct customer *customer);
+
+/**
+ * rst_plan_submission_is_outdated() - Whether a submission of a job that does
+ * not exist has to be rejected, since its caller may have cancelled it.
+ * @note: The note of its id, or NULL.
+ * @sent_at: When it was sent at the earliest; 0 if that is unknown.
+ */
+bool rst_plan_submission_is_outdated (struct rst_planner *planner,
+                                      const char *id, const struct job *note,
+                                      rst_ms sent_at);
+
 /* plan_checkpoint.c */
 
 /** rst_plan_get_checkpoint() - Returns the checkpoint from which a run of a
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -48,6 +48,7 @@
  * @RST_RECORD_INSTANCE_UNREACHABLE: An unreachable instance, what it may still
  * run and until when.
  * @RST_RECORD_JOB_ENDED: An ended job without its steps.
+ * @RST_RECORD_CANCELLED_ID: A note that an id was cancelled which no job had.
  */
 enum rst_record_kind
 {
@@ -57,6 +58,7 @@
   RST_RECORD_QUEUE,
   RST_RECORD_INSTANCE_UNREACHABLE,
   RST_RECORD_JOB_ENDED,
+  RST_RECORD_CANCELLED_ID,
 };
 
 /** struct agent - An agent connected over a link. */
@@ -458,6 +460,9 @@
      only when this says so. */
   enum rst_job_state committed_state;
   enum rst_job_state committing_state;
+  /* Whether there is no such job, and this only notes that a caller has
+     cancelled its id; see plan_cancelled.c. */
+  bool is_note;
   /* Whether an instance has reported the start of a task. */
   bool has_started;
   bool start_sent;
@@ -546,6 +551,10 @@
   /* struct job by id, struct queue and struct customer by name, struct
      instance by id, struct advice_request by handle. */
   GHashTable *jobs;
+  /* Number of the jobs that are notes, and when those that are outdated may be
+     searched for again. */
+  int note_count;
+  rst_ms next_note_sweep_at;
   GHashTable *queues;
   GHashTable *customers;
   GHashTable *instances;
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -20,6 +20,10 @@
  * @cancelled: Jobs that callers cancelled.
  * @rejected: Submitted jobs that were rejected because the store does not
  *   answer.
+ * @outdated: Submitted jobs that were rejected because their caller may have
+ *   cancelled them since.
+ * @notes: Cancelled ids that no job has, see plan_cancelled.c.
+ * @notes_rejected: Cancels that were rejected because there are too many.
  * @instances: Registered instances.
  * @instances_known: Instances whose runs are known.
  * @agents: Connected agents.
@@ -51,6 +55,9 @@
   uint64_t failed;
   uint64_t cancelled;
   uint64_t rejected;
+  uint64_t outdated;
+  uint64_t notes;
+  uint64_t notes_rejected;
   uint64_t instances;
   uint64_t instances_known;
   uint64_t agents;
--- a/src/daemon/cell_loop.c
+++ b/src/daemon/cell_loop.c
@@ -6,7 +6,11 @@
 #include <unistd.h>
 
 #include "transport/transport.h"
+#include "util/log.h"
 #include "util/os.h"
+#include "util/stall.h"
+
+#define LOG_DOMAIN "loop"
 
 /** Maximum number of events in the mailbox. */
 #define MAILBOX_SIZE 32768
@@ -37,6 +41,7 @@
   const struct rst_backend *backend;
   struct rst_backend wrapped_backend;
   atomic_bool stop_requested;
+  struct rst_stall_watch stall_watch;
 };
 
 /* A link was opened or closed, or a frame arrived. */
@@ -475,6 +480,45 @@
   pthread_detach (thread);
 }
 
+rst_ms
+rst_cell_loop_date_request (const struct rst_cell_loop *loop)
+{
+  return rst_stall_watch_date (&loop->stall_watch, rst_os_now ());
+}
+
+static void
+note_running (struct rst_cell_loop *loop, rst_ms now)
+{
+  rst_ms last = loop->stall_watch.noted_at;
+  char gap_ms[24];
+
+  if (!loop->config.watches_stalls
+      || !rst_stall_watch_note (&loop->stall_watch, now))
+    return;
+  g_snprintf (gap_ms, sizeof gap_ms, "%lld", (long long)(now - last));
+  rst_info (LOG_DOMAIN, "This process stood still.", "gap_ms", gap_ms);
+}
+
+/* Waits for an event until @wake at the latest. */
+static void
+wait_for_event (struct rst_cell_loop *loop, rst_ms wake)
+{
+  rst_ms now = rst_os_now ();
+  bool is_posted = false;
+
+  note_running (loop, now);
+  while (!is_posted && wake > now)
+    {
+      rst_ms longest = loop->config.watches_stalls ? RST_STALL_NOTE_INTERVAL_MS
+                                                   : wake - now;
+
+      is_posted
+          = rst_mailbox_wait (loop->mailbox, (int)MIN (wake - now, longest));
+      now = rst_os_now ();
+      note_running (loop, now);
+    }
+}
+
 void
 rst_cell_loop_run (struct rst_cell_loop *loop)
 {
@@ -483,10 +527,8 @@
   while (!atomic_load (&loop->stop_requested))
     {
       struct rst_cell_event *event;
-      rst_ms now = rst_os_now ();
 
-      if (wake > now)
-        rst_mailbox_wait (loop->mailbox, (int)(wake - now));
+      wait_for_event (loop, wake);
       while ((event = rst_mailbox_take (loop->mailbox)) != NULL)
         event->run (event);
       wake = loop->config.on_tick (loop->config.userdata);
--- a/src/daemon/cell_loop.h
+++ b/src/daemon/cell_loop.h
@@ -30,8 +30,10 @@
  * @on_tick: Called after each batch of events; returns the time at which to
  *   call it again.
  * @userdata: Passed to both.
+ * @watches_stalls: Whether the loop notes when the process stands still, see
+ *   rst_cell_loop_date_request().
  *
- * Both are called on the loop's thread.
+ * Both callbacks are called on the loop's thread.
  */
 struct rst_cell_loop_config
 {
@@ -39,6 +41,7 @@
                          uint64_t link, const void *data, size_t length);
   rst_ms (*on_tick) (void *userdata);
   void *userdata;
+  bool watches_stalls;
 };
 
 /**
@@ -143,6 +146,15 @@
                                        void (*on_stop) (void *userdata),
                                        void *userdata);
 
+/**
+ * rst_cell_loop_date_request() - Dates a request that an HTTP server's handler
+ * has just received on the loop's thread.
+ *
+ * Return: A time at which it had certainly not been sent yet, as far as this
+ * process can tell: the present, unless it stood still a short time ago.
+ */
+rst_ms rst_cell_loop_date_request (const struct rst_cell_loop *loop);
+
 /** rst_cell_loop_run() - Handles events until rst_cell_loop_stop() is called.
  */
 void rst_cell_loop_run (struct rst_cell_loop *loop);
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -93,6 +93,9 @@
 add_sizes (GString *page, const struct rst_planner_stats *stats)
 {
   rst_metrics_add_gauge (page, "jobs", "Jobs known.", (double)stats->jobs);
+  rst_metrics_add_gauge (page, "cancelled_ids",
+                         "Cancelled ids that no job has.",
+                         (double)stats->notes);
   rst_metrics_add_gauge (page, "instances", "Instances registered.",
                          (double)stats->instances);
   rst_metrics_add_gauge (page, "instances_known",
@@ -125,6 +128,12 @@
   rst_metrics_add_counter (page, "jobs_rejected_total",
                            "Jobs rejected while the store did not answer.",
                            stats->rejected);
+  rst_metrics_add_counter (page, "jobs_outdated_total",
+                           "Jobs rejected that may have been cancelled since.",
+                           stats->outdated);
+  rst_metrics_add_counter (page, "cancels_rejected_total",
+                           "Cancels of unknown jobs that were rejected.",
+                           stats->notes_rejected);
   rst_metrics_add_counter (page, "starts_total", "Starts ordered.",
                            stats->starts);
   rst_metrics_add_counter (page, "starts_failed_total",
--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -111,6 +111,8 @@
   enum rst_operation operation;
   GByteArray *frame;
   rst_ms received_at;
+  /* A time at which the caller had not sent it yet. */
+  rst_ms sent_after;
   rst_ms answer_deadline;
   /* Sent over the current link to the planner. */
   bool sent;
@@ -179,13 +181,58 @@
   finish_call (jobd, call, status, text, retry_s);
 }
 
+/* Why a submission must not be sent to the planner, or NULL.  Its caller may
+   have cancelled the job at another entry instance and must not find it
+   accepted afterwards.  A caller that waits no longer learns of no acceptance
+   in any case. */
+static const char *
+find_objection (const struct pending_call *call)
+{
+  if (rst_os_now () >= call->answer_deadline)
+    return "read too late";
+  if (rst_http_request_client_has_left (call->request))
+    return "the caller has left";
+  return NULL;
+}
+
+/* Sends a submission with the time of the planner's clock at which it was sent
+   at the earliest. */
+static bool
+send_submission (struct jobd *jobd, const struct pending_call *call)
+{
+  rst_ms sent_after = rst_planner_client_convert_time (jobd->planner_client,
+                                                       call->sent_after);
+  struct rst_pack pack;
+  bool is_sent;
+
+  rst_pack_init_sequence (&pack);
+  msgpack_sbuffer_write (&pack.buffer, (const char *)call->frame->data,
+                         call->frame->len);
+  rst_pack_int (&pack, sent_after);
+  is_sent = rst_planner_client_send (jobd->planner_client, pack.buffer.data,
+                                     pack.buffer.size);
+  rst_pack_clear (&pack);
+  return is_sent;
+}
+
+/* Sends a call to the planner, or rejects it. */
 static void
 forward_call (struct jobd *jobd, struct pending_call *call)
 {
+  const char *objection = NULL;
+
   if (!jobd->serving || call->sent)
     return;
-  call->sent = rst_planner_client_send (jobd->planner_client,
-                                        call->frame->data, call->frame->len);
+  if (call->operation == RST_OPERATION_SUBMIT)
+    objection = find_objection (call);
+  if (objection != NULL)
+    reject_call (jobd, call, call->sent_on_lost_link ? 504 : 503, objection,
+                 call->sent_on_lost_link ? 0 : 1);
+  else if (call->operation == RST_OPERATION_SUBMIT)
+    call->sent = send_submission (jobd, call);
+  else
+    call->sent = rst_planner_client_send (jobd->planner_client,
+                                          call->frame->data, call->frame->len);
 }
 
 static const char *
@@ -196,14 +243,15 @@
   return value != NULL ? value : "";
 }
 
-/* Encodes a call for the planner.  The key comes from a separate header. */
+/* Encodes a call for the planner.  The key comes from a separate header.  The
+   last member of a submission is added when it is sent. */
 static void
 pack_call (struct pending_call *call, const struct rst_jobdesc *desc)
 {
   const struct rst_http_request *request = call->request;
   struct rst_pack pack;
 
-  rst_pack_init (&pack, desc != NULL ? 7 : 6);
+  rst_pack_init (&pack, call->operation == RST_OPERATION_SUBMIT ? 8 : 6);
   rst_pack_int (&pack, RST_MSG_CALL);
   rst_pack_int (&pack, (int64_t)call->number);
   rst_pack_int (&pack, call->operation);
@@ -212,6 +260,8 @@
   rst_pack_text (&pack, get_header (request, RST_PLATFORM_API_KEY_HEADER));
   if (desc != NULL)
     rst_jobdesc_pack (&pack, desc);
+  else if (call->operation == RST_OPERATION_SUBMIT)
+    rst_pack_int (&pack, 0);
   call->frame = g_byte_array_new ();
   g_byte_array_append (call->frame, (const guint8 *)pack.buffer.data,
                        (guint)pack.buffer.size);
@@ -279,8 +329,12 @@
   call->request = request;
   call->operation = operation;
   call->received_at = now;
+  /* Other calls may be carried out late. */
+  call->sent_after = operation == RST_OPERATION_SUBMIT
+                         ? rst_cell_loop_date_request (jobd->loop)
+                         : now;
   call->answer_deadline
-      = now + get_caller_wait_ms (request) - DEADLINE_MARGIN_MS;
+      = call->sent_after + get_caller_wait_ms (request) - DEADLINE_MARGIN_MS;
   pack_call (call, desc);
   rst_jobdesc_destroy (desc);
   g_hash_table_insert (jobd->pending_calls, &call->number, call);
@@ -395,16 +449,15 @@
 on_connected (void *userdata, bool serving)
 {
   struct jobd *jobd = userdata;
-  GHashTableIter iter;
-  gpointer value;
+  GList *calls = g_hash_table_get_values (jobd->pending_calls);
 
   if (serving && !jobd->serving)
     rst_info (LOG_DOMAIN, "Planner is ready; serving callers.");
   jobd->serving = serving;
   atomic_store (&jobd->ready, serving && !jobd->stopping);
-  g_hash_table_iter_init (&iter, jobd->pending_calls);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    forward_call (jobd, value);
+  for (GList *node = calls; node != NULL; node = node->next)
+    forward_call (jobd, node->data);
+  g_list_free (calls);
 }
 
 static void
@@ -602,7 +655,8 @@
 main (int argc, char **argv)
 {
   struct jobd jobd = { 0 };
-  struct rst_cell_loop_config loop_config = { on_link_event, on_tick, &jobd };
+  struct rst_cell_loop_config loop_config
+      = { on_link_event, on_tick, &jobd, true };
   struct rst_log_config log_config = { false, "info", true };
   int status;
 
--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -343,10 +343,11 @@
 {
   struct rst_pack pack;
 
-  rst_pack_init (&pack, 3);
+  rst_pack_init (&pack, 4);
   rst_pack_int (&pack, RST_MSG_WELCOME);
   rst_pack_int (&pack, term->record.epoch);
   rst_pack_int (&pack, term->serving ? 1 : 0);
+  rst_pack_int (&pack, term->config.now ());
   send_frame (term, link, pack.buffer.data, pack.buffer.size);
   rst_pack_clear (&pack);
 }
@@ -444,6 +445,9 @@
   inner = *reader;
   if (call.operation == RST_OPERATION_SUBMIT && !reader->bad)
     call.desc = rst_jobdesc_read (&inner);
+  /* Absent from the messages of earlier versions. */
+  if (call.desc != NULL && inner.position < inner.count)
+    call.sent_at = rst_reader_read_int (&inner);
   call.host = host;
   call.path = path;
   call.key = key;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -1,6 +1,7 @@
 #include "transport/http_server.h"
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
@@ -25,6 +26,8 @@
 {
   struct rst_http_server *server;
   struct MHD_Connection *connection;
+  /* The connection's socket; set once the request is pending. */
+  int fd;
   /* A value of enum request_state.  Set by the thread that replies and read
      by the server's thread. */
   atomic_int state;
@@ -123,6 +126,9 @@
   struct rst_http_server *server = request->server;
 
   request->state = REQUEST_PENDING;
+  request->fd = MHD_get_connection_info (request->connection,
+                                         MHD_CONNECTION_INFO_CONNECTION_FD)
+                    ->connect_fd;
   pthread_mutex_lock (&server->lock);
   CK_LIST_INSERT_HEAD (&server->pending, request, list_entry);
   pthread_mutex_unlock (&server->lock);
@@ -293,6 +299,15 @@
   return request->body->str;
 }
 
+bool
+rst_http_request_client_has_left (const struct rst_http_request *request)
+{
+  struct pollfd descriptor = { request->fd, POLLRDHUP, 0 };
+
+  return poll (&descriptor, 1, 0) > 0
+         && (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 static void
 resume_request (struct rst_http_request *request)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -108,6 +108,15 @@
 const char *rst_http_request_body (const struct rst_http_request *request,
                                    size_t *length);
 
+/**
+ * rst_http_request_client_has_left() - Returns whether the client has closed
+ * its side of the connection.
+ * @request: A pending request.
+ *
+ * A client that has lost the connection without closing it is not noticed.
+ */
+bool rst_http_request_client_has_left (const struct rst_http_request *request);
+
 /**
  * rst_http_request_reply() - Replies to a request; may be called from any
  * thread.
--- a/src/util/mailbox.c
+++ b/src/util/mailbox.c
@@ -110,11 +110,13 @@
   atomic_store (&mailbox->signalled, false);
 }
 
-void
+bool
 rst_mailbox_wait (struct rst_mailbox *mailbox, int timeout_ms)
 {
   struct pollfd descriptor = { mailbox->fd, POLLIN, 0 };
 
-  if (poll (&descriptor, 1, timeout_ms) > 0)
-    rst_mailbox_clear (mailbox);
+  if (poll (&descriptor, 1, timeout_ms) <= 0)
+    return false;
+  rst_mailbox_clear (mailbox);
+  return true;
 }
--- a/src/util/mailbox.h
+++ b/src/util/mailbox.h
@@ -66,7 +66,9 @@
  * rst_mailbox_wait() - Waits for a posted item and resets the descriptor.
  * @mailbox: The mailbox.
  * @timeout_ms: Longest wait in milliseconds; -1 for no limit.
+ *
+ * Return: Whether an item was posted.
  */
-void rst_mailbox_wait (struct rst_mailbox *mailbox, int timeout_ms);
+bool rst_mailbox_wait (struct rst_mailbox *mailbox, int timeout_ms);
 
 #endif
--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -51,6 +51,7 @@
   bool has_instance_clock_steps = false;
   bool has_crashing_tasks = false;
   bool has_resizing = false;
+  bool has_late_calls = false;
 };
 
 // Time after the last fault in which all accepted jobs must finish.
@@ -237,6 +238,22 @@
   return unfinished;
 }
 
+// Submits a job by a call that is read late, and cancels it meanwhile.  Half
+// of the callers then submit it again.
+static void
+submit_and_cancel (World &world, const std::string &id)
+{
+  Millis delay_ms = 200 + world.draw_below (5000);
+  Millis cancel_after_ms = 50 + world.draw_below ((int)delay_ms);
+  rst_jobdesc *desc = draw_job (world);
+
+  world.submit_late (id, desc, delay_ms);
+  world.run_after (cancel_after_ms, [&world, id] { world.cancel (id); });
+  if (world.draw_unit () < 0.5)
+    world.run_after (cancel_after_ms + 20 + world.draw_below (2000),
+                     [&world, id, desc] { world.submit (id, desc); });
+}
+
 static bool
 run_seed (uint64_t seed, const Options &options)
 {
@@ -272,6 +289,8 @@
       world.run_until (world.now () + 50 + world.draw_below (100));
       if (world.draw_unit () < 0.6)
         world.submit (format_job_id (++jobs), draw_job (world));
+      if (options.has_late_calls && world.draw_unit () < 0.15)
+        submit_and_cancel (world, format_job_id (++jobs));
       if (jobs > 0 && world.draw_unit () < 0.3)
         world.read (format_job_id (1 + world.draw_below (jobs)));
       if (jobs > 0 && world.draw_unit () < 0.05)
@@ -339,6 +358,8 @@
         options.has_crashing_tasks = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--resizing") == 0)
         options.has_resizing = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--late-calls") == 0)
+        options.has_late_calls = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--sequences") == 0)
         options.has_sequences = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--log") == 0)
--- a/test/cell/instances.cc
+++ b/test/cell/instances.cc
@@ -280,6 +280,11 @@
       && now () > job.cancelled_at + cancel_grace_ms)
     report_violation ("UNASKED " + task
                       + " starts after its job was cancelled");
+  if (!order.is_late && job.denied_cancel_sent_at > job.submitted_at
+      && now () > job.denied_at + cancel_grace_ms)
+    report_violation ("UNASKED " + task
+                      + " starts after a caller was told that its job, which "
+                        "it cancelled, does not exist");
   for (int i = 0; i < step.after_count; i++)
     for (int k = 0; k < job.desc->steps[step.after[i]].count; k++)
       if (job.done_tasks.count (get_job_id (task) + "."
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -459,7 +459,7 @@
   if (!planner_is_serving_ || request.sent)
     return;
   request.sent = true;
-  rst_pack_init (&pack, request.desc != nullptr ? 7 : 6);
+  rst_pack_init (&pack, request.desc != nullptr ? 8 : 6);
   rst_pack_int (&pack, RST_MSG_CALL);
   rst_pack_int (&pack, (int64_t)number);
   rst_pack_int (&pack, request.operation);
@@ -467,7 +467,10 @@
   rst_pack_text (&pack, path.c_str ());
   rst_pack_text (&pack, "k");
   if (request.desc != nullptr)
-    rst_jobdesc_pack (&pack, request.desc);
+    {
+      rst_jobdesc_pack (&pack, request.desc);
+      rst_pack_int (&pack, request.sent_at);
+    }
   send_frame (entry_link_, std::string (pack.buffer.data, pack.buffer.size));
   rst_pack_clear (&pack);
 }
@@ -526,6 +529,12 @@
           if (request.operation == RST_OPERATION_CANCEL
               && outcome == RST_OUTCOME_OK && job.cancelled_at == 0)
             job.cancelled_at = world_now;
+          if (request.operation == RST_OPERATION_CANCEL
+              && outcome == RST_OUTCOME_NO_JOB)
+            {
+              job.denied_at = world_now;
+              job.denied_cancel_sent_at = request.sent_at;
+            }
           if (job.is_accepted && outcome == RST_OUTCOME_NO_JOB)
             report_violation ("LOST " + request.id + " is not known");
           if (request.operation == RST_OPERATION_READ
@@ -550,21 +559,29 @@
 
 void
 World::make_request (const std::string &id, rst_operation operation,
-                     rst_jobdesc *desc)
+                     rst_jobdesc *desc, Millis sent_at)
 {
   uint64_t number = next_request_number_++;
 
-  entry_requests_[number] = CallerRequest{ id, operation, desc, false };
+  entry_requests_[number]
+      = CallerRequest{ id, operation, desc, false, sent_at };
   send_request (number);
 }
 
 void
 World::submit (const std::string &id, rst_jobdesc *desc)
+{
+  submit_late (id, desc, 0);
+}
+
+void
+World::submit_late (const std::string &id, rst_jobdesc *desc, Millis delay_ms)
 {
   rst_pack pack;
   msgpack_unpacked unpacked;
   rst_reader reader;
   Job &job = jobs[id];
+  Millis sent_at = world_now;
 
   if (job.desc == nullptr)
     {
@@ -575,7 +592,15 @@
   rst_pack_init (&pack, 1);
   rst_jobdesc_pack (&pack, desc);
   rst_reader_open (&reader, &unpacked, pack.buffer.data, pack.buffer.size);
-  make_request (id, RST_OPERATION_SUBMIT, rst_jobdesc_read (&reader));
+  rst_jobdesc *copy = rst_jobdesc_read (&reader);
+
+  job.submitted_at = sent_at;
+  if (delay_ms == 0)
+    make_request (id, RST_OPERATION_SUBMIT, copy, sent_at);
+  else
+    run_after (delay_ms, [=, this] {
+      make_request (id, RST_OPERATION_SUBMIT, copy, sent_at);
+    });
   msgpack_unpacked_destroy (&unpacked);
   rst_pack_clear (&pack);
 }
@@ -583,13 +608,13 @@
 void
 World::cancel (const std::string &id)
 {
-  make_request (id, RST_OPERATION_CANCEL, nullptr);
+  make_request (id, RST_OPERATION_CANCEL, nullptr, world_now);
 }
 
 void
 World::read (const std::string &id)
 {
-  make_request (id, RST_OPERATION_READ, nullptr);
+  make_request (id, RST_OPERATION_READ, nullptr, world_now);
 }
 
 int
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -164,6 +164,12 @@
   bool is_accepted = false;
   // Time at which a caller was told that it is cancelled; 0 if none was.
   Millis cancelled_at = 0;
+  // When a caller was last told that its cancel found no such job, and when it
+  // had sent that cancel; 0 if none was.
+  Millis denied_at = 0;
+  Millis denied_cancel_sent_at = 0;
+  // When it was last submitted.
+  Millis submitted_at = 0;
   // Time at which a caller was told that it is completed; 0 if none was.
   Millis completed_at = 0;
   // Tasks with a run that completed.
@@ -397,6 +403,8 @@
 
   // Takes ownership of @desc if the id is new.
   void submit (const std::string &id, rst_jobdesc *desc);
+  // Submits a job by a call that the entry reads only after @delay_ms.
+  void submit_late (const std::string &id, rst_jobdesc *desc, Millis delay_ms);
   void cancel (const std::string &id);
   void read (const std::string &id);
   // Returns how many jobs callers have seen completed.
@@ -452,6 +460,7 @@
     rst_operation operation;
     rst_jobdesc *desc; // owned; nullptr unless the operation is a submit
     bool sent;
+    Millis sent_at; // when the caller sent it
   };
   // A call of a node to an instance.
   struct InstanceCall
@@ -569,7 +578,7 @@
   void handle_entry_frame (const std::string &data);
   void send_request (uint64_t number);
   void make_request (const std::string &id, rst_operation operation,
-                     rst_jobdesc *desc);
+                     rst_jobdesc *desc, Millis sent_at);
 
   std::priority_queue<Event, std::vector<Event>, std::greater<Event> > events_;
   uint64_t sequence_ = 0;
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -280,7 +280,7 @@
   void
   send_call (uint64_t number, rst_operation operation, const std::string &id,
              rst_jobdesc *desc = nullptr, const char *key = "k",
-             const char *prefix = "/q/")
+             const char *prefix = "/q/", rst_ms sent_at = 0)
   {
     struct rst_planner_call request = {};
     std::string path = prefix + id;
@@ -292,9 +292,37 @@
     request.path = path.c_str ();
     request.key = key;
     request.desc = desc;
+    request.sent_at = sent_at;
     rst_planner_receive_call (planner, &request);
   }
 
+  // Submits a job of one task that was sent at a time, and returns the
+  // outcome.
+  rst_outcome
+  submit_sent_at (const std::string &id, rst_ms sent_at)
+  {
+    return get_outcome (RST_OPERATION_SUBMIT, id, make_job (1, 1000), sent_at);
+  }
+
+  rst_outcome
+  cancel (const std::string &id)
+  {
+    return get_outcome (RST_OPERATION_CANCEL, id, nullptr, 0);
+  }
+
+  // Returns the outcome of a request after the next commits.
+  rst_outcome
+  get_outcome (rst_operation operation, const std::string &id,
+               rst_jobdesc *desc, rst_ms sent_at)
+  {
+    uint64_t number = 1000 + replies.size ();
+
+    send_call (number, operation, id, desc, "k", "/q/", sent_at);
+    settle ();
+    return reply_to (number) != nullptr ? reply_to (number)->reply.outcome
+                                        : RST_OUTCOME_UNKNOWN;
+  }
+
   // Completes the commit under way.
   void
   complete_commit ()
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -625,8 +625,12 @@
   cell.settle ();
   cell.send_call (3, RST_OPERATION_CANCEL, job_a);
   cell.send_call (4, RST_OPERATION_READ, job_a);
-  EXPECT_EQ (cell.reply_to (3)->reply.outcome, RST_OUTCOME_NO_JOB);
   EXPECT_EQ (cell.reply_to (4)->reply.outcome, RST_OUTCOME_NO_JOB);
+  // The cancel holds for a successor too, so it is stored first.
+  EXPECT_EQ (cell.reply_to (3), nullptr);
+  cell.settle ();
+  ASSERT_NE (cell.reply_to (3), nullptr);
+  EXPECT_EQ (cell.reply_to (3)->reply.outcome, RST_OUTCOME_NO_JOB);
 }
 
 // A successor may have stored the end of an earlier run of the task, which the
