--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -62,9 +62,9 @@
 void rst_plan_end_job (struct rst_planner *planner, struct job *job,
                        enum rst_job_state state);
 
-/** rst_plan_reject_unsent_jobs() - Rejects the submitted jobs that were not
-    sent to the store if the store does not answer. */
-void rst_plan_reject_unsent_jobs (struct rst_planner *planner);
+/** rst_plan_begin_job() - Begins an accepted job, or its occurrences that are
+ * due soon. */
+void rst_plan_begin_job (struct rst_planner *planner, struct job *job);
 
 /** rst_plan_begin_due_occurrences() - Begins the occurrences of repeating jobs
  * that are due soon, so that they are in the store when they are due, and
@@ -89,6 +89,12 @@
 struct task *rst_plan_find_task (struct rst_planner *planner,
                                  const char *name);
 
+/* plan_calls.c */
+
+/** rst_plan_reject_unsent_jobs() - Rejects the submitted jobs that were not
+    sent to the store if the store does not answer. */
+void rst_plan_reject_unsent_jobs (struct rst_planner *planner);
+
 /**
  * rst_plan_reply_committed() - Replies to callers whose changes of a job have
  * been committed.
