Count a job as started only if a task of it has begun

Cause: restore_run() marked the job of each run that the record of an unreachable instance names as started, also where only the order is known.

The record says of each run whether it is known to have started; the job counts as started only then. The end of a stopped run puts the start into the job's record, so that a successor does not count the job as waiting again.

Ruled out: the predecessor's count and records, which are right; an answered start, which proves that the task began. The other users of a run (limits, capacity, attempts, gangs) take an order for a run on purpose.

--- a/src/cell/fault_private.h
+++ b/src/cell/fault_private.h
@@ -40,6 +40,7 @@
  *   still taken to have the former one.
  * @RST_CELL_FAULT_IGNORE_NOTES: A submission is accepted although its caller
  *   was told that the job, which it cancelled, does not exist.
+ * @RST_CELL_FAULT_COUNT_ORDERS: A successor takes a start order for a start.
  */
 enum rst_cell_fault_kind
 {
@@ -61,6 +62,7 @@
   RST_CELL_FAULT_IGNORE_CRASHES,
   RST_CELL_FAULT_KEEP_CAPACITY,
   RST_CELL_FAULT_IGNORE_NOTES,
+  RST_CELL_FAULT_COUNT_ORDERS,
 };
 
 #ifdef RST_FAULTS
--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -160,8 +160,9 @@
 
 void
 rst_plan_pack_job (const struct rst_planner *planner, struct rst_pack *pack,
-                   const struct job *job)
+                   struct job *job)
 {
+  job->start_recorded = job->has_started;
   if (job->full_record_segment > 0 && !job->needs_full_record)
     {
       rst_pack_array (pack, 3);
@@ -185,17 +186,20 @@
   rst_pack_text (pack, instance->entry.zone);
 }
 
-/* Packs a run; @survived_ms is -1 if it is not known to have started. */
+/* Packs a run.  @survived_ms is -1 if it is not known how long it ran;
+   @has_started tells whether it is known to have started at all. */
 static void
 pack_run (struct rst_pack *pack, const char *task, int attempt,
-          rst_ms survived_ms, bool on_trial, rst_ms lost_after_ms)
+          rst_ms survived_ms, bool on_trial, rst_ms lost_after_ms,
+          bool has_started)
 {
-  rst_pack_array (pack, 5);
+  rst_pack_array (pack, 6);
   rst_pack_text (pack, task);
   rst_pack_int (pack, attempt);
   rst_pack_int (pack, survived_ms);
   rst_pack_int (pack, on_trial ? 1 : 0);
   rst_pack_int (pack, lost_after_ms);
+  rst_pack_int (pack, has_started ? 1 : 0);
 }
 
 /* Packs an unreachable instance with the runs that it may still have, the runs
@@ -225,14 +229,15 @@
 
       pack_run (pack, run->name, run->attempt,
                 run->has_started ? rst_plan_get_survived_ms (run) : -1,
-                run->on_trial, rst_plan_get_lost_after_ms (run));
+                run->on_trial, rst_plan_get_lost_after_ms (run),
+                run->has_started);
     }
   for (guint i = 0; i < instance->unstored_ends->len; i++)
     {
       const struct unstored_end *end
           = &g_array_index (instance->unstored_ends, struct unstored_end, i);
 
-      pack_run (pack, end->task, end->attempt, -1, false, G_MAXINT64);
+      pack_run (pack, end->task, end->attempt, -1, false, G_MAXINT64, true);
     }
 }
 
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -45,7 +45,10 @@
       attempt = read_int32 (bytes, length, &at);
       task->attempt = MAX (task->attempt, attempt);
       if (has_started)
-        rst_plan_job_mark_started (step->occurrence->job);
+        {
+          rst_plan_job_mark_started (step->occurrence->job);
+          step->occurrence->job->start_recorded = true;
+        }
       for (int k = 0; k < task->failed_runs; k++)
         task->failed_attempts[k] = read_int32 (bytes, length, &at);
       if (!done || task->done)
@@ -341,6 +344,7 @@
   rst_ms survived_ms = rst_reader_read_int (&row);
   bool on_trial = rst_reader_read_int (&row) != 0;
   rst_ms lost_after_ms = rst_reader_read_int (&row);
+  bool has_started = rst_reader_read_int (&row) != 0;
   struct task *task = rst_plan_find_task (planner, name);
 
   /* A later run of the task was started only after the earlier one had
@@ -352,7 +356,8 @@
       struct run *run = rst_plan_run_new (planner, task, instance, attempt);
 
       run->from_journal = true;
-      rst_plan_run_mark_started (run);
+      /* Its start order is not repeated, whether it was carried out or not. */
+      run->state = RUN_RUNNING;
       run->has_started = survived_ms >= 0;
       run->survived_ms = MAX (survived_ms, 0);
       run->lost_after_ms = lost_after_ms;
@@ -361,6 +366,10 @@
       /* The run may have ended since, and the task may run elsewhere. */
       task->in_doubt = true;
     }
+  /* A job of which only orders were sent still waits. */
+  if (task != NULL && !row.bad
+      && (has_started || RST_CELL_FAULT (RST_CELL_FAULT_COUNT_ORDERS)))
+    rst_plan_job_mark_started (task->step->occurrence->job);
   rows->bad |= row.bad;
   g_free (name);
 }
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -461,6 +461,16 @@
   queue->mean_run_ms += RUN_TIME_WEIGHT * (took_ms - queue->mean_run_ms);
 }
 
+/* Once the end of a run is acknowledged, a successor learns only from the
+   job's record that the job has started. */
+static void
+record_job_start (struct rst_planner *planner, struct job *job)
+{
+  rst_plan_job_mark_started (job);
+  if (!job->start_recorded && !rst_plan_job_has_ended (job))
+    rst_plan_mark_dirty (planner, job);
+}
+
 void
 rst_plan_apply_end (struct rst_planner *planner, struct instance *instance,
                     const struct rst_run *end)
@@ -477,7 +487,7 @@
   planner->stats.ends[end->end_reason]++;
   rst_plan_keep_checkpoint (planner, task, end->checkpoint);
   task->attempt = MAX (task->attempt, end->attempt);
-  rst_plan_job_mark_started (step->occurrence->job);
+  record_job_start (planner, step->occurrence->job);
   if (!rst_plan_job_has_ended (step->occurrence->job))
     {
       if (end->end_reason == RST_END_DONE && !step->spec->long_running)
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -569,7 +569,7 @@
  * is in the journal, else a full one.
  */
 void rst_plan_pack_job (const struct rst_planner *planner,
-                        struct rst_pack *pack, const struct job *job);
+                        struct rst_pack *pack, struct job *job);
 
 /** rst_plan_pack_instance() - Writes that an instance takes starts. */
 void rst_plan_pack_instance (struct rst_pack *pack,
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -465,6 +465,8 @@
   bool is_note;
   /* Whether an instance has reported the start of a task. */
   bool has_started;
+  /* Whether its last record says so. */
+  bool start_recorded;
   bool start_sent;
   /* Whether a record of it is in the store. */
   bool stored;
--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -52,6 +52,7 @@
   bool has_crashing_tasks = false;
   bool has_resizing = false;
   bool has_late_calls = false;
+  bool reads_pending = false;
 };
 
 // Time after the last fault in which all accepted jobs must finish.
@@ -293,6 +294,8 @@
         submit_and_cancel (world, format_job_id (++jobs));
       if (jobs > 0 && world.draw_unit () < 0.3)
         world.read (format_job_id (1 + world.draw_below (jobs)));
+      if (options.reads_pending && world.draw_unit () < 0.5)
+        world.read_pending (world.draw_unit () < 0.5 ? "u" : "q");
       if (jobs > 0 && world.draw_unit () < 0.05)
         world.cancel (format_job_id (1 + world.draw_below (jobs)));
       if (world.draw_unit () < node_fault_probability)
@@ -360,6 +363,8 @@
         options.has_resizing = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--late-calls") == 0)
         options.has_late_calls = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--pending") == 0)
+        options.reads_pending = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--sequences") == 0)
         options.has_sequences = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--log") == 0)
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -453,8 +453,7 @@
 {
   CallerRequest &request = entry_requests_[number];
   rst_pack pack;
-  std::string path
-      = (jobs[request.id].queue == "u" ? "/u/" : "/q/") + request.id;
+  std::string path = "/" + request.queue + "/" + request.id;
 
   if (!planner_is_serving_ || request.sent)
     return;
@@ -475,6 +474,9 @@
   rst_pack_clear (&pack);
 }
 
+// A queue's count may be this old.
+static const Millis visible_ms = 5000;
+
 static const char *const state_names[]
     = { "queued", "running", "completed", "failed", "cancelled" };
 
@@ -514,9 +516,16 @@
       uint64_t number = (uint64_t)rst_reader_read_int (&reader);
       int64_t outcome = rst_reader_read_int (&reader);
       int64_t state = rst_reader_read_int (&reader);
+      int64_t pending = rst_reader_read_int (&reader);
       auto found = entry_requests_.find (number);
 
-      if (found != entry_requests_.end ())
+      if (found != entry_requests_.end () && found->second.id.empty ())
+        {
+          if (outcome == RST_OUTCOME_COUNT)
+            check_pending (found->second, pending);
+          entry_requests_.erase (found);
+        }
+      else if (found != entry_requests_.end ())
         {
           CallerRequest request = found->second;
           Job &job = jobs[request.id];
@@ -525,7 +534,10 @@
           rst_jobdesc_destroy (request.desc);
           if (request.operation == RST_OPERATION_SUBMIT
               && outcome == RST_OUTCOME_OK)
-            job.is_accepted = true;
+            {
+              job.is_accepted = true;
+              job.accepted_at = world_now;
+            }
           if (request.operation == RST_OPERATION_CANCEL
               && outcome == RST_OUTCOME_OK && job.cancelled_at == 0)
             job.cancelled_at = world_now;
@@ -564,7 +576,7 @@
   uint64_t number = next_request_number_++;
 
   entry_requests_[number]
-      = CallerRequest{ id, operation, desc, false, sent_at };
+      = CallerRequest{ id, jobs[id].queue, operation, desc, false, sent_at };
   send_request (number);
 }
 
@@ -605,9 +617,51 @@
   rst_pack_clear (&pack);
 }
 
+void
+World::read_pending (const std::string &queue)
+{
+  uint64_t number = next_request_number_++;
+
+  entry_requests_[number] = CallerRequest{ "",      queue, RST_OPERATION_READ,
+                                           nullptr, false, world_now };
+  send_request (number);
+}
+
+// Counts the jobs that were accepted some time ago and have not begun.
+int
+World::count_waiting_jobs (const std::string &queue) const
+{
+  int waiting = 0;
+
+  for (auto &entry : jobs)
+    {
+      const Job &job = entry.second;
+
+      if (job.is_accepted && job.queue == queue && !job.is_unwanted
+          && job.desc->repeats == 0 && job.last_starts.empty ()
+          && job.accepted_at + visible_ms < world_now
+          && reported_ended_.count (entry.first) == 0)
+        waiting++;
+    }
+  return waiting;
+}
+
+// MIXED: a queue's count of waiting jobs is at least half of the true one.
+void
+World::check_pending (const CallerRequest &request, int64_t pending)
+{
+  int waiting = count_waiting_jobs (request.queue);
+
+  if (pending * 2 < waiting)
+    report_violation ("MIXED " + std::to_string (pending)
+                      + " jobs are shown as waiting in " + request.queue
+                      + ", where " + std::to_string (waiting) + " do");
+}
+
 void
 World::cancel (const std::string &id)
 {
+  jobs[id].is_unwanted = true;
   make_request (id, RST_OPERATION_CANCEL, nullptr, world_now);
 }
 
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -162,6 +162,10 @@
   rst_jobdesc *desc = nullptr;
   std::string queue;
   bool is_accepted = false;
+  // When a caller was told that it is accepted.
+  Millis accepted_at = 0;
+  // Whether a caller has tried to cancel it.
+  bool is_unwanted = false;
   // Time at which a caller was told that it is cancelled; 0 if none was.
   Millis cancelled_at = 0;
   // When a caller was last told that its cancel found no such job, and when it
@@ -406,6 +410,8 @@
   // Submits a job by a call that the entry reads only after @delay_ms.
   void submit_late (const std::string &id, rst_jobdesc *desc, Millis delay_ms);
   void cancel (const std::string &id);
+  // Reads how many jobs wait in a queue.
+  void read_pending (const std::string &queue);
   void read (const std::string &id);
   // Returns how many jobs callers have seen completed.
   int
@@ -456,7 +462,8 @@
   // A caller's request that has not been answered.
   struct CallerRequest
   {
-    std::string id;
+    std::string id; // "" for the number of jobs that wait in a queue
+    std::string queue;
     rst_operation operation;
     rst_jobdesc *desc; // owned; nullptr unless the operation is a submit
     bool sent;
@@ -577,6 +584,8 @@
   void connect_entry ();
   void handle_entry_frame (const std::string &data);
   void send_request (uint64_t number);
+  int count_waiting_jobs (const std::string &queue) const;
+  void check_pending (const CallerRequest &request, int64_t pending);
   void make_request (const std::string &id, rst_operation operation,
                      rst_jobdesc *desc, Millis sent_at);
 
--- a/test/unit/succession_test.cc
+++ b/test/unit/succession_test.cc
@@ -508,3 +508,89 @@
   successor.settle ();
   EXPECT_EQ (successor.sent_of_kind (RST_MSG_START).size (), 1u);
 }
+
+// Returns how many jobs of the queue are shown as waiting.
+static int64_t
+read_pending (Planner &planner)
+{
+  uint64_t number = 5000 + planner.replies.size ();
+
+  planner.send_call (number, RST_OPERATION_READ, "");
+  return planner.reply_to (number)->reply.count;
+}
+
+static rst_job_state
+read_state (Planner &planner, const std::string &job)
+{
+  uint64_t number = 5000 + planner.replies.size ();
+
+  planner.send_call (number, RST_OPERATION_READ, job);
+  return planner.reply_to (number)->reply.state;
+}
+
+// Jobs whose start orders went to an instance that had just fallen silent were
+// taken for started by the next planner: none was shown as waiting, and all as
+// running.
+TEST (Succession, CountsJobsAsWaitingWhoseStartOrdersGotNoAnswer)
+{
+  Planner predecessor;
+  Planner successor (2);
+  Planner third (3);
+
+  predecessor.start_serving (1);
+  predecessor.send_call (7, RST_OPERATION_SUBMIT, job_a,
+                         Planner::make_job (1, 1000));
+  predecessor.send_call (8, RST_OPERATION_SUBMIT, job_b,
+                         Planner::make_job (1, 1000));
+  predecessor.settle ();
+  ASSERT_EQ (predecessor.sent_of_kind (RST_MSG_START).size (), 2u);
+  // Only one of them is known to have started.
+  predecessor.answer_order (1, RST_MSG_STARTED, "i-0", task_b0, 1,
+                            RST_RESULT_OK);
+  predecessor.report (1, "i-0", {}, 1, RST_RESULT_UNKNOWN, 5000);
+  predecessor.advance_time (500);
+  predecessor.settle ();
+  ASSERT_EQ (read_pending (predecessor), 1);
+  successor.restore (predecessor);
+  third.restore (predecessor);
+  for (Planner *planner : { &successor, &third })
+    {
+      planner->set_time (predecessor.now);
+      planner->configure ();
+      rst_planner_finish_restore (planner->planner);
+      planner->settle ();
+      EXPECT_EQ (planner->unreadable, 0);
+      EXPECT_EQ (read_pending (*planner), 1);
+      EXPECT_EQ (read_state (*planner, job_a), RST_JOB_QUEUED);
+      EXPECT_EQ (read_state (*planner, job_b), RST_JOB_RUNNING);
+      // The third reads what the second has recorded as well.
+      if (planner == &successor)
+        third.restore (successor);
+    }
+}
+
+// A job whose run has ended has started, though the end is in no segment yet.
+TEST (Succession, CountsAJobAsStartedWhoseEndIsNotStored)
+{
+  Planner predecessor;
+  Planner successor (2);
+
+  predecessor.start_serving (1);
+  predecessor.send_call (7, RST_OPERATION_SUBMIT, job_a,
+                         Planner::make_job (1, 1000));
+  predecessor.settle ();
+  predecessor.report (
+      1, "i-0", { Planner::make_ended_run (1, task_a0, 1, RST_END_STOPPED) });
+  predecessor.report (1, "i-0", {}, 1, RST_RESULT_UNKNOWN, 5000);
+  predecessor.advance_time (100);
+  ASSERT_TRUE (predecessor.is_committing);
+  predecessor.complete_commit ();
+  ASSERT_EQ (read_pending (predecessor), 0);
+  successor.restore (predecessor);
+  successor.set_time (predecessor.now);
+  successor.configure ();
+  rst_planner_finish_restore (successor.planner);
+  EXPECT_EQ (successor.unreadable, 0);
+  EXPECT_EQ (read_pending (successor), 0);
+  EXPECT_EQ (read_state (successor, job_a), RST_JOB_RUNNING);
+}
