Run of the cell: wait until the planners have read the odd entries

tools/demo, the README's first command, and tools/check failed on x86-64: the run of the cell expects four warnings about odd entries of instances from each of two planners, and killed the first before it had read the last three.

Cause: the planner pauses 200 ms between two looks at the entries, and the script went on as soon as the next job was completed.

The script waits until the planner has given all four warnings, before the kill and before the planned stop of the second one. What is compared with the expected output is the same.

--- a/test/run/cell.sh
+++ b/test/run/cell.sh
@@ -73,6 +73,13 @@
     | sed 's/.*celld-\([^.]*\)\.log.*/\1/'
 }
 
+# planner_has_read_entries NAME - whether a planner has warned of as many odd
+# entries as there are.
+planner_has_read_entries ()
+{
+  [ "$(grep -c "Instance entry can't be used" "$run_dir/celld-$1.log")" -eq 4 ]
+}
+
 echo "# jobs run, whichever entry instance takes them"
 wait_for 20 submit_job e1 1 q 3 20 || echo "job 1 is not accepted"
 wait_for 20 submit_job e2 2 a 2 20 || echo "job 2 is not accepted"
@@ -121,6 +128,8 @@
 put_operator_key servers/number "$(print_entry 127.0.0.1:1 1e300)"
 put_operator_key servers/port "$(print_entry 127.0.0.1:65536 4000)"
 put_operator_key 'servers/line\nforged' "$(print_entry 127.0.0.1:1 4000)"
+wait_for 20 planner_has_read_entries "$(find_planner)" \
+  || echo "the planner has not read the odd entries"
 wait_for 20 submit_job e1 6 q 3 20 || echo "job 6 is not accepted"
 wait_for 20 jobd_reports_state e1 q 6 completed \
   || echo "job 6 is not completed"
@@ -140,6 +149,8 @@
 done
 second=$(find_planner)
 [ "$second" != "$first" ] && echo "another planner"
+wait_for 20 planner_has_read_entries "$second" \
+  || echo "the next planner has not read the odd entries"
 for name in "$first" "$second"
 do
   grep -o "Instance entry can't be used.*: must" "$run_dir/celld-$name.log" \
