Suspect only tasks that had just started when their instance crashed

Cause: where no run had just started, a crash was counted under all runs of the instance, and a job that was alone there was given up with the third.

--- a/src/cell/plan_crash.c
+++ b/src/cell/plan_crash.c
@@ -9,8 +9,10 @@
 
 #include "cell/planner_private.h"
 
-/** A crash is attributed to the runs that had run for at most this long, if
-    there are any. */
+/** A crash is attributed to the runs that had just started, which are not
+   known to have run for longer than this.  A run that was at work before is
+   taken for sound: instances crash by themselves, and whatever lasts meets
+   some crashes in time. */
 #define FRESH_RUN_MS 500
 
 /** Of these, the last one is a suspect, and those that started at most this
@@ -49,6 +51,8 @@
   rst_ms survived_ms;
   bool has_started;
   bool on_trial;
+  /* Whether it ran before this planner knew of it. */
+  bool adopted;
   /* Time from the start order to the loss of the instance. */
   rst_ms lost_after_ms;
   /* Whether it is among those that started last. */
@@ -218,11 +222,10 @@
 static void
 add_crashed_run (GArray *found, struct task *task, int attempt,
                  rst_ms survived_ms, bool has_started, bool on_trial,
-                 rst_ms lost_after_ms)
+                 bool adopted, rst_ms lost_after_ms)
 {
-  struct crashed_run crashed
-      = { task,     attempt,       survived_ms, has_started,
-          on_trial, lost_after_ms, false };
+  struct crashed_run crashed = { task,     attempt, survived_ms,   has_started,
+                                 on_trial, adopted, lost_after_ms, false };
 
   if (!task->done && !rst_plan_job_has_ended (task->step->occurrence->job))
     g_array_append_val (found, crashed);
@@ -244,7 +247,8 @@
 
       add_crashed_run (found, run->task, run->attempt,
                        rst_plan_get_survived_ms (run), run->has_started,
-                       run->on_trial, rst_plan_get_lost_after_ms (run));
+                       run->on_trial, run->adopted,
+                       rst_plan_get_lost_after_ms (run));
     }
   for (guint i = 0; i < instance->lapsed_runs->len; i++)
     {
@@ -254,7 +258,8 @@
 
       if (task != NULL)
         add_crashed_run (found, task, lapsed->attempt, lapsed->survived_ms,
-                         lapsed->has_started, lapsed->on_trial, G_MAXINT64);
+                         lapsed->has_started, lapsed->on_trial, false,
+                         G_MAXINT64);
     }
   g_array_set_size (instance->lapsed_runs, 0);
   return found;
@@ -277,35 +282,33 @@
   return shortest;
 }
 
-/* Keeps the runs that had just started, if there are any, and marks the last
-   ones as suspects.  Otherwise all are equally likely and kept.  Returns
-   whether some had just started. */
 static bool
+is_fresh (const struct crashed_run *run)
+{
+  return run->survived_ms <= FRESH_RUN_MS && !run->adopted;
+}
+
+/* Keeps the runs that had just started and marks the last ones as suspects. */
+static void
 keep_likely_causes (GArray *runs)
 {
   rst_ms shortest = find_shortest_run_ms (runs);
-  bool is_fresh = false;
 
-  for (guint i = 0; i < runs->len; i++)
-    is_fresh |= g_array_index (runs, struct crashed_run, i).survived_ms
-                <= FRESH_RUN_MS;
-  for (guint i = runs->len; is_fresh && i-- > 0;)
+  for (guint i = runs->len; i-- > 0;)
     {
       struct crashed_run *run = &g_array_index (runs, struct crashed_run, i);
 
       run->is_suspect
           = !run->has_started
             || run->survived_ms - START_ORDER_MARGIN_MS <= shortest;
-      if (run->survived_ms > FRESH_RUN_MS)
+      if (!is_fresh (run))
         g_array_remove_index_fast (runs, i);
     }
-  return is_fresh;
 }
 
-/* Whether all runs, or all suspects if there are any, are of one job, so that
-   it alone can be the cause. */
+/* Whether all suspects are of one job, so that it alone can be the cause. */
 static bool
-are_of_one_job (const GArray *runs, bool has_suspects)
+are_of_one_job (const GArray *runs)
 {
   const struct job *job = NULL;
 
@@ -314,7 +317,7 @@
       const struct crashed_run *run
           = &g_array_index (runs, struct crashed_run, i);
 
-      if (has_suspects && !run->is_suspect)
+      if (!run->is_suspect)
         continue;
       if (job != NULL && job != run->task->step->occurrence->job)
         return false;
@@ -366,7 +369,6 @@
 {
   GArray *runs;
   guint lost;
-  bool is_fresh;
   bool is_alone;
   bool is_probable;
   char lost_text[16];
@@ -377,9 +379,9 @@
     return;
   runs = collect_crashed_runs (planner, instance);
   lost = runs->len;
-  is_fresh = keep_likely_causes (runs);
-  is_alone = are_of_one_job (runs, is_fresh);
-  is_probable = is_alone && is_fresh && crashed_at_start (runs)
+  keep_likely_causes (runs);
+  is_alone = are_of_one_job (runs);
+  is_probable = is_alone && crashed_at_start (runs)
                 && !has_common_loss (planner, instance);
   if (lost > 0)
     {
@@ -387,8 +389,8 @@
       g_snprintf (lost_text, sizeof lost_text, "%u", lost);
       g_snprintf (suspects_text, sizeof suspects_text, "%u", runs->len);
       rst_info (RST_PLAN_LOG, "Instance crashed with runs.", "instance",
-                instance->entry.id, "runs", lost_text, "counted",
-                suspects_text, "just_started", is_fresh ? "yes" : "no");
+                instance->entry.id, "runs", lost_text, "just_started",
+                suspects_text);
     }
   for (guint i = 0; i < runs->len; i++)
     suspect_run (planner, instance,
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -350,6 +350,7 @@
     }
   run = rst_plan_run_new (planner, task, instance, listed->attempt);
   rst_plan_run_mark_started (run);
+  run->adopted = true;
   run->progress_percent = listed->progress_percent;
   rst_plan_keep_checkpoint (planner, task, listed->checkpoint);
   task->step->gang_attempt = MAX (task->step->gang_attempt, listed->attempt);
@@ -371,7 +372,10 @@
     }
   rst_plan_run_mark_started (run);
   if (run->from_journal)
-    run->started_clock_ms = instance->last_clock_ms;
+    {
+      run->started_clock_ms = instance->last_clock_ms;
+      run->adopted = true;
+    }
   run->from_journal = false;
   rst_plan_check_probation (planner, run);
   if (listed->progress_percent != run->progress_percent)
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -267,6 +267,9 @@
   /* Whether it is known to have started, and the earliest reading of the
      instance's clock after that. */
   bool has_started;
+  /* Whether an instance listed it when this planner first heard of its start,
+     so that it may have run for any time before. */
+  bool adopted;
   int64_t started_clock_ms;
   /* Whether its task is tried as a suspect, see plan_trial.c, and whether it
      was at its start. */
--- a/test/unit/crashing_task_test.cc
+++ b/test/unit/crashing_task_test.cc
@@ -175,3 +175,70 @@
   EXPECT_EQ (cell.commits[0].data.find (job_a), std::string::npos);
   EXPECT_NE (cell.commits[0].data.find (job_b), std::string::npos);
 }
+
+// Starts the task of a job again and again on instances that crash after it
+// has worked for some time; returns the state of the job.
+static std::string
+crash_at_work (rst_jobdesc *desc, rst_ms work_ms, bool is_listed)
+{
+  Planner cell;
+
+  cell.start_serving (3);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, desc);
+  for (int attempt = 1; attempt <= 2 * starts_max; attempt++)
+    {
+      std::string id = await_start (cell, task_a0);
+
+      if (id.empty ())
+        break;
+      cell.advance_time (work_ms);
+      cell.clock += work_ms;
+      if (is_listed)
+        cell.report (1, id, { Planner::make_running_run (task_a0, attempt) });
+      crash_and_return (cell, id);
+    }
+  return get_state (cell, job_a);
+}
+
+// A service that had been at work for 15 s before each of three crashes of its
+// instances was shown as failed, and never started again.
+TEST (CrashingTask, ThatWasAtWorkBeforeEachCrashIsNotGivenUp)
+{
+  rst_jobdesc *service = Planner::make_job (1, 1000);
+
+  service->steps[0].long_running = true;
+  EXPECT_EQ (crash_at_work (service, 15000, true), "live");
+  EXPECT_EQ (crash_at_work (Planner::make_job (1, 1000), 4000, true), "live");
+  EXPECT_EQ (crash_at_work (Planner::make_job (1, 1000), 0, false), "failed");
+}
+
+// The next planner can't know how long a run has been at work that it finds.
+TEST (CrashingTask, ThatASuccessorFindsAtWorkIsNotCounted)
+{
+  Planner cell;
+  Planner successor (2);
+  rst_planner_stats stats;
+
+  cell.start_serving (2);
+  cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
+  std::string id = await_start (cell, task_a0);
+
+  cell.settle ();
+  successor.set_time (cell.now);
+  successor.restore (cell);
+  successor.configure ();
+  successor.add_agent (1);
+  successor.add_instance (id);
+  rst_planner_finish_restore (successor.planner);
+  successor.report (1, id, { Planner::make_running_run (task_a0, 1) });
+  successor.settle ();
+  successor.report (1, id, {}, 1, RST_RESULT_UNKNOWN, lease_left_ms);
+  successor.settle ();
+  successor.commits.clear ();
+  successor.report (1, id, {}, 0, RST_RESULT_OTHER_INCARNATION);
+  successor.settle ();
+  rst_planner_read_stats (successor.planner, &stats);
+  EXPECT_EQ (stats.crashes, 1u);
+  for (const harness::Commit &commit : successor.commits)
+    EXPECT_EQ (commit.data.find (job_a), std::string::npos);
+}
