jobd: a submission with a short deadline is not read too late

Since a submission whose X-Rosemarystile-Deadline-Ms is 150 or less was rejected with 503 at once: "read too late" was compared with the time at which jobd answers, 150 ms before the caller's deadline. It is compared with the deadline itself. Found by reading the diff; no test, as such a call is answered or not within 50 ms by chance (the next check of deadlines).

--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -188,7 +188,7 @@
 static const char *
 find_objection (const struct pending_call *call)
 {
-  if (rst_os_now () >= call->answer_deadline)
+  if (rst_os_now () >= call->answer_deadline + DEADLINE_MARGIN_MS)
     return "read too late";
   if (rst_http_request_client_has_left (call->request))
     return "the caller has left";
