--- a/src/cell/plan_cancelled.c
+++ b/src/cell/plan_cancelled.c
@@ -106,9 +106,10 @@
 {
   if (sent_at != 0 && planner->now - sent_at > SUBMISSION_AGE_MAX_MS)
     return "sent too long ago";
-  if (note == NULL || RST_CELL_FAULT (RST_CELL_FAULT_IGNORE_NOTES))
+  if (note == NULL)
     return NULL;
-  if (sent_at <= note->ended_at)
+  if (sent_at <= note->ended_at
+      && !RST_CELL_FAULT (RST_CELL_FAULT_IGNORE_NOTES))
     return "cancelled since it was sent";
   /* Its removal has to wait for the commit under way. */
   if (!rst_plan_job_is_recorded (planner, note))
