Answer a submission that created its job as accepted after a hand-over

The customer's key had been withdrawn at about 2.0 s, so planner 2 answered 401, while the job ran. Key and queue were checked before it was looked up whether the job exists.

Change: a submission that was sent before its job was accepted may be the call that created it; it is answered by the job, without the key and queue of the present configuration. One that was sent later, or whose time is unknown, is checked as before.

Ruled out: to accept any key for a job that exists (a withdrawn key would work for as long as its owner repeats the id).

Measured: HandOverCall.* fail without the change (401, 404), pass with it; unit tests of the planner pass.

--- a/src/cell/plan_calls.c
+++ b/src/cell/plan_calls.c
@@ -9,6 +9,9 @@
     seconds.  Any time will do: the next one is certainly sent later. */
 #define OUTDATED_RETRY_S 1
 
+/** By how much the Unix clocks of two planners may differ, in milliseconds. */
+#define UNIX_CLOCK_DIFFERENCE_MS 100
+
 /** Size of a customer's token bucket, in seconds of its share. */
 #define SHARE_BURST_S 2.0
 
@@ -158,6 +161,17 @@
          && strspn (text, "0123456789abcdefABCDEF") == RST_JOB_ID_SIZE - 1;
 }
 
+/* Replies to a submission of a job that exists. */
+static void
+reply_accepted (struct rst_planner *planner,
+                const struct rst_planner_call *call, struct job *job)
+{
+  if (job->stored)
+    send_reply (planner, call, RST_OUTCOME_OK);
+  else
+    reply_after_commit (job, call);
+}
+
 static void
 submit_job (struct rst_planner *planner, const struct rst_planner_call *call,
             const struct rst_queue *route, struct customer *customer,
@@ -188,10 +202,7 @@
   if (job != NULL)
     {
       rst_jobdesc_destroy (call->desc);
-      if (job->stored)
-        send_reply (planner, call, RST_OUTCOME_OK);
-      else
-        reply_after_commit (job, call);
+      reply_accepted (planner, call, job);
       return;
     }
   job = rst_plan_job_new (planner, id,
@@ -307,6 +318,27 @@
   return route->is_public ? rst_plan_get_customer (planner, "") : NULL;
 }
 
+/* Finds the job that a submission may have created.  If it was sent before the
+   job was accepted, its key and queue were valid then; a planner that was
+   replaced since may have accepted it, and its caller must not be told that
+   the job was rejected. */
+static struct job *
+find_created_job (const struct rst_planner *planner,
+                  const struct rst_planner_call *call)
+{
+  const char *slash = strrchr (call->path, '/');
+  struct job *job
+      = slash != NULL ? g_hash_table_lookup (planner->jobs, slash + 1) : NULL;
+  int64_t age_ms = planner->now - call->sent_at;
+
+  if (call->operation != RST_OPERATION_SUBMIT || call->sent_at == 0
+      || job == NULL || job->is_note
+      || job->submitted_ms + UNIX_CLOCK_DIFFERENCE_MS
+             < planner->unix_ms - age_ms)
+    return NULL;
+  return job;
+}
+
 void
 rst_planner_receive_call (struct rst_planner *planner,
                           const struct rst_planner_call *call)
@@ -316,9 +348,13 @@
       = rst_cellconfig_route (planner->config, call->host, call->path, &id);
   struct customer *customer
       = route != NULL ? find_customer (planner, route, call->key) : NULL;
+  struct job *created_job
+      = customer == NULL ? find_created_job (planner, call) : NULL;
 
   planner->pass_wanted = true;
-  if (route == NULL)
+  if (created_job != NULL)
+    reply_accepted (planner, call, created_job);
+  else if (route == NULL)
     send_reply (planner, call, RST_OUTCOME_NO_QUEUE);
   else if (customer == NULL)
     send_reply (planner, call, RST_OUTCOME_INVALID_KEY);
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -13,18 +13,6 @@
 #define RESERVING_GANGS_MIN 3
 #define INSTANCES_PER_RESERVING_GANG 32
 
-/** After this multiple of its objective a job is ranked last. */
-#define MISSED_OBJECTIVE_FACTOR 3
-
-/* Ranks lie in bands, placed in this order: steps that can still meet their
-   objective, late steps, steps of jobs over their customer's share, and steps
-   that have missed their objective by so much that their jobs have no value
-   any more.  The first two bands are split by the queue's priority. */
-#define RANK_BAND_LATE ((int64_t)1 << 50)
-#define RANK_BAND_OVER_SHARE ((int64_t)1 << 51)
-#define RANK_BAND_MISSED ((int64_t)1 << 52)
-#define RANK_BAND_PRIORITY ((int64_t)1 << 45)
-
 int
 rst_plan_count_slots (const struct instance *instance, const struct step *step)
 {
@@ -82,91 +70,6 @@
          || rst_instance_entry_has_label (&instance->entry, step->spec->label);
 }
 
-/* Since estimates are rough, the mean run time of the queue's tasks counts as
-   much as the estimate. */
-static double
-get_expected_run_ms (const struct job *job, int index)
-{
-  double estimate_ms = (double)job->desc->steps[index].estimate_ms;
-
-  return job->queue->mean_run_ms > 0.0
-             ? (estimate_ms + job->queue->mean_run_ms) / 2.0
-             : estimate_ms;
-}
-
-/* Returns the expected run time of a step and of those that follow it. */
-static double
-get_remaining_path_ms (const struct step *step)
-{
-  const struct job *job = step->occurrence->job;
-  double longest = get_expected_run_ms (job, step->index);
-
-  for (int i = step->index + 1; i < job->desc->step_count; i++)
-    for (int k = 0; k < job->desc->steps[i].after_count; k++)
-      if (job->desc->steps[i].after[k] >= step->index)
-        longest += get_expected_run_ms (job, i);
-  return longest;
-}
-
-/* Returns the expected run time of the job's longest chain of steps. */
-static double
-get_critical_path_ms (const struct job *job)
-{
-  double ends[RST_STEPS_MAX] = { 0 };
-  double longest = 0.0;
-
-  for (int i = 0; i < job->desc->step_count; i++)
-    {
-      const struct rst_step *step = &job->desc->steps[i];
-
-      for (int k = 0; k < step->after_count; k++)
-        ends[i] = MAX (ends[i], ends[step->after[k]]);
-      ends[i] += get_expected_run_ms (job, i);
-      longest = MAX (longest, ends[i]);
-    }
-  return longest;
-}
-
-void
-rst_plan_set_objective (struct step *step)
-{
-  const struct job *job = step->occurrence->job;
-  const struct rst_queue *queue = &job->queue->settings;
-
-  step->objective_ms = (int64_t)(get_critical_path_ms (job)
-                                 * (double)queue->slack_permille / 1000.0)
-                       + queue->target_ms;
-  step->start_by_ms = step->occurrence->due_ms + step->objective_ms
-                      - (int64_t)get_remaining_path_ms (step);
-}
-
-/* Within a band, steps are ranked by the time by which they have to start to
-   meet the objective; half a priority band is added so that the rank of a
-   late step does not fall below its band.  Long-running steps come before all
-   others. */
-static int64_t
-compute_rank (const struct rst_planner *planner, const struct step *step)
-{
-  const struct job *job = step->occurrence->job;
-  const struct rst_queue *queue = &job->queue->settings;
-  int64_t start_by_rank
-      = step->start_by_ms - planner->unix_ms + RANK_BAND_PRIORITY / 2;
-  int64_t priority_offset = queue->priority == 0 ? 0 : RANK_BAND_PRIORITY;
-
-  if (planner->order == RST_STEP_ORDER_FIFO)
-    return step->occurrence->due_ms;
-  if (step->spec->long_running)
-    return 0;
-  if (planner->unix_ms > step->occurrence->due_ms
-                             + MISSED_OBJECTIVE_FACTOR * step->objective_ms)
-    return RANK_BAND_MISSED + start_by_rank;
-  if (job->over_share)
-    return RANK_BAND_OVER_SHARE + start_by_rank;
-  if (planner->unix_ms > step->start_by_ms)
-    return RANK_BAND_LATE + priority_offset + start_by_rank;
-  return priority_offset + start_by_rank;
-}
-
 static gint
 compare_ranks (gconstpointer a, gconstpointer b)
 {
@@ -579,7 +482,7 @@
   else if (job->queue->settings.needs_approval)
     rst_plan_request_advice (planner, step, unplaced);
   /* Reserved last: the gang's own request counts this room too. */
-  if (is_stored && step->spec->gang && step->rank < RANK_BAND_MISSED
+  if (is_stored && step->spec->gang && rst_plan_rank_has_value (step)
       && *reserving_gangs < get_reserving_gangs_max (planner))
     {
       ++*reserving_gangs;
@@ -596,7 +499,7 @@
     {
       struct step *step = g_ptr_array_index (planner->waiting_steps, i);
 
-      step->rank = compute_rank (planner, step);
+      step->rank = rst_plan_compute_rank (planner, step);
       if (step->tasks_waiting > 0)
         continue;
       step->enqueued = false;
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -6,11 +6,12 @@
  * the instances that they hold.  plan_instances.c: instances and reports.
  * plan_runs.c: runs, from the start order to the end.  plan_ends.c: ends that
  * wait to be stored.  plan_crash.c: which runs a crash of their instance is
- * attributed to.  plan_trial.c: trials of suspects.  plan_place.c: placement
- * of waiting tasks.  plan_limit.c: upper limits of customers.  plan_pace.c:
- * the pace of best-effort tasks. plan_advice.c: requests to the advice
- * service.  plan_journal.c: which records are committed when; plan_record.c
- * writes records, plan_restore.c reads them.
+ * attributed to.  plan_trial.c: trials of suspects.  plan_rank.c: the order
+ * of waiting steps.  plan_place.c: placement of waiting tasks.  plan_limit.c:
+ * upper limits of customers.  plan_pace.c: the pace of best-effort tasks.
+ * plan_advice.c: requests to the advice service.  plan_journal.c: which
+ * records are committed when; plan_record.c writes records, plan_restore.c
+ * reads them.
  */
 #ifndef RST_PLANNER_PRIVATE_H
 #define RST_PLANNER_PRIVATE_H
@@ -442,6 +443,31 @@
     suspects. */
 void rst_plan_end_gang_trial (const struct step *step);
 
+/* plan_rank.c */
+
+/** rst_plan_get_expected_run_ms() - Expected run time of a task of a step, in
+    milliseconds. */
+double rst_plan_get_expected_run_ms (const struct job *job, int index);
+
+/** rst_plan_get_remaining_path_ms() - Expected run time of a step and of those
+    that follow it, in milliseconds. */
+double rst_plan_get_remaining_path_ms (const struct step *step);
+
+/** rst_plan_compute_rank() - Position of a step among the waiting steps; the
+    lowest is placed first. */
+int64_t rst_plan_compute_rank (const struct rst_planner *planner,
+                               const struct step *step);
+
+/** rst_plan_rank_has_value() - Whether the job of a ranked step can still end
+    before it has no value any more. */
+bool rst_plan_rank_has_value (const struct step *step);
+
+/**
+ * rst_plan_set_objective() - Sets by when a step has to start for its job to
+ * meet the objective.
+ */
+void rst_plan_set_objective (struct step *step);
+
 /* plan_place.c */
 
 /** rst_plan_task_may_start() - Whether a task has to be started and may be,
@@ -486,12 +512,6 @@
 void rst_plan_reserve_slots (struct instance *instance,
                              const struct step *step, int slots);
 
-/**
- * rst_plan_set_objective() - Sets by when a step has to start for its job to
- * meet the objective.
- */
-void rst_plan_set_objective (struct step *step);
-
 /* plan_pace.c */
 
 /** rst_plan_set_poll_wait() - Sets how long the long polls of an instance
