Place nothing through agents that miss two heartbeats

Cause: when a zone is cut off, the planner noticed it with the close of the silent links, after 1,250 ms; until then it placed a third of all tasks on the zone's instances, and jobs with such a task wait for the leases (6 s). Change: an agent that has not answered the heartbeats of 400 ms that others answered gets no starts and no advice requests; it is used again with its next answer. Agents are compared with each other, so a planner that reads all answers late goes on. Ruled out: to close links sooner (each close reassigns instances, and a takeover needs the record to stand still anyway); a comparison with the clock.

--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -285,6 +285,8 @@
     {
       struct agent *agent = g_ptr_array_index (planner->agents, i);
 
+      if (!rst_plan_agent_answers (planner, agent))
+        continue;
       if (agent->open_requests > 0
           && agent->busy_until - planner->now > LONG_REQUEST_MS)
         long_requests++;
--- a/src/cell/plan_agents.c
+++ b/src/cell/plan_agents.c
@@ -15,6 +15,11 @@
 /** Time between hold messages for an instance whose agent does not report. */
 #define HOLD_RETRY_MS 700
 
+/** An agent that has not answered the heartbeats of this long, while others
+    have, gets no new work.  Heartbeats are sent every 250 ms, so it has missed
+    two; a link is closed as silent only after 1,250 ms. */
+#define AGENT_SILENCE_MAX_MS 400
+
 rst_ms
 rst_plan_get_latest_lease_expiry (const struct rst_planner *planner)
 {
@@ -241,6 +246,7 @@
   agent->link = link;
   g_strlcpy (agent->name, name, sizeof agent->name);
   g_strlcpy (agent->zone, zone, sizeof agent->zone);
+  agent->answered_at = planner->now;
   g_ptr_array_add (planner->agents, agent);
   rst_info (RST_PLAN_LOG, "Agent connected.", "agent", name, "zone", zone);
   rst_plan_assign_instances (planner);
@@ -254,8 +260,22 @@
 {
   struct agent *agent = find_agent (planner, link);
 
-  if (agent != NULL)
-    agent->heard_until = MAX (agent->heard_until, at);
+  if (agent == NULL)
+    return;
+  planner->pass_wanted |= !rst_plan_agent_answers (planner, agent);
+  agent->heard_until = MAX (agent->heard_until, at);
+  agent->answered_at = MAX (agent->answered_at, at);
+  planner->last_answered_at = MAX (planner->last_answered_at, at);
+}
+
+/* Compares agents with each other and not with the time, so that a planner
+   which reads all answers late does not stop placing tasks. */
+bool
+rst_plan_agent_answers (const struct rst_planner *planner,
+                        const struct agent *agent)
+{
+  return agent->answered_at + AGENT_SILENCE_MAX_MS
+         >= planner->last_answered_at;
 }
 
 /* Start orders sent through an agent that has disconnected may never be
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -283,7 +283,9 @@
 {
   return instance->registered && instance->runs_known && instance->recorded
          && entry_is_current (instance) && !instance->has_unknown_run
-         && instance->agent != NULL && !instance->entry.draining
+         && instance->agent != NULL
+         && rst_plan_agent_answers (planner, instance->agent)
+         && !instance->entry.draining
          && !may_be_used_by_successor (planner, instance)
          && planner->now >= instance->paused_until
          && (g_hash_table_size (planner->evacuated_zones) == 0
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -223,6 +223,13 @@
  */
 bool rst_plan_raise_fencing_token (struct instance *instance);
 
+/**
+ * rst_plan_agent_answers() - Whether an agent answers heartbeats, compared
+ * with the other agents; otherwise it gets no new starts or advice requests.
+ */
+bool rst_plan_agent_answers (const struct rst_planner *planner,
+                             const struct agent *agent);
+
 /** rst_plan_send_hold() - Orders an instance's agent to hold it. */
 void rst_plan_send_hold (struct rst_planner *planner,
                          struct instance *instance);
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -74,6 +74,9 @@
   /* All reports that it made before this time have arrived. */
   rst_ms heard_until;
   int instance_count;
+  /* When the last heartbeat that it answered was sent; at first, when it
+     connected. */
+  rst_ms answered_at;
 };
 
 /**
@@ -623,6 +626,8 @@
   GPtrArray *candidates;
   /* Counters; current sizes are filled in when they are read. */
   struct rst_planner_stats stats;
+  /* When the last heartbeat that any agent answered was sent. */
+  rst_ms last_answered_at;
 };
 
 #endif
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,8 @@
   int64_t unix_offset = 0;
   // Whether agents answer heartbeats.
   bool are_agents_heard = true;
+  // Links of agents that answer no heartbeats.
+  std::set<uint64_t> silent_links;
   // Whether instances may have ends that their reports do not list.
   bool has_more_ends = false;
   std::vector<uint64_t> links;
@@ -93,7 +96,7 @@
     if (is_confirmed)
       rst_planner_set_confirmed (planner, now);
     for (uint64_t link : links)
-      if (are_agents_heard)
+      if (are_agents_heard && silent_links.count (link) == 0)
         rst_planner_set_link_heard (planner, link, now);
   }
 
--- a/test/unit/planner_liveness_test.cc
+++ b/test/unit/planner_liveness_test.cc
@@ -97,3 +97,68 @@
   EXPECT_LE (counts[1], 6);
   EXPECT_GE (counts[3], 2);
 }
+
+// Two zones with an agent each; the second one is cut off.
+class CutZone : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    cell.configure ();
+    cell.add_agent (1, "a");
+    cell.add_agent (2, "b");
+    cell.add_instance ("i-a", false, "a");
+    cell.add_instance ("i-b", false, "b");
+    rst_planner_finish_restore (cell.planner);
+    cell.report (1, "i-a", {});
+    cell.report (2, "i-b", {});
+    cell.settle ();
+    cell.sent.clear ();
+  }
+
+  // Returns the instances on which the tasks of a job are started that fills
+  // both.
+  std::set<std::string>
+  place_job (const char *id)
+  {
+    std::set<std::string> used;
+
+    cell.sent.clear ();
+    cell.send_call (7, RST_OPERATION_SUBMIT, id, Planner::make_job (16, 500));
+    cell.settle ();
+    for (const Sent &start : cell.sent_of_kind (RST_MSG_START))
+      used.insert (start.id);
+    return used;
+  }
+
+  Planner cell;
+};
+
+// Fails if tasks start over a link that is still open but silent: they would
+// be in doubt until their leases expire.
+TEST_F (CutZone, GetsNoTasksBeforeItsLinkIsClosed)
+{
+  cell.silent_links.insert (2);
+  cell.advance_time (450);
+  EXPECT_EQ (place_job (job_a), (std::set<std::string>{ "i-a" }));
+}
+
+// Fails if instances stay unused once their agent answers again.
+TEST_F (CutZone, GetsTasksAgainWhenItsAgentAnswers)
+{
+  cell.silent_links.insert (2);
+  cell.advance_time (450);
+  cell.silent_links.clear ();
+  cell.advance_time (50);
+  EXPECT_EQ (place_job (job_a), (std::set<std::string>{ "i-a", "i-b" }));
+}
+
+// Fails if a planner that reads the answers of all agents late, such as after
+// it stood still, stops placing tasks.
+TEST_F (CutZone, IsNotAssumedWhenNoAgentIsHeard)
+{
+  cell.are_agents_heard = false;
+  cell.advance_time (1000);
+  EXPECT_EQ (place_job (job_a), (std::set<std::string>{ "i-a", "i-b" }));
+}
