Place tasks by the speed of the instances

Cause: placement considers free capacity, failures and a rack, but not speed. On instances of two speeds an urgent task that starts on a slow one ends late though faster ones have room, and a gang runs at the speed of its slowest member.

Change: plan_speed.c compares the runs of a step once three quarters of its tasks are done, and later ends with these. Only completed runs count whose start was answered to this planner and whose instance was heard throughout; not gangs, long-running and best-effort tasks. Run times are first converted to the usual speed with what is known of each instance: otherwise a step that is placed on slow instances only would make them appear usual. The usual speed is the median of the instances, computed once a second. The speed is a term of score_best_fit(), orders the instances of a gang before their room, and is part of the order in which advice requests name instances. Setting placement.speed of celld, true by default. A speed is forgotten with the incarnation.

Ruled out: a mean of the run times per instance without regard to the step (kinds of tasks differ by a factor of ten); samples from each end against the ends so far (the first ones are the fastest); the instance's clock for the time of a run (it is not known for a start that only a list confirms).

--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -32,6 +32,11 @@
     among as few requests of different agents as this allows. */
 #define REQUEST_INSTANCES_MAX 60
 
+/** Weight of the score of an instance's speed among instances that are named,
+    in thousandths of a core: a failure counts 4,000 here and 0.5 in a score of
+    placement. */
+#define SPEED_SCORE_WEIGHT 8000.0
+
 /** Requests expected to take up to this long reserve room on the instances
     that they name. */
 #define RESERVING_REQUEST_MAX_MS 200
@@ -198,8 +203,11 @@
          instance approved before comes first, then the best fit. */
       candidate.score
           = gang ? -candidate.slots * candidate.chance
+                       * rst_plan_get_gang_worth (instance)
                  : (double)(instance->entry.capacity.cpu - instance->used.cpu)
-                       - 100000.0 * (candidate.chance >= 1.0);
+                       - 100000.0 * (candidate.chance >= 1.0)
+                       + SPEED_SCORE_WEIGHT
+                             * rst_plan_score_speed (planner, instance, step);
       /* Instances where runs failed lately come later.  For a single task, a
          failure counts as much as four free cores. */
       candidate.score += 4000.0 * MIN (instance->failures, 4);
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -468,6 +468,7 @@
   instance->last_acked_end = 0;
   instance->committing_end = 0;
   instance->failures = 0;
+  rst_plan_forget_speed (instance);
   if (instance->registered && !entry_is_current (instance))
     log_other_entry (instance);
 }
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -54,6 +54,7 @@
       g_free (occurrence->steps[i].checkpoint);
       g_free (occurrence->steps[i].tasks);
       g_hash_table_destroy (occurrence->steps[i].approvals);
+      rst_plan_free_speed_runs (&occurrence->steps[i]);
       if (occurrence->steps[i].held_instances != NULL)
         g_array_free (occurrence->steps[i].held_instances, TRUE);
     }
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -92,10 +92,11 @@
 }
 
 /* Lower is better.  Scores the share of the instance's processors that are
-   left free, and penalties for an instance where the task or other tasks
-   failed and for one that is not in the rack of the step's data. */
+   left free, its speed, and penalties for an instance where the task or other
+   tasks failed and for one that is not in the rack of the step's data. */
 static double
-score_best_fit (const struct instance *instance, const struct step *step,
+score_best_fit (const struct rst_planner *planner,
+                const struct instance *instance, const struct step *step,
                 const struct task *task)
 {
   double free_share = (double)(instance->entry.capacity.cpu
@@ -109,6 +110,7 @@
   if (step->spec->rack[0] != '\0'
       && strcmp (step->spec->rack, instance->entry.rack) != 0)
     total += 3.0;
+  total += rst_plan_score_speed (planner, instance, step);
   return total;
 }
 
@@ -124,7 +126,7 @@
     case RST_FIT_RANDOM:
       return score_pseudo_randomly (instance, task);
     default:
-      return score_best_fit (instance, step, task);
+      return score_best_fit (planner, instance, step, task);
     }
 }
 
@@ -248,12 +250,17 @@
 static gint
 compare_slots (gconstpointer a, gconstpointer b)
 {
-  return ((const struct instance_slots *)b)->slots
-         - ((const struct instance_slots *)a)->slots;
+  const struct instance_slots *left = a;
+  const struct instance_slots *right = b;
+  int left_class = rst_instance_speed_get_class (left->instance->log_speed);
+  int right_class = rst_instance_speed_get_class (right->instance->log_speed);
+
+  return left_class != right_class ? right_class - left_class
+                                   : right->slots - left->slots;
 }
 
 /* Finds the instances that a gang may use and how many of its tasks fit each
-   of them, most first. */
+   of them: the fastest first, and of like speed, the one that most fit. */
 static GArray *
 find_gang_slots (struct rst_planner *planner, const struct step *step,
                  bool has_ticket, int *total)
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -332,6 +332,8 @@
       run->instance->rejections = 0;
       run->instance->last_clock_ms
           = MAX (run->instance->last_clock_ms, clock_ms);
+      if (!run->has_started)
+        run->confirmed_at = planner->now;
       rst_plan_run_mark_started (run);
       return;
     }
@@ -494,7 +496,10 @@
         {
           instance->failures = 0;
           if (run != NULL)
-            update_mean_run_time (planner, run);
+            {
+              update_mean_run_time (planner, run);
+              rst_plan_learn_speed (planner, run);
+            }
           record_task_done (planner, task);
         }
       else if (end->end_reason == RST_END_FAILED)
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -66,6 +66,8 @@
  *   may start; the planner does not use it.
  * @link_bytes_per_ms: Bandwidth of this machine's link to the store; 0 if it
  *   is not known.
+ * @ignores_speed: Whether placement treats all instances as equally fast, see
+ *   plan_speed.c.
  */
 struct rst_planner_timing
 {
@@ -74,6 +76,7 @@
   rst_ms status_ms;
   rst_ms early_ms;
   int64_t link_bytes_per_ms;
+  bool ignores_speed;
 };
 
 /**
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -9,6 +9,7 @@
  * attributed to.  plan_trial.c: trials of suspects.  plan_rank.c: the order
  * of waiting steps.  plan_place.c: placement of waiting tasks.  plan_limit.c:
  * upper limits of customers.  plan_pace.c: the pace of best-effort tasks.
+ * plan_speed.c: speeds of instances, learned from their runs.
  * plan_advice.c: requests to the advice service.  plan_journal.c: which
  * records are committed when; plan_record.c writes records, plan_restore.c
  * reads them.
@@ -526,6 +527,34 @@
 void rst_plan_adjust_pace (struct rst_planner *planner,
                            struct instance *instance);
 
+/* plan_speed.c */
+
+/** rst_plan_learn_speed() - Learns from a run that has completed its task,
+    which is not yet marked as done. */
+void rst_plan_learn_speed (struct rst_planner *planner, const struct run *run);
+
+/** rst_plan_free_speed_runs() - Frees the ended runs kept for a step. */
+void rst_plan_free_speed_runs (struct step *step);
+
+/** rst_plan_forget_speed() - Forgets the speed of an instance, which has a new
+    incarnation. */
+void rst_plan_forget_speed (struct instance *instance);
+
+/** rst_plan_check_speeds() - Updates the speeds that are assumed of the
+    instances, if that is due. */
+void rst_plan_check_speeds (struct rst_planner *planner);
+
+/** rst_plan_score_speed() - What the speed of an instance adds to its score
+    for a task of a step; lower is better. */
+double rst_plan_score_speed (const struct rst_planner *planner,
+                             const struct instance *instance,
+                             const struct step *step);
+
+/** rst_plan_get_gang_worth() - How much a task of a gang is worth on an
+    instance; 1 on one of the usual speed.  The slowest instance determines the
+    run time of a gang. */
+double rst_plan_get_gang_worth (const struct instance *instance);
+
 /* plan_limit.c */
 
 /**
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -11,6 +11,7 @@
 #include <ck_queue.h>
 
 #include "cell/fault_private.h"
+#include "cell/instance_speed.h"
 #include "cell/planner.h"
 #include "util/log.h"
 
@@ -227,6 +228,10 @@
   int failures;
   /* Rejected starts since the last one that succeeded, up to 4. */
   int rejections;
+  /* Heterogeneous instances (plan_speed.c): what was learned of its present
+     incarnation, and the logarithm of the speed that is assumed of it. */
+  struct rst_instance_speed speed;
+  double log_speed;
 };
 
 /**
@@ -286,6 +291,9 @@
   int pace_percent;
   rst_ms pace_sent_at;
   struct customer *customer;
+  /* Heterogeneous instances (plan_speed.c): when the instance's answer to the
+     start order arrived; 0 if the run is only known from a list. */
+  rst_ms confirmed_at;
 };
 
 struct step;
@@ -386,6 +394,10 @@
      NULL; and since when the trial waits, or 0. */
   GArray *held_instances;
   rst_ms trial_wanted_at;
+  /* Heterogeneous instances (plan_speed.c): struct rst_speed_run, the ended
+     runs to compare, or NULL; and whether they have been compared. */
+  GArray *speed_runs;
+  bool speed_runs_compared;
 };
 
 /** struct occurrence - One execution of all steps of a job. */
@@ -623,6 +635,10 @@
   GPtrArray *candidates;
   /* Counters; current sizes are filled in when they are read. */
   struct rst_planner_stats stats;
+  /* Heterogeneous instances (plan_speed.c): the median of the instances'
+     estimated speeds, and when it is computed next. */
+  double usual_speed;
+  rst_ms next_speed_check_at;
 };
 
 #endif
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -62,6 +62,8 @@
   char cpu_share[16];
   char link_mbps[16];
   char log_level[16];
+  /* Heterogeneous instances (cell/plan_speed.c). */
+  bool placement_speed;
 };
 
 static const char *const log_levels[]
@@ -85,6 +87,8 @@
   INT ("early_ms", early_ms, 0, 60000),
   TEXT ("machine.cpu_share", RST_CONF_STRING, false, cpu_share),
   TEXT ("machine.link_mbps", RST_CONF_STRING, false, link_mbps),
+  { "placement.speed", RST_CONF_BOOL, false,
+    offsetof (struct settings, placement_speed), sizeof (bool), 0, 0, NULL },
   { "log.level", RST_CONF_CHOICE, false, offsetof (struct settings, log_level),
     16, 0, 0, log_levels },
 };
@@ -185,6 +189,7 @@
   config.timing.link_bytes_per_ms
       = (int64_t)(g_ascii_strtod (settings->link_mbps, NULL)
                   * BYTES_PER_MS_AND_MBPS);
+  config.timing.ignores_speed = !settings->placement_speed;
   config.jitter_ms = (rst_ms)(rst_os_random () % TAKEOVER_JITTER_MS);
   config.standby_delay_ms = get_standby_delay_ms (settings);
   celld->node = rst_cell_node_create (&config);
@@ -205,6 +210,7 @@
 
   celld.settings.lease_max_ms = 6000;
   celld.settings.status_s = 120;
+  celld.settings.placement_speed = true;
   g_strlcpy (celld.settings.log_level, "info",
              sizeof celld.settings.log_level);
   status = rst_program_configure (&program, argc, argv, &celld.settings);
