Find instances that become slow by the progress of their runs

Cause: the speed of an instance was learned from the ends of runs only. Tasks run for up to 4 s and more, so that an instance that becomes slow or stands still went on to get urgent tasks for that long.

Change: at most once a second, the rate at which each run of an instance makes progress is compared with the rate that it had at first. If the rate of most of them has changed clearly, the change counts as up to four samples. A straggler is slow from its start on and gives none; gangs are left out, since their members wait for the slowest.

Also: in the median of the speeds, instances of which little is known count as usual. Before, the only instance that was known to be slow was the usual one, so that it went on to be used. The new test found this.

Tests: speed_placement_test.cc took i-3 for the slow instance, which comes last anyway, so that AvoidsASlowInstance and ForgetsTheSpeedWithTheIncarnation passed without the code that they are about. The slow one is now the one that comes first without knowledge.

Ruled out: the rate against the caller's estimate (off by a factor of two within one kind of task); progress that goes on at the same rate as a sample (it would confirm the present estimate for ever, so that nothing is tried again).

--- a/src/cell/instance_speed.c
+++ b/src/cell/instance_speed.c
@@ -30,6 +30,18 @@
     that is no longer used is tried again after about a minute. */
 #define HALF_LIFE_MS 20000.0
 
+/** Shortest time over which the rate of a run is measured, and the least
+    progress that is expected over it, in percent.  Progress is reported in
+    whole percent, so that a rate over 5 % is wrong by a fifth at most. */
+#define RATE_INTERVAL_MS 1000
+#define RATE_PERCENT_MIN 5
+
+/** Progress from which the rate of a run is no longer compared. */
+#define RATE_PERCENT_MAX 95
+
+/** Difference of logarithms from which the rate of a run has changed. */
+#define RATE_CHANGE_MIN 0.3
+
 /** Width of a class of speeds. */
 #define CLASS_WIDTH (2.0 * RST_SPEED_ALIKE)
 
@@ -120,6 +132,43 @@
   return difference * weight / (weight + HALF_BELIEVED_WEIGHT);
 }
 
+bool
+rst_run_progress_compare (struct rst_run_progress *progress, int percent,
+                          double log_speed, rst_ms now, double *log_sample)
+{
+  rst_ms elapsed = now - progress->at;
+  int made = percent - progress->percent;
+  double expected = progress->rate * (double)elapsed;
+  double change;
+
+  if (progress->at == 0 || made < 0)
+    {
+      progress->percent = percent;
+      progress->at = now;
+      return false;
+    }
+  if (elapsed < RATE_INTERVAL_MS)
+    return false;
+  if (progress->rate <= 0.0)
+    {
+      if (made < RATE_PERCENT_MIN)
+        return false;
+      progress->rate = (double)made / (double)elapsed;
+      progress->log_speed = log_speed;
+      progress->percent = percent;
+      progress->at = now;
+      return false;
+    }
+  if (expected < RATE_PERCENT_MIN
+      || progress->percent + expected > RATE_PERCENT_MAX)
+    return false;
+  progress->percent = percent;
+  progress->at = now;
+  change = log (MAX (made, 1) / expected);
+  *log_sample = progress->log_speed + change;
+  return fabs (change) >= RATE_CHANGE_MIN;
+}
+
 bool
 rst_instance_speed_is_alike (double log_speed)
 {
--- a/src/cell/instance_speed.h
+++ b/src/cell/instance_speed.h
@@ -51,6 +51,21 @@
   rst_ms ended_at;
 };
 
+/**
+ * struct rst_run_progress - Rate at which a run makes progress.
+ * @percent: Progress at the last comparison.
+ * @at: Time of the last comparison; 0 before the first report.
+ * @rate: Percent per millisecond up to the first comparison; 0 before it.
+ * @log_speed: Speed that was assumed of the instance at that time.
+ */
+struct rst_run_progress
+{
+  int percent;
+  rst_ms at;
+  double rate;
+  double log_speed;
+};
+
 /** rst_speed_compare_runs() - Orders runs by @log_work, for sorting. */
 int rst_speed_compare_runs (const void *a, const void *b);
 
@@ -89,6 +104,23 @@
 double rst_instance_speed_get (const struct rst_instance_speed *speed,
                                double usual, rst_ms now);
 
+/**
+ * rst_run_progress_compare() - Compares the rate of a run since the last
+ * comparison with its rate before.
+ * @percent: Its progress.
+ * @log_speed: Speed that is assumed of its instance.
+ * @now: Time of the report.
+ * @log_sample: Set to the logarithm of the speed of the instance if true is
+ *   returned.
+ *
+ * A straggler is slow from its start on and gives no sample.
+ *
+ * Return: Whether the rate has clearly changed.
+ */
+bool rst_run_progress_compare (struct rst_run_progress *progress, int percent,
+                               double log_speed, rst_ms now,
+                               double *log_sample);
+
 /** rst_instance_speed_is_alike() - Whether an instance counts as one of the
     usual speed. */
 bool rst_instance_speed_is_alike (double log_speed);
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -448,6 +448,7 @@
   if (!has_more_ends && !runs->bad)
     drop_unlisted_runs (planner, instance, listed, clock_ms);
   rst_plan_adjust_pace (planner, instance);
+  rst_plan_learn_progress (planner, instance);
   g_hash_table_destroy (listed);
 }
 
--- a/src/cell/plan_speed.c
+++ b/src/cell/plan_speed.c
@@ -20,6 +20,15 @@
 /** Maximum number of runs of a step that are kept for comparison. */
 #define COMPARED_RUNS_MAX 256
 
+/** Shortest time between two comparisons of the progress of an instance's
+    runs. */
+#define PROGRESS_INTERVAL_MS 1000
+
+/** Maximum number of samples from one such comparison: an instance of which
+    twenty samples are known counts as slow after two comparisons of four runs
+    at half the rate. */
+#define PROGRESS_SAMPLES_MAX 4
+
 /** Multiple of its objective within which a late job still has some value. */
 #define VALUE_FACTOR 3
 
@@ -121,6 +130,71 @@
     rst_plan_free_speed_runs (step);
 }
 
+static gint
+compare_doubles (gconstpointer a, gconstpointer b)
+{
+  double left = *(const double *)a;
+  double right = *(const double *)b;
+
+  return left < right ? -1 : left > right;
+}
+
+/* Collects the speeds that the runs of an instance show whose rate has
+   changed.  Returns the number of all runs whose rate is compared. */
+static guint
+collect_rate_changes (const struct rst_planner *planner,
+                      struct instance *instance, GArray *samples)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint compared = 0;
+
+  g_hash_table_iter_init (&iter, instance->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct run *run = value;
+      const struct step *step = run->task->step;
+      double sample;
+
+      if (run->state != RUN_RUNNING || step->spec->gang
+          || step->spec->best_effort || step->spec->long_running)
+        continue;
+      if (rst_run_progress_compare (&run->rate, run->progress_percent,
+                                    instance->log_speed, planner->now,
+                                    &sample))
+        g_array_append_val (samples, sample);
+      compared += run->rate.rate > 0.0 ? 1 : 0;
+    }
+  return compared;
+}
+
+void
+rst_plan_learn_progress (const struct rst_planner *planner,
+                         struct instance *instance)
+{
+  GArray *samples;
+  guint compared;
+
+  if (planner->timing.ignores_speed
+      || planner->now - instance->progress_compared_at < PROGRESS_INTERVAL_MS)
+    return;
+  instance->progress_compared_at = planner->now;
+  samples = g_array_new (FALSE, FALSE, sizeof (double));
+  compared = collect_rate_changes (planner, instance, samples);
+  /* A single task may have phases; a change of most runs is that of their
+     instance. */
+  if (samples->len > 0 && samples->len * 2 > compared)
+    {
+      g_array_sort (samples, compare_doubles);
+      for (guint i = 0; i < MIN (samples->len, PROGRESS_SAMPLES_MAX); i++)
+        rst_instance_speed_add (
+            &instance->speed,
+            g_array_index (samples, double, samples->len / 2), planner->now);
+      update_log_speed (planner, instance);
+    }
+  g_array_free (samples, TRUE);
+}
+
 void
 rst_plan_free_speed_runs (struct step *step)
 {
@@ -138,17 +212,9 @@
   instance->log_speed = 0.0;
 }
 
-static gint
-compare_doubles (gconstpointer a, gconstpointer b)
-{
-  double left = *(const double *)a;
-  double right = *(const double *)b;
-
-  return left < right ? -1 : left > right;
-}
-
-/* Returns the median of the speeds of the instances of which enough is known,
-   or 0 if there are none. */
+/* Returns the median of the instances' speeds.  Those of which little is known
+   count as usual: otherwise the only one that is known to be slow would be the
+   usual one. */
 static double
 compute_usual_speed (const struct rst_planner *planner)
 {
@@ -161,10 +227,14 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct instance *instance = value;
-
-      if (rst_instance_speed_get_weight (&instance->speed, planner->now)
-          >= RST_SPEED_RUNS_MIN)
-        g_array_append_val (speeds, instance->speed.log_speed);
+      double speed
+          = rst_instance_speed_get_weight (&instance->speed, planner->now)
+                    >= RST_SPEED_RUNS_MIN
+                ? instance->speed.log_speed
+                : 0.0;
+
+      if (instance->registered)
+        g_array_append_val (speeds, speed);
     }
   g_array_sort (speeds, compare_doubles);
   if (speeds->len > 0)
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -533,6 +533,11 @@
     which is not yet marked as done. */
 void rst_plan_learn_speed (struct rst_planner *planner, const struct run *run);
 
+/** rst_plan_learn_progress() - Learns from the progress of the runs that a
+    report lists. */
+void rst_plan_learn_progress (const struct rst_planner *planner,
+                              struct instance *instance);
+
 /** rst_plan_free_speed_runs() - Frees the ended runs kept for a step. */
 void rst_plan_free_speed_runs (struct step *step);
 
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -232,6 +232,8 @@
      incarnation, and the logarithm of the speed that is assumed of it. */
   struct rst_instance_speed speed;
   double log_speed;
+  /* When the progress of its runs was last compared. */
+  rst_ms progress_compared_at;
 };
 
 /**
@@ -294,6 +296,7 @@
   /* Heterogeneous instances (plan_speed.c): when the instance's answer to the
      start order arrived; 0 if the run is only known from a list. */
   rst_ms confirmed_at;
+  struct rst_run_progress rate;
 };
 
 struct step;
--- a/test/unit/instance_speed_test.cc
+++ b/test/unit/instance_speed_test.cc
@@ -85,6 +85,33 @@
       rst_instance_speed_get (&estimate, log (0.5), now)));
 }
 
+// Guards against an instance that becomes slow, or stands still, being found
+// only when its runs end.
+TEST (SpeedProgress, ShowsAChangeOfTheRate)
+{
+  rst_run_progress progress = {};
+  double sample = 0.0;
+
+  for (int second = 0; second < 4; second++)
+    EXPECT_FALSE (rst_run_progress_compare (&progress, 10 * second, -0.1,
+                                            1000 * (second + 1), &sample));
+  EXPECT_TRUE (rst_run_progress_compare (&progress, 35, -0.1, 5000, &sample));
+  EXPECT_NEAR (sample, -0.1 + log (0.5), 1e-6);
+  EXPECT_TRUE (rst_run_progress_compare (&progress, 35, -0.5, 6000, &sample));
+  EXPECT_LT (sample, -2.0);
+}
+
+// A straggler is slow for its own reasons.
+TEST (SpeedProgress, OfAStragglerShowsNothing)
+{
+  rst_run_progress progress = {};
+  double sample;
+
+  for (int second = 0; second < 30; second++)
+    EXPECT_FALSE (rst_run_progress_compare (&progress, 2 * second, 0.0,
+                                            1000 * (second + 1), &sample));
+}
+
 TEST (SpeedMedian, LeavesOneRunOut)
 {
   rst_speed_run runs[4] = {};
--- a/test/unit/speed_placement_test.cc
+++ b/test/unit/speed_placement_test.cc
@@ -6,13 +6,22 @@
 using harness::Planner;
 using harness::Sent;
 
-// A cell of four instances, of which i-3 is slower than the others.
+// A cell of four instances, of which one is slow.
 class SpeedPlacement : public ::testing::Test
 {
 protected:
-  // Runs a job of four tasks, one on each instance; those on i-3 take
-  // @slow_ms, the others @usual_ms.  Returns the instances in the order of the
-  // start orders.
+  // Serves, and runs a first job.  Returns its instances in the order in which
+  // it starts on them, all of the same speed.
+  std::vector<std::string>
+  start (Planner &cell, int64_t run_ms)
+  {
+    cell.start_serving (4);
+    return run_job (cell, run_ms, run_ms, run_ms);
+  }
+
+  // Runs a job of four tasks, one on each instance; that on the slow one
+  // takes @slow_ms, the others @usual_ms.  Returns the instances in the order
+  // of the start orders.
   std::vector<std::string>
   run_job (Planner &cell, int64_t estimate_ms, rst_ms usual_ms, rst_ms slow_ms)
   {
@@ -40,11 +49,11 @@
       }
     cell.advance_time (usual_ms);
     for (const Sent &start : starts)
-      if (start.id != "i-3")
+      if (start.id != slow)
         end (cell, start);
     cell.advance_time (slow_ms - usual_ms);
     for (const Sent &start : starts)
-      if (start.id == "i-3")
+      if (start.id == slow)
         end (cell, start);
     cell.settle ();
     return order;
@@ -55,19 +64,38 @@
   {
     cell.report (1, start.id,
                  { Planner::make_ended_run (++ends[start.id], start.task, 1,
-                                            RST_END_DONE) });
+                                            RST_END_DONE) },
+                 start.id == slow ? incarnation : 1);
   }
 
-  // Returns the position of i-3 among the instances that a job starts on.
+  // Returns the position of the slow one among the instances that a job starts
+  // on.
   long
   get_position (Planner &cell, int64_t estimate_ms)
   {
     std::vector<std::string> order
         = run_job (cell, estimate_ms, estimate_ms, estimate_ms);
 
-    return std::find (order.begin (), order.end (), "i-3") - order.begin ();
+    return std::find (order.begin (), order.end (), slow) - order.begin ();
+  }
+
+  static std::vector<rst_run>
+  list_runs (const std::vector<Sent> &starts, const std::string &id,
+             int percent)
+  {
+    std::vector<rst_run> runs;
+
+    for (const Sent &start : starts)
+      if (start.id == id)
+        {
+          runs.push_back (Planner::make_running_run (start.task, 1));
+          runs.back ().progress_percent = percent;
+        }
+    return runs;
   }
 
+  std::string slow;
+  int64_t incarnation = 1;
   int jobs = 0;
   std::map<std::string, int64_t> ends;
 };
@@ -78,18 +106,19 @@
 {
   Planner cell;
 
-  cell.start_serving (4);
+  slow = start (cell, 500).front ();
   for (int i = 0; i < 12; i++)
     run_job (cell, 500, 500, 2000);
   EXPECT_EQ (get_position (cell, 500), 3);
 }
 
-// Tasks of 20 ms are not late on i-3 even if one takes seven times as long.
+// Tasks of 20 ms are not late on the slow instance even if one takes seven
+// times as long.
 TEST_F (SpeedPlacement, LeavesFastInstancesWithTimeToSpare)
 {
   Planner cell;
 
-  cell.start_serving (4);
+  slow = start (cell, 20).back ();
   for (int i = 0; i < 12; i++)
     run_job (cell, 20, 20, 35);
   EXPECT_EQ (get_position (cell, 20), 0);
@@ -99,24 +128,16 @@
 TEST_F (SpeedPlacement, ForgetsTheSpeedWithTheIncarnation)
 {
   Planner cell;
-  std::vector<std::string> before;
 
-  cell.start_serving (4);
-  before = run_job (cell, 500, 500, 2000);
+  slow = start (cell, 500).front ();
   for (int i = 0; i < 12; i++)
     run_job (cell, 500, 500, 2000);
-  cell.add_instance ("i-3", false, "a", 2);
-  cell.report (1, "i-3", {}, 2);
+  cell.add_instance (slow, false, "a", 2);
+  cell.report (1, slow, {}, 2);
   cell.settle ();
-  rst_jobdesc *desc = Planner::make_job (4, 3000);
-
-  cell.send_call (900, RST_OPERATION_SUBMIT, "00000000000000ff", desc);
-  cell.settle ();
-  std::vector<std::string> after;
-
-  for (const Sent &start : cell.sent_of_kind (RST_MSG_START))
-    after.push_back (start.id);
-  EXPECT_EQ (after, before);
+  ends[slow] = 0;
+  incarnation = 2;
+  EXPECT_EQ (get_position (cell, 500), 0);
 }
 
 // With the setting off, the order of the start orders is that of a planner
@@ -124,10 +145,9 @@
 TEST_F (SpeedPlacement, IgnoresSpeedsWhenItIsTurnedOff)
 {
   Planner cell (1, 0, true);
-  std::vector<std::string> first;
+  std::vector<std::string> first = start (cell, 500);
 
-  cell.start_serving (4);
-  first = run_job (cell, 500, 500, 2000);
+  slow = first.front ();
   for (int i = 0; i < 12; i++)
     EXPECT_EQ (run_job (cell, 500, 500, 2000), first);
 }
@@ -136,11 +156,42 @@
 TEST_F (SpeedPlacement, AllSlowIsUsual)
 {
   Planner cell;
-  std::vector<std::string> first;
+  std::vector<std::string> first = start (cell, 500);
 
-  cell.start_serving (4);
-  first = run_job (cell, 500, 500, 500);
   for (int i = 0; i < 12; i++)
     run_job (cell, 500, 2000, 2000);
   EXPECT_EQ (run_job (cell, 500, 500, 500), first);
 }
+
+// The runs on an instance make less progress than before, then none.  A job
+// that comes then starts there last, though no run has ended.
+TEST_F (SpeedPlacement, FindsASlowInstanceByTheProgressOfItsRuns)
+{
+  Planner cell;
+  rst_jobdesc *desc = Planner::make_job (8, 500);
+  std::vector<Sent> starts;
+
+  slow = start (cell, 500).front ();
+  cell.sent.clear ();
+  desc->steps[0].max_per_instance = 2;
+  desc->steps[0].estimate_ms = 20000;
+  cell.send_call (1, RST_OPERATION_SUBMIT, "00000000000000aa", desc);
+  cell.settle ();
+  starts = cell.sent_of_kind (RST_MSG_START);
+  ASSERT_EQ (starts.size (), 8u);
+  for (const Sent &start : starts)
+    cell.answer_order (1, RST_MSG_STARTED, start.id, start.task, 1,
+                       RST_RESULT_OK);
+  for (int second = 0; second < 9; second++)
+    {
+      cell.advance_time (1000);
+      for (const char *id : { "i-0", "i-1", "i-2", "i-3" })
+        {
+          int percent = id == slow ? std::min (5 * second, 22) : 5 * second;
+
+          cell.report (1, id, list_runs (starts, id, percent));
+        }
+    }
+  cell.sent.clear ();
+  EXPECT_EQ (get_position (cell, 500), 3);
+}
