--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -450,6 +450,7 @@
   if (!has_more_ends && !runs->bad)
     drop_unlisted_runs (planner, instance, listed, clock_ms);
   rst_plan_adjust_pace (planner, instance);
+  rst_plan_learn_progress (planner, instance);
   g_hash_table_destroy (listed);
 }
 
@@ -470,6 +471,7 @@
   instance->last_acked_end = 0;
   instance->committing_end = 0;
   instance->failures = 0;
+  rst_plan_forget_speed (instance);
   if (instance->registered && !entry_is_current (instance))
     log_other_entry (instance);
 }
