--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -226,8 +226,7 @@
       if (rst_plan_is_suspect (task)
           || !rst_plan_task_may_start (planner, task))
         continue;
-      if (!rst_plan_is_below_limit (step, 1)
-          || !rst_plan_leaves_headroom_for_urgent (planner, step))
+      if (!rst_plan_is_below_limit (step, 1))
         return 0;
       instance = unplaced == 0
                      ? choose_instance (planner, candidates, step, task)
@@ -404,7 +403,6 @@
   GHashTableIter iter;
   gpointer value;
 
-  planner->pass++;
   g_ptr_array_set_size (planner->schedulable_instances, 0);
   g_array_set_size (planner->unmet_needs, 0);
   g_hash_table_iter_init (&iter, planner->instances);
@@ -460,19 +458,6 @@
   return false;
 }
 
-/* Whether a step is one of the first gangs of a pass, for which room may be
-   reserved; counts it. */
-static bool
-may_reserve (const struct rst_planner *planner, const struct step *step,
-             int *reserving_gangs)
-{
-  if (!step->spec->gang || !rst_plan_rank_has_value (step)
-      || *reserving_gangs >= get_reserving_gangs_max (planner))
-    return false;
-  ++*reserving_gangs;
-  return true;
-}
-
 static void
 place_step (struct rst_planner *planner, struct step *step,
             int *reserving_gangs)
@@ -487,13 +472,6 @@
     return;
   if (!is_first_gang_request && !has_room_for_step (planner, step))
     return;
-  if (!is_first_gang_request
-      && !rst_plan_leaves_headroom_for_urgent (planner, step))
-    {
-      if (may_reserve (planner, step, reserving_gangs))
-        rst_plan_use_batch_cpu (planner, step, step->spec->count);
-      return;
-    }
   /* A successor waits only for the runs of occurrences in the journal, so
      nothing of another one starts; but advice may already be requested. */
   if (!is_stored)
@@ -511,8 +489,12 @@
   else if (job->queue->settings.needs_approval)
     rst_plan_request_advice (planner, step, unplaced);
   /* Reserved last: the gang's own request counts this room too. */
-  if (is_stored && may_reserve (planner, step, reserving_gangs))
-    reserve_for_gang (planner, step);
+  if (is_stored && step->spec->gang && rst_plan_rank_has_value (step)
+      && *reserving_gangs < get_reserving_gangs_max (planner))
+    {
+      ++*reserving_gangs;
+      reserve_for_gang (planner, step);
+    }
 }
 
 void
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -70,7 +70,6 @@
     task->step->tasks_waiting--;
   rst_resources_add (&instance->used, &run->need, 1);
   rst_resources_add (&run->customer->used, &run->need, 1);
-  job->queue->used_cpu += run->need.cpu;
   g_hash_table_replace (instance->runs, run->name, run);
   return run;
 }
@@ -104,7 +103,6 @@
   rst_plan_end_trial (run);
   rst_resources_add (&run->instance->used, &run->need, -1);
   rst_resources_add (&run->customer->used, &run->need, -1);
-  task->step->occurrence->job->queue->used_cpu -= run->need.cpu;
   task->run = NULL;
   task->freed_at = planner->now;
   if (!task->done)
@@ -191,7 +189,6 @@
   struct start_batch *batch = get_start_batch (planner, instance->agent->link);
 
   rst_plan_run_new (planner, task, instance, attempt);
-  rst_plan_use_batch_cpu (planner, step, 1);
   task->in_doubt = false;
   count_start (planner, step->occurrence->job);
   batch->count++;
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -62,8 +62,6 @@
   planner->instances = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                               rst_plan_instance_free);
   planner->instances_by_number = g_hash_table_new (NULL, NULL);
-  planner->pool_headrooms
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   planner->ends_log = g_string_new (NULL);
   planner->advice_requests = g_hash_table_new_full (
       g_int64_hash, g_int64_equal, NULL, rst_plan_advice_request_free);
@@ -112,7 +110,6 @@
   g_ptr_array_free (planner->repeating_jobs, TRUE);
   g_ptr_array_free (planner->dirty_jobs, TRUE);
   g_ptr_array_free (planner->committing_jobs, TRUE);
-  g_hash_table_destroy (planner->pool_headrooms);
   g_ptr_array_free (planner->schedulable_instances, TRUE);
   g_ptr_array_free (planner->candidates, TRUE);
   g_ptr_array_free (planner->trial_instances, TRUE);
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -68,8 +68,6 @@
  *   is not known.
  * @ignores_speed: Whether placement treats all instances as equally fast, see
  *   plan_speed.c.
- * @urgent_headroom_percent: Percentage of the recent use by urgent tasks that
- *   batch tasks leave free beside it; 0 for none.
  */
 struct rst_planner_timing
 {
@@ -79,7 +77,6 @@
   rst_ms early_ms;
   int64_t link_bytes_per_ms;
   bool ignores_speed;
-  int64_t urgent_headroom_percent;
 };
 
 /**
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -10,7 +10,6 @@
  * of waiting steps.  plan_place.c: placement of waiting tasks.  plan_limit.c:
  * upper limits of customers.  plan_pace.c: the pace of best-effort tasks.
  * plan_speed.c: speeds of instances, learned from their runs.
- * plan_headroom.c: room that batch steps leave to urgent ones.
  * plan_advice.c: requests to the advice service.  plan_journal.c: which
  * records are committed when; plan_record.c writes records, plan_restore.c
  * reads them.
@@ -535,20 +534,6 @@
 void rst_plan_adjust_pace (struct rst_planner *planner,
                            struct instance *instance);
 
-/* plan_headroom.c */
-
-/**
- * rst_plan_leaves_headroom_for_urgent() - Whether the next task of a step, or
- * a gang as a whole, leaves the room that is kept for urgent tasks.
- */
-bool rst_plan_leaves_headroom_for_urgent (struct rst_planner *planner,
-                                          const struct step *step);
-
-/** rst_plan_use_batch_cpu() - Counts tasks of a step that are started, or for
-    which room is reserved, against the room of batch steps in this pass. */
-void rst_plan_use_batch_cpu (struct rst_planner *planner,
-                             const struct step *step, int tasks);
-
 /* plan_speed.c */
 
 /** rst_plan_learn_speed() - Learns from a run that has completed its task,
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -12,7 +12,6 @@
 
 #include "cell/fault_private.h"
 #include "cell/instance_speed.h"
-#include "cell/headroom.h"
 #include "cell/planner.h"
 #include "util/log.h"
 
@@ -436,19 +435,6 @@
   double mean_run_ms;
   struct rst_histogram first_start_ms;
   struct rst_histogram job_ms;
-  /* Processors that its runs reserve. */
-  int64_t used_cpu;
-};
-
-/** struct pool_headroom - Room that batch steps leave in a pool. */
-struct pool_headroom
-{
-  struct rst_headroom headroom;
-  /* The pass for which it was determined, and the processors that batch steps
-     may still take in it. */
-  uint64_t pass;
-  int64_t batch_cpu;
-  rst_ms next_log_at;
 };
 
 /** struct customer - A customer, configured or known from the journal. */
@@ -661,10 +647,6 @@
      estimated speeds, and when it is computed next. */
   double usual_speed;
   rst_ms next_speed_check_at;
-  /* Headroom for urgent tasks (plan_headroom.c): struct pool_headroom by name
-     of the pool, and the number of the present placement pass. */
-  GHashTable *pool_headrooms;
-  uint64_t pass;
 };
 
 #endif
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -40,8 +40,6 @@
  *   not known.
  * @checkpoints_dropped: Checkpoints that were not kept because all of them
  *   take too much memory.
- * @batch_held_back: How often a batch step was held back in a pass for the
- *   room that is kept for urgent tasks.
  * @pace_orders: Orders sent that set the pace of a run.
  * @journal_bytes: Size of the journal's segments, which a successor reads.
  * @journal_needed_bytes: About what they would have without replaced records.
@@ -76,7 +74,6 @@
   uint64_t tasks_given_up;
   uint64_t leases_expired;
   uint64_t checkpoints_dropped;
-  uint64_t batch_held_back;
   uint64_t pace_orders;
   uint64_t commits;
   struct rst_histogram commit_ms;
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -149,10 +149,6 @@
   rst_metrics_add_counter (page, "trials_total",
                            "Starts of tasks suspected of crashes.",
                            stats->trials);
-  rst_metrics_add_counter (
-      page, "batch_held_back_total",
-      "Placements of batch steps held back for urgent tasks.",
-      stats->batch_held_back);
   rst_metrics_add_counter (page, "tasks_given_up_total",
                            "Tasks given up as instances crash under them.",
                            stats->tasks_given_up);
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -64,8 +64,6 @@
   char log_level[16];
   /* Heterogeneous instances (cell/plan_speed.c). */
   bool placement_speed;
-  /* Headroom for urgent tasks (cell/plan_headroom.c). */
-  int64_t urgent_headroom_percent;
 };
 
 static const char *const log_levels[]
@@ -91,7 +89,6 @@
   TEXT ("machine.link_mbps", RST_CONF_STRING, false, link_mbps),
   { "placement.speed", RST_CONF_BOOL, false,
     offsetof (struct settings, placement_speed), sizeof (bool), 0, 0, NULL },
-  INT ("placement.urgent_headroom_percent", urgent_headroom_percent, 0, 200),
   { "log.level", RST_CONF_CHOICE, false, offsetof (struct settings, log_level),
     16, 0, 0, log_levels },
 };
@@ -193,7 +190,6 @@
       = (int64_t)(g_ascii_strtod (settings->link_mbps, NULL)
                   * BYTES_PER_MS_AND_MBPS);
   config.timing.ignores_speed = !settings->placement_speed;
-  config.timing.urgent_headroom_percent = settings->urgent_headroom_percent;
   config.jitter_ms = (rst_ms)(rst_os_random () % TAKEOVER_JITTER_MS);
   config.standby_delay_ms = get_standby_delay_ms (settings);
   celld->node = rst_cell_node_create (&config);
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -50,12 +50,10 @@
 public:
   explicit Planner (int64_t epoch = 1, int64_t link_bytes_per_ms = 0,
                     bool ignores_speed = false)
-      : Planner (make_timing (link_bytes_per_ms, ignores_speed), epoch)
-  {
-  }
-  Planner (const rst_planner_timing &timing, int64_t epoch)
   {
     rst_planner_ops ops = { on_send, on_reply, on_commit, this };
+    rst_planner_timing timing
+        = { 14000, 6000, 120000, 250, link_bytes_per_ms, ignores_speed };
 
     planner = rst_planner_create (&ops, &timing, epoch);
     set_time (1000);
@@ -114,45 +112,27 @@
       }
   }
 
-  static rst_planner_timing
-  make_timing (int64_t link_bytes_per_ms = 0, bool ignores_speed = false)
-  {
-    return { 14000, 6000, 120000, 250, link_bytes_per_ms, ignores_speed };
-  }
-
-  static rst_queue *
-  make_queue (const char *name, const char *prefix, int priority = 0)
+  // Configures a queue "q" and a customer with a limit; 0 means none.
+  void
+  configure (int64_t cpu_limit = 0, bool needs_approval = false,
+             int64_t version = 1)
   {
+    rst_cellconfig *config = rst_cellconfig_create ();
     auto *queue = g_new0 (rst_queue, 1);
+    auto *customer = g_new0 (rst_customer, 1);
 
-    queue->name = g_strdup (name);
+    config->version = version;
+    queue->name = g_strdup ("q");
     queue->host = g_strdup ("h");
-    queue->prefix = g_strdup (prefix);
+    queue->prefix = g_strdup ("/q/");
     queue->pool = g_strdup ("pool");
-    queue->priority = priority;
     queue->max_failures = 3;
     queue->slack_permille = 3000;
     queue->target_ms = 500;
+    queue->needs_approval = needs_approval;
     queue->advice_ms = 10;
     queue->advice_valid_ms = 2000;
-    return queue;
-  }
-
-  // Configures a queue "q", which is urgent, a batch queue "b" if wanted, and
-  // a customer with a limit; 0 means none.
-  void
-  configure (int64_t cpu_limit = 0, bool needs_approval = false,
-             int64_t version = 1, bool has_batch_queue = false)
-  {
-    rst_cellconfig *config = rst_cellconfig_create ();
-    rst_queue *queue = make_queue ("q", "/q/");
-    auto *customer = g_new0 (rst_customer, 1);
-
-    config->version = version;
-    queue->needs_approval = needs_approval;
     g_ptr_array_add (config->queues, queue);
-    if (has_batch_queue)
-      g_ptr_array_add (config->queues, make_queue ("b", "/b/", 1));
     customer->name = g_strdup ("c");
     customer->weight = 100;
     customer->limit.cpu = cpu_limit;
