--- a/tools/lib/cluster.sh
+++ b/tools/lib/cluster.sh
@@ -37,6 +37,8 @@
 # process group and waits for its line "ready" on standard output.
 start_program ()
 {
+  # The program's earlier line must not be read.
+  rm -f "$run_dir/$1.out"
   "$bin_dir/$2" --settings "$3" >"$run_dir/$1.out" 2>>"$run_dir/$1.log" &
   pid_of[$1]=$!
   wait_for_start "$1" '^ready' "$run_dir/$1.out" || return 1
@@ -49,6 +51,8 @@
 # "Started.".
 start_platform_daemon ()
 {
+  # The program's earlier line must not be read.
+  rm -f "$run_dir/$1.log"
   "$bin_dir/$2" --settings "$3" >"$run_dir/$1.log" 2>&1 &
   pid_of[$1]=$!
   wait_for_start "$1" 'Started\.' "$run_dir/$1.log" || return 1
