Refuse bodies whose parsed form is much larger than any job

Cause: json-c takes some 800 bytes for an object of three bytes, so a legal body of 262,000 bytes of {},{},... grows to 60 MB in jobd and entryd. Labels, racks and images had no bound of their own, and a job could have 64 x 10,000 tasks, for which the planner keeps some 100 bytes each.

Change: a scan before the parser refuses a body with more than 1,024 containers or 16,384 commas (the largest job has 130 and some 3,200). The caller gets the same answer as for any body that is no job.

--- a/src/coordination/entry_request.c
+++ b/src/coordination/entry_request.c
@@ -17,6 +17,10 @@
 /** Timeout of an operation on jobs. */
 #define JOB_CALL_TIMEOUT_MS 10000
 
+/** Bound on the values of a job, which has some 20 and no list. */
+#define JOB_CONTAINERS_MAX 1024
+#define JOB_SEPARATORS_MAX 16384
+
 /** Scheme in the Authorization header, before the key. */
 #define BEARER_PREFIX "Bearer "
 
@@ -145,10 +149,22 @@
                  const struct rst_entry_request *request,
                  const struct rst_team *team)
 {
+  static const struct rst_json_bound bound
+      = { JOB_CONTAINERS_MAX, JOB_SEPARATORS_MAX };
   struct rst_job_call *call;
   struct pending_request *pending;
-  char *id = make_job_id (entry, request);
   bool is_list = request->operation == RST_JOB_LIST;
+  char *id;
+
+  if (request->operation == RST_JOB_SUBMIT
+      && !rst_json_is_within (request->body, request->length, &bound))
+    {
+      rst_entry_reply_error (entry, handle, 400, RST_REQUEST_NOT_RUN,
+                             "bad-request",
+                             "body: has more values than a job may have");
+      return;
+    }
+  id = make_job_id (entry, request);
 
   if (!is_list
       && (strlen (id) == 0 || strlen (id) > RST_JOB_ID_MAX_BYTES
--- a/src/state/json.c
+++ b/src/state/json.c
@@ -7,6 +7,30 @@
 
 #include "state/text.h"
 
+bool
+rst_json_is_within (const char *text, size_t length,
+                    const struct rst_json_bound *bound)
+{
+  size_t containers = 0;
+  size_t separators = 0;
+  bool in_string = false;
+
+  for (size_t i = 0; i < length; i++)
+    {
+      if (in_string && text[i] == '\\')
+        i++;
+      else if (text[i] == '"')
+        in_string = !in_string;
+      else if (in_string)
+        continue;
+      else if (text[i] == '{' || text[i] == '[')
+        containers++;
+      else if (text[i] == ',')
+        separators++;
+    }
+  return containers <= bound->containers && separators <= bound->separators;
+}
+
 struct json_object *
 rst_json_parse (const char *text)
 {
--- a/src/state/json.h
+++ b/src/state/json.h
@@ -13,6 +13,31 @@
 
 #include <json-c/json.h>
 
+/**
+ * struct rst_json_bound - Bound on the values of a text.
+ * @containers: Maximum number of objects and arrays.
+ * @separators: Maximum number of commas, which bounds the other values.
+ */
+struct rst_json_bound
+{
+  size_t containers;
+  size_t separators;
+};
+
+/**
+ * rst_json_is_within() - Checks a text before it is parsed.
+ * @text: The text, which need not be JSON.
+ * @length: Length of @text in bytes.
+ * @bound: The bound.
+ *
+ * An object takes some 800 bytes when it is parsed, so a text of "{},{},..."
+ * grows 270 times.
+ *
+ * Return: Whether the text is within the bound.
+ */
+bool rst_json_is_within (const char *text, size_t length,
+                         const struct rst_json_bound *bound);
+
 /**
  * rst_json_parse() - Parses JSON text.
  * @text: NUL-terminated text.
--- a/test/unit/adapter_test.cc
+++ b/test/unit/adapter_test.cc
@@ -335,6 +335,44 @@
   EXPECT_EQ (std::string (problem).substr (0, 6), "after:");
 }
 
+// Guards against jobs within the bound on a body that take much more memory
+// than it, at jobd and in the planner.
+TEST (Adapter, RejectsJobThatIsMuchLargerThanAnyOrdinaryOne)
+{
+  auto parse = [] (const std::string &members) {
+    std::string text = "{\"spec\":\"x\",\"phases\":[" + members + "]}";
+    const char *problem = "";
+    rst_jobdesc *desc = rst_adapter_parse_job (text.c_str (), &problem);
+    std::string result = desc != nullptr ? "" : problem;
+
+    rst_jobdesc_destroy (desc);
+    return result.substr (0, result.find (':'));
+  };
+  auto repeat = [] (const std::string &text, int count) {
+    std::string all = text;
+
+    for (int i = 1; i < count; i++)
+      all += "," + text;
+    return all;
+  };
+  std::string filler (255, 'x');
+  std::string first = repeat ("{\"after\":[]}", 64);
+
+  EXPECT_EQ (parse (repeat ("{\"count\":781}", 64)), "");
+  EXPECT_EQ (parse (repeat ("{\"count\":782}", 64)), "phases");
+  EXPECT_EQ (parse ("{\"constraints\":\"" + filler + "\",\"affinity\":\""
+                    + filler + "\",\"image\":\"" + filler + "\"}"),
+             "");
+  EXPECT_EQ (parse ("{\"constraints\":\"" + filler + "x\"}"), "constraints");
+  EXPECT_EQ (parse ("{\"affinity\":\"" + filler + "x\"}"), "affinity");
+  EXPECT_EQ (parse ("{\"image\":\"" + std::string (1025, 'x') + "\"}"),
+             "image");
+  EXPECT_EQ (parse (first), "");
+  EXPECT_EQ (parse ("{},{\"after\":[" + repeat ("0", 65) + "]}"), "after");
+  EXPECT_EQ (parse (repeat ("{}", 1100)), "body");
+  EXPECT_EQ (parse ("{\"more\":[" + repeat ("0", 20000) + "]}"), "body");
+}
+
 TEST (Adapter, NamesTheNumberOfAJobThatIsOutOfRange)
 {
   static const struct
--- a/test/unit/state_test.cc
+++ b/test/unit/state_test.cc
@@ -13,6 +13,7 @@
 {
 #include "protocol/message.h"
 #include "state/job.h"
+#include "state/json.h"
 #include "state/settings.h"
 #include "util/conf.h"
 }
@@ -270,4 +271,21 @@
   g_string_free (problems, TRUE);
 }
 
+// Guards against a small body that grows many times when it is parsed.
+TEST (JsonBound, CountsValuesOutsideOfStrings)
+{
+  rst_json_bound bound = { 3, 2 };
+  auto is_within = [&bound] (const std::string &text) {
+    return rst_json_is_within (text.c_str (), text.size (), &bound);
+  };
+
+  EXPECT_TRUE (is_within ("[{},{},1]"));
+  EXPECT_FALSE (is_within ("[{},{},{}]"));
+  EXPECT_FALSE (is_within ("[1,1,1,1]"));
+  EXPECT_TRUE (is_within ("{\"[[[[,,,,\\\"[[[[,,,,\":\"{{{{,,,,\\\\\"}"));
+  EXPECT_FALSE (is_within ("\"\\\\\"[[[["));
+  EXPECT_TRUE (is_within ("\"\\"));
+  EXPECT_TRUE (is_within (""));
+}
+
 }
