HTTP server: one budget for the bodies of a process

Cause: each open connection could hold a whole body for as long as it stayed open, and a full listener accepted nobody else.

Change: src/transport/body_budget.c decides which connection makes room: the one whose body has been incomplete for longest, and for connections the one that has been idle or incomplete for longest. Complete requests never do. A complete request without room gets 503 with Retry-After 1 and is not passed on. The HTTP library's memory of a connection can be set (32 KB by default). The rest of a refused body is read, so that the kernel doesn't hold it, up to twice the largest body; then the connection is closed. The receive buffer is 64 KB, since a connection is not read while its request waits for the answer.

Without a configured budget the bytes are not bounded, as before.

Ruled out: reserving the declared length (a few bytes would use up the budget), timeouts for each connection (the library scans all of them at each event), and not reading while there is no room (the kernel's buffers grow instead).

--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -10,9 +10,15 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "transport/shared_budget.h"
+
 struct rst_http_server;
 struct rst_http_request;
 
+/** Value of Retry-After of a request for which there is no room, in seconds.
+    Requests hold what they have for 3 s at most. */
+#define RST_HTTP_NO_ROOM_RETRY_S 1
+
 /**
  * typedef rst_http_handler - Handles a request whose body is complete.
  * @request: The request, valid until it is replied to or aborted.
@@ -30,10 +36,15 @@
  * @address: Listening address "IP:PORT"; port 0 lets the kernel choose.
  * @max_body_bytes: Maximum size of a request body; larger ones are rejected
  *   with status 413.
- * @max_connections: Maximum number of open connections.
+ * @max_connections: Maximum number of open connections.  When there are more,
+ *   the one that has been idle or incomplete for longest is closed.
  * @max_connections_per_ip: Maximum number of connections from one IP address;
  *   0 for no limit.
  * @idle_timeout_s: Idle time after which a connection is closed.
+ * @connection_bytes: Memory of the HTTP library for each connection, which
+ *   bounds the headers; 0 for the library's default, 32 KB.
+ * @budget: Budget of the bytes that requests hold, or NULL for no bound.  The
+ *   server's owner frees it after the server.
  * @handler: Request handler.
  * @userdata: Passed to @handler.
  */
@@ -44,6 +55,8 @@
   unsigned max_connections;
   unsigned max_connections_per_ip;
   unsigned idle_timeout_s;
+  size_t connection_bytes;
+  struct rst_shared_budget *budget;
   rst_http_handler handler;
   void *userdata;
 };
@@ -108,6 +121,26 @@
 const char *rst_http_request_body (const struct rst_http_request *request,
                                    size_t *length);
 
+/**
+ * rst_http_request_keep() - Frees the body, and counts what is kept in its
+ * place until the answer.
+ * @request: A pending request; its body is "" afterwards.
+ * @bytes: Number of bytes, such as those of a message made of the request.
+ *
+ * Return: As rst_http_request_hold().
+ */
+bool rst_http_request_keep (struct rst_http_request *request, size_t bytes);
+
+/**
+ * rst_http_request_hold() - Counts memory that is kept until the answer.
+ * @request: A pending request.
+ * @bytes: Number of bytes in addition to those of the body.
+ *
+ * Return: Whether the budget has room for them.  If not, the request has to be
+ * rejected and must not be carried out.
+ */
+bool rst_http_request_hold (struct rst_http_request *request, size_t bytes);
+
 /**
  * rst_http_request_client_has_left() - Returns whether the client has closed
  * its side of the connection.
@@ -140,6 +173,13 @@
 void rst_http_request_reply_json (struct rst_http_request *request,
                                   unsigned status, const char *text);
 
+/**
+ * rst_http_request_reply_no_room() - Replies with status 503 that there is no
+ * room for the request, which was not carried out.
+ * @request: The request; must not be used afterwards.
+ */
+void rst_http_request_reply_no_room (struct rst_http_request *request);
+
 /**
  * rst_http_request_abort() - Closes the connection without a response.
  * @request: The request; must not be used afterwards.
