Links: bound the peers and the bytes of their incomplete frames

Cause: the listeners of peers accepted any number of connections and kept up to the largest frame for each as long as a byte came now and then; a buffer kept the size of its largest frame.

Change: with a budget, the connection whose frame has been incomplete for longest is closed when there is no room. Beyond the maximum of accepted connections the one that has been silent for longest is closed; links whose peer has delivered a frame are kept. A large buffer is freed when it is empty. Without a budget nothing changes but for the order of the calls.

Open: complete frames that wait in the mailbox have no bound on their bytes.

--- a/src/transport/net.c
+++ b/src/transport/net.c
@@ -29,6 +29,9 @@
 /** Maximum number of bytes read from a socket per event. */
 #define NET_READ_MAX_BYTES 65536
 
+/** An empty receive buffer above this size is freed, in bytes. */
+#define NET_IDLE_BUFFER_BYTES 16384
+
 /** Listen backlog: connections waiting to be accepted. */
 #define NET_BACKLOG 256
 
@@ -49,6 +52,10 @@
 
 struct connection
 {
+  /* Used if there is a budget. */
+  struct rst_body_holder holder;
+  /* Whether its peer has delivered a frame. */
+  bool has_delivered;
   uint64_t id;
   int fd;
   bool connecting;
@@ -71,6 +78,8 @@
   /* Ids of the connections whose frames are sent after all queued commands
      have been processed, so that one system call sends several. */
   GArray *to_flush;
+  struct rst_body_group accepted;
+  struct rst_body_group opened;
   pthread_t thread;
   atomic_bool stop_requested;
   atomic_uint_fast64_t next_id;
@@ -88,6 +97,7 @@
   g_free (connection);
 }
 
+/* @connecting tells whether this process opens the connection. */
 static struct connection *
 add_connection (struct rst_net *net, uint64_t id, int fd, bool connecting)
 {
@@ -108,6 +118,9 @@
   event.data.u64 = id;
   epoll_ctl (net->epoll_fd, EPOLL_CTL_ADD, fd, &event);
   g_hash_table_insert (net->connections, &connection->id, connection);
+  rst_shared_budget_open (net->config.budget,
+                          connecting ? &net->opened : &net->accepted,
+                          &connection->holder);
   return connection;
 }
 
@@ -125,6 +138,7 @@
   uint64_t id = connection->id;
 
   rst_debug (LOG_DOMAIN, "Connection closed.", "reason", reason);
+  rst_shared_budget_close (net->config.budget, &connection->holder);
   g_hash_table_remove (net->connections, &id);
   emit_event (net, RST_NET_CLOSED, id, reason, strlen (reason));
 }
@@ -276,20 +290,81 @@
   flush_connections (net);
 }
 
+/* Closes a connection to make room for others. */
+static void
+evict_connection (struct rst_net *net, struct rst_body_holder *holder,
+                  const char *reason)
+{
+  G_STATIC_ASSERT (offsetof (struct connection, holder) == 0);
+  close_connection (net, (struct connection *)holder, reason);
+}
+
+/* Counts the receive buffer with @size more bytes, and closes connections to
+   make room for them.  Returns whether there is room. */
+static bool
+charge_received (struct rst_net *net, struct connection *connection,
+                 size_t size)
+{
+  static const char reason[] = "no room for a peer's frame";
+  size_t needed = connection->receive_buffer->len + size;
+  size_t capacity = 1;
+  enum rst_body_decision decision = RST_BODY_GRANTED;
+
+  /* Like the array, which doubles. */
+  while (capacity < needed)
+    capacity *= 2;
+  while (capacity > connection->holder.bytes)
+    {
+      struct rst_body_holder *victim = NULL;
+
+      decision = rst_shared_budget_charge (
+          net->config.budget, &connection->holder,
+          capacity - connection->holder.bytes, &victim, reason);
+      if (decision != RST_BODY_EVICT)
+        break;
+      evict_connection (net, victim, reason);
+    }
+  return decision == RST_BODY_GRANTED;
+}
+
+/* Notes whether the receive buffer holds a part of a frame. */
+static void
+note_received (struct rst_net *net, struct connection *connection)
+{
+  bool holds_part = connection->receive_buffer->len > 0;
+
+  if (!holds_part && connection->holder.bytes > NET_IDLE_BUFFER_BYTES)
+    {
+      g_byte_array_free (connection->receive_buffer, TRUE);
+      connection->receive_buffer = g_byte_array_new ();
+    }
+  rst_shared_budget_note_part (net->config.budget, &connection->holder,
+                               holds_part, connection->has_delivered);
+}
+
 static void
 accept_connections (struct rst_net *net)
 {
+  static const char too_many_reason[] = "too many connections of peers";
+
   for (;;)
     {
       int fd
           = accept4 (net->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      struct connection *connection;
+      struct rst_body_holder *excess;
       uint64_t id;
 
       if (fd < 0)
         return;
       id = atomic_fetch_add (&net->next_id, 1);
-      add_connection (net, id, fd, false);
+      connection = add_connection (net, id, fd, false);
       emit_event (net, RST_NET_OPENED, id, NULL, 0);
+      excess = rst_shared_budget_find_excess (
+          net->config.budget, &net->accepted, &connection->holder,
+          too_many_reason);
+      if (excess != NULL)
+        evict_connection (net, excess, too_many_reason);
     }
 }
 
@@ -318,9 +393,12 @@
       if (receive_buffer->len - offset - RST_NET_PREFIX_BYTES < length)
         break;
       if (length > 0)
-        emit_event (net, RST_NET_FRAME, id,
-                    receive_buffer->data + offset + RST_NET_PREFIX_BYTES,
-                    length);
+        {
+          connection->has_delivered = true;
+          emit_event (net, RST_NET_FRAME, id,
+                      receive_buffer->data + offset + RST_NET_PREFIX_BYTES,
+                      length);
+        }
       offset += RST_NET_PREFIX_BYTES + length;
     }
   if (offset > 0)
@@ -345,8 +423,14 @@
       return;
     }
   connection->received_at = rst_os_now ();
+  if (!charge_received (net, connection, (size_t)count))
+    {
+      close_connection (net, connection, "no room for its frame");
+      return;
+    }
   g_byte_array_append (connection->receive_buffer, buffer, (guint)count);
-  deliver_frames (net, connection);
+  if (deliver_frames (net, connection))
+    note_received (net, connection);
 }
 
 static void
@@ -507,6 +591,10 @@
   atomic_init (&net->next_id, 2);
   net->connections = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                             connection_free);
+  rst_body_group_init (&net->accepted, config->max_accepted > 0
+                                           ? config->max_accepted
+                                           : UINT32_MAX);
+  rst_body_group_init (&net->opened, UINT32_MAX);
   net->to_flush = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   net->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
   net->mailbox = rst_mailbox_create (NET_QUEUE_SIZE);
--- a/src/transport/net.h
+++ b/src/transport/net.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 
 #include "rosemarystile.h"
+#include "transport/shared_budget.h"
 
 struct rst_net;
 
@@ -62,6 +63,12 @@
  *   a heartbeat is sent within it.
  * @receive_timeout_ms: Time without a received byte after which a connection
  *   is closed; it bounds connecting as well.
+ * @max_accepted: Maximum number of accepted connections; 0 for no limit.  When
+ *   there are more, the one is closed that has been silent or in the middle of
+ *   a frame for longest; one that has delivered a frame only in that case.  If
+ *   there is none, the newest is closed.
+ * @budget: Budget of the bytes of incomplete frames, or NULL for no bound.  No
+ *   other part of the process may charge it.
  * @handler: Event handler.
  * @userdata: Passed to @handler.
  */
@@ -72,6 +79,8 @@
   size_t max_unsent_bytes;
   rst_ms heartbeat_interval_ms;
   rst_ms receive_timeout_ms;
+  unsigned max_accepted;
+  struct rst_shared_budget *budget;
   rst_net_handler handler;
   void *userdata;
 };
