Settings of the callers' limits in jobd, celld, entryd and schedd

Cause: the programs did not know the memory and the descriptors of their machine.

A quarter of the memory is for bodies, half for connections; 200 descriptors are kept from callers. celld uses up to half of its descriptors for calls. jobd frees a body when it has made the frame for the planner, and counts the frame until the answer; entryd counts its two copies. Counters on the metrics pages: bodies_refused_total, closed_for_bytes_total, closed_for_connections_total, body_bytes.

Unknown memory (0) is taken for 256 MB for the budget only, and unknown descriptors leave the number of connections as it was.

--- a/src/daemon/cell_loop.c
+++ b/src/daemon/cell_loop.c
@@ -16,7 +16,6 @@
 #define MAILBOX_SIZE 32768
 
 /** Maximum size of a frame, and of the unsent data of a link. */
-#define LINK_FRAME_MAX_BYTES (4 * 1024 * 1024)
 #define LINK_BUFFER_MAX_BYTES (16 * 1024 * 1024)
 
 /** Time between heartbeats on a link, and the time without any data after
@@ -29,6 +28,10 @@
 #define PAGE_CONNECTIONS_MAX 8
 #define PAGE_IDLE_TIMEOUT_S 30
 
+/** Maximum number of links that other processes open, if the number of
+    descriptors is not known.  The largest cells have some 140. */
+#define PEERS_DEFAULT 1024
+
 /** Delay before an event is posted again to a full mailbox, in microseconds.
  */
 #define MAILBOX_FULL_PAUSE_US 1000
@@ -38,6 +41,9 @@
   struct rst_cell_loop_config config;
   struct rst_mailbox *mailbox;
   struct rst_net *net;
+  struct rst_shared_budget *budget;
+  struct rst_shared_budget *link_budget;
+  unsigned max_peers;
   const struct rst_backend *backend;
   struct rst_backend wrapped_backend;
   atomic_bool stop_requested;
@@ -98,21 +104,49 @@
   struct rst_cell_loop *loop = g_new0 (struct rst_cell_loop, 1);
 
   loop->config = *config;
+  loop->budget
+      = rst_shared_budget_create (rst_body_limits_get_bytes (config->limits));
+  /* Links and requests are closed by different threads, so each has a budget.
+     A process has many of only one kind. */
+  loop->link_budget
+      = rst_shared_budget_create (rst_body_limits_get_bytes (config->limits));
+  loop->max_peers = rst_body_limits_get_peers (config->limits, PEERS_DEFAULT);
   loop->mailbox = rst_mailbox_create (MAILBOX_SIZE);
   if (loop->mailbox == NULL)
     {
+      rst_shared_budget_destroy (loop->budget);
+      rst_shared_budget_destroy (loop->link_budget);
       g_free (loop);
       return NULL;
     }
   return loop;
 }
 
+void
+rst_cell_loop_read_limit_stats (struct rst_cell_loop *loop,
+                                struct rst_body_stats *out)
+{
+  struct rst_body_stats links;
+
+  rst_shared_budget_read_stats (loop->budget, out);
+  rst_shared_budget_read_stats (loop->link_budget, &links);
+  rst_body_stats_add (out, &links);
+}
+
+struct rst_shared_budget *
+rst_cell_loop_get_budget (struct rst_cell_loop *loop)
+{
+  return loop->budget;
+}
+
 void
 rst_cell_loop_destroy (struct rst_cell_loop *loop)
 {
   if (loop == NULL)
     return;
   rst_net_destroy (loop->net);
+  rst_shared_budget_destroy (loop->link_budget);
+  rst_shared_budget_destroy (loop->budget);
   rst_mailbox_destroy (loop->mailbox);
   g_free (loop);
 }
@@ -158,10 +192,12 @@
   struct rst_net_config config = { 0 };
 
   config.listen = address;
-  config.max_frame_bytes = LINK_FRAME_MAX_BYTES;
+  config.max_frame_bytes = RST_CELL_FRAME_MAX_BYTES;
   config.max_unsent_bytes = LINK_BUFFER_MAX_BYTES;
   config.heartbeat_interval_ms = LINK_HEARTBEAT_MS;
   config.receive_timeout_ms = LINK_SILENCE_TIMEOUT_MS;
+  config.max_accepted = loop->max_peers;
+  config.budget = loop->link_budget;
   config.handler = post_link_event;
   config.userdata = loop;
   return rst_net_create (&config, &loop->net);
@@ -421,6 +457,7 @@
   service->loop = loop;
   service->handler = config->handler;
   service->userdata = config->userdata;
+  server_config.budget = loop->budget;
   server_config.handler = post_http_request;
   server_config.userdata = service;
   return rst_http_server_create (&server_config, out);
@@ -440,6 +477,7 @@
   config.max_body_bytes = PAGE_BODY_MAX_BYTES;
   config.max_connections = PAGE_CONNECTIONS_MAX;
   config.idle_timeout_s = PAGE_IDLE_TIMEOUT_S;
+  config.connection_bytes = RST_BODY_PAGE_CONNECTION_BYTES;
   config.handler = handler;
   config.userdata = userdata;
   return rst_cell_loop_start_http_server (loop, &config, &server);
--- a/src/daemon/cell_loop.h
+++ b/src/daemon/cell_loop.h
@@ -9,10 +9,14 @@
 #define RST_CELL_LOOP_H
 
 #include "cell/backend.h"
+#include "transport/body_budget.h"
 #include "transport/http_server.h"
 #include "transport/net.h"
 #include "util/mailbox.h"
 
+/** Largest frame of a link, in bytes. */
+#define RST_CELL_FRAME_MAX_BYTES (4 * 1024 * 1024)
+
 struct rst_cell_loop;
 
 /**
@@ -32,6 +36,7 @@
  * @userdata: Passed to both.
  * @watches_stalls: Whether the loop notes when the process stands still, see
  *   rst_cell_loop_date_request().
+ * @limits: Limits of the process, read by rst_cell_loop_create() only.
  *
  * Both callbacks are called on the loop's thread.
  */
@@ -42,6 +47,7 @@
   rst_ms (*on_tick) (void *userdata);
   void *userdata;
   bool watches_stalls;
+  const struct rst_body_limits *limits;
 };
 
 /**
@@ -60,6 +66,18 @@
  */
 void rst_cell_loop_destroy (struct rst_cell_loop *loop);
 
+/**
+ * rst_cell_loop_read_limit_stats() - Reads the counters of what was rejected
+ * and closed to stay within the limits; may be called from any thread.
+ */
+void rst_cell_loop_read_limit_stats (struct rst_cell_loop *loop,
+                                     struct rst_body_stats *out);
+
+/** rst_cell_loop_get_budget() - Returns the budget of requests, for servers
+    that are started without the loop. */
+struct rst_shared_budget *
+rst_cell_loop_get_budget (struct rst_cell_loop *loop);
+
 /**
  * rst_cell_loop_listen() - Starts the network thread, which carries links.
  * @address: Address to listen on, "IP:PORT", or NULL to only open links.
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -68,6 +68,7 @@
       rst_metrics_add_histogram (page, "answer_seconds", label,
                                  &stats->answer_ms[i]);
     }
+  rst_metrics_add_limits (page, &stats->limits);
   rst_metrics_add_process (page);
   return g_string_free (page, FALSE);
 }
@@ -219,7 +220,8 @@
 }
 
 char *
-rst_cell_metrics_format_page (const struct rst_cell_node *node)
+rst_cell_metrics_format_page (const struct rst_cell_node *node,
+                              const struct rst_body_stats *limits)
 {
   const struct rst_planner *planner = rst_cell_node_get_planner (node);
   GString *page = g_string_new (NULL);
@@ -240,6 +242,7 @@
       add_latencies (page, &stats);
       add_queues (page, planner);
     }
+  rst_metrics_add_limits (page, limits);
   rst_metrics_add_process (page);
   return g_string_free (page, FALSE);
 }
--- a/src/daemon/cell_metrics.h
+++ b/src/daemon/cell_metrics.h
@@ -6,6 +6,7 @@
 
 #include "cell/messages.h"
 #include "daemon/cell_node.h"
+#include "transport/body_budget.h"
 #include "util/histogram.h"
 
 /** Number of values of enum rst_operation. */
@@ -19,11 +20,13 @@
  * @answers: Number of answers by operation and HTTP status; updated by
  *   rst_call_stats_record().
  * @answer_ms: Time until the answer, by operation.
+ * @limits: What was rejected and closed to stay within the limits.
  */
 struct rst_call_stats
 {
   uint64_t answers[RST_CALL_OPERATION_COUNT][RST_CALL_STATUS_COUNT];
   struct rst_histogram answer_ms[RST_CALL_OPERATION_COUNT];
+  struct rst_body_stats limits;
 };
 
 /**
@@ -48,9 +51,11 @@
 
 /**
  * rst_cell_metrics_format_page() - Formats the metrics page of celld.
+ * @limits: What was rejected and closed to stay within the limits.
  *
  * Return: The page, to be freed with g_free().
  */
-char *rst_cell_metrics_format_page (const struct rst_cell_node *node);
+char *rst_cell_metrics_format_page (const struct rst_cell_node *node,
+                                    const struct rst_body_stats *limits);
 
 #endif
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -13,6 +13,7 @@
 #include "daemon/cell_loop.h"
 #include "daemon/cell_metrics.h"
 #include "daemon/cell_node.h"
+#include "daemon/limit_settings.h"
 #include "transport/http_client.h"
 #include "transport/transport.h"
 #include "util/os.h"
@@ -59,6 +60,7 @@
   int64_t lease_max_ms;
   int64_t status_s;
   int64_t early_ms;
+  struct rst_body_limits limits;
   char cpu_share[16];
   char link_mbps[16];
   char log_level[16];
@@ -83,6 +85,7 @@
   INT ("lease_max_ms", lease_max_ms, 500, 600000),
   INT ("status_s", status_s, 1, 86400),
   INT ("early_ms", early_ms, 0, 60000),
+  RST_LIMIT_FIELDS (struct settings),
   TEXT ("machine.cpu_share", RST_CONF_STRING, false, cpu_share),
   TEXT ("machine.link_mbps", RST_CONF_STRING, false, link_mbps),
   { "log.level", RST_CONF_CHOICE, false, offsetof (struct settings, log_level),
@@ -139,7 +142,11 @@
 serve_metrics (struct rst_http_request *request, void *userdata)
 {
   struct celld *celld = userdata;
-  char *page = rst_cell_metrics_format_page (celld->node);
+  struct rst_body_stats limits;
+  char *page;
+
+  rst_cell_loop_read_limit_stats (celld->loop, &limits);
+  page = rst_cell_metrics_format_page (celld->node, &limits);
 
   rst_http_request_reply (request, 200, "text/plain", page, strlen (page), 0);
   g_free (page);
@@ -190,21 +197,41 @@
   celld->node = rst_cell_node_create (&config);
 }
 
+static bool
+check_settings (const void *target, GString *problems)
+{
+  const struct settings *settings = target;
+
+  return rst_body_limits_check (&settings->limits, problems);
+}
+
+/* Half of the descriptors are left to links and files. */
+static unsigned
+get_connections_max (const struct settings *settings)
+{
+  int64_t max_fds = settings->limits.max_fds;
+
+  return max_fds > 0 ? (unsigned)MIN (max_fds / 2, CONNECTIONS_MAX)
+                     : CONNECTIONS_MAX;
+}
+
 static const struct rst_program program
     = { "rosemarystile-celld",
         "plans a cell and holds leases on its instances", fields,
-        G_N_ELEMENTS (fields), NULL };
+        G_N_ELEMENTS (fields), check_settings };
 
 int
 main (int argc, char **argv)
 {
   struct celld celld = { 0 };
-  struct rst_cell_loop_config loop_config = { on_link_event, on_tick, &celld };
+  struct rst_cell_loop_config loop_config
+      = { on_link_event, on_tick, &celld, false, &celld.settings.limits };
   struct rst_log_config log_config = { false, "info", true };
   int status;
 
   celld.settings.lease_max_ms = 6000;
   celld.settings.status_s = 120;
+  celld.settings.limits.body_bytes = RST_CELL_FRAME_MAX_BYTES;
   g_strlcpy (celld.settings.log_level, "info",
              sizeof celld.settings.log_level);
   status = rst_program_configure (&program, argc, argv, &celld.settings);
@@ -216,8 +243,8 @@
   rst_log_init (program.name, &log_config);
   status = EXIT_FAILURE;
   celld.loop = rst_cell_loop_create (&loop_config);
-  celld.client
-      = rst_http_client_create (CONNECTIONS_MAX, CONNECTIONS_PER_HOST_MAX);
+  celld.client = rst_http_client_create (get_connections_max (&celld.settings),
+                                         CONNECTIONS_PER_HOST_MAX);
   if (celld.loop == NULL || celld.client == NULL)
     goto out;
   celld.adapter = rst_adapter_create (celld.client, celld.settings.store,
--- a/src/daemon/entryd.c
+++ b/src/daemon/entryd.c
@@ -15,6 +15,7 @@
 #include <sodium.h>
 
 #include "coordination/entry.h"
+#include "daemon/limit_settings.h"
 #include "daemon/link.h"
 #include "daemon/metrics.h"
 #include "transport/http_server.h"
@@ -43,14 +44,18 @@
     serves callers but reports that it is not ready. */
 #define STOP_LINGER_MS 300
 
+/** Copies of a body beside the request's own that exist until the answer: in
+    the entry's pending request, and in a frame that is encoded or waits to be
+    sent. */
+#define BODY_COPIES 2
+
 struct settings
 {
   char name[RST_NAME_SIZE];
   char zone[RST_NAME_SIZE];
   char listen[RST_ADDRESS_SIZE];
   struct json_object *schedulers;
-  int64_t max_body_bytes;
-  int64_t max_connections;
+  struct rst_body_limits limits;
   int64_t max_connections_per_ip;
   int64_t max_pending;
   int64_t idle_timeout_s;
@@ -73,8 +78,9 @@
   TEXT ("listen", RST_CONF_ADDRESS, true, listen),
   { "schedulers", RST_CONF_LIST, true, offsetof (struct settings, schedulers),
     0, 0, 0, NULL },
-  INT ("limits.body_bytes", max_body_bytes, 1, 1048576),
-  INT ("limits.connections", max_connections, 1, 100000),
+  INT ("limits.body_bytes", limits.body_bytes, 1, 1048576),
+  INT ("limits.connections", limits.connections, 1, 100000),
+  RST_LIMIT_FIELDS (struct settings),
   INT ("limits.connections_per_ip", max_connections_per_ip, 0, 100000),
   INT ("limits.pending", max_pending, 1, 1000000),
   INT ("limits.idle_s", idle_timeout_s, 1, 3600),
@@ -89,7 +95,7 @@
 {
   const struct settings *settings = target;
   size_t count = json_object_array_length (settings->schedulers);
-  bool valid = true;
+  bool valid = rst_body_limits_check (&settings->limits, problems);
 
   if (count == 0)
     {
@@ -124,6 +130,7 @@
   struct rst_mailbox *mailbox;
   struct rst_link_net link;
   struct rst_http_server *server;
+  struct rst_shared_budget *budget;
   struct rst_entry *entry;
   pthread_t signal_thread;
   atomic_bool stop_requested;
@@ -135,8 +142,8 @@
 set_defaults (struct settings *settings)
 {
   memset (settings, 0, sizeof *settings);
-  settings->max_body_bytes = 1048576;
-  settings->max_connections = 4096;
+  settings->limits.body_bytes = 1048576;
+  settings->limits.connections = 4096;
   settings->max_connections_per_ip = 0;
   settings->max_pending = 4096;
   settings->idle_timeout_s = 60;
@@ -152,6 +159,7 @@
   const struct rst_entry_counters *counters
       = rst_entry_get_counters (daemon->entry);
   GString *page = g_string_new ("");
+  struct rst_body_stats limits;
 
   rst_metrics_add_counter (page, "requests_total", "Requests taken.",
                            counters->requests);
@@ -171,6 +179,8 @@
                          (double)rst_entry_count_pending (daemon->entry));
   rst_metrics_add_gauge (page, "ready", "Whether it can serve callers.",
                          rst_entry_is_ready (daemon->entry));
+  rst_shared_budget_read_stats (daemon->budget, &limits);
+  rst_metrics_add_limits (page, &limits);
   rst_metrics_add_process (page);
   return g_string_free (page, FALSE);
 }
@@ -267,6 +277,11 @@
   request.urgency = rst_http_request_header (http, "X-Urgency");
   request.state = rst_http_request_query (http, "state");
   request.body = rst_http_request_body (http, &request.length);
+  if (!rst_http_request_hold (http, BODY_COPIES * request.length))
+    {
+      rst_http_request_reply_no_room (http);
+      return;
+    }
   rst_entry_handle_request (daemon->entry, http, &request);
 }
 
@@ -377,10 +392,14 @@
   struct rst_entry_config config = { 0 };
 
   server.address = settings->listen;
-  server.max_body_bytes = (size_t)settings->max_body_bytes;
-  server.max_connections = (unsigned)settings->max_connections;
+  server.max_body_bytes = (size_t)settings->limits.body_bytes;
+  server.max_connections = rst_body_limits_get_connections (&settings->limits);
   server.max_connections_per_ip = (unsigned)settings->max_connections_per_ip;
   server.idle_timeout_s = (unsigned)settings->idle_timeout_s;
+  server.connection_bytes = RST_BODY_CONNECTION_BYTES;
+  daemon->budget = rst_shared_budget_create (
+      rst_body_limits_get_bytes (&settings->limits));
+  server.budget = daemon->budget;
   server.handler = on_request;
   server.userdata = daemon;
   if (rst_net_create (&net, &daemon->link.net) != RST_TRANSPORT_OK)
@@ -413,6 +432,7 @@
   rst_net_destroy (daemon->link.net);
   rst_entry_destroy (daemon->entry);
   rst_http_server_destroy (daemon->server);
+  rst_shared_budget_destroy (daemon->budget);
   for (struct rst_event *event = rst_mailbox_take (daemon->mailbox);
        event != NULL; event = rst_mailbox_take (daemon->mailbox))
     rst_event_free (event);
--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -15,6 +15,7 @@
 #include "cell/planner_client.h"
 #include "daemon/cell_loop.h"
 #include "daemon/cell_metrics.h"
+#include "daemon/jobd_settings.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/transport.h"
@@ -37,6 +38,9 @@
 /** Maximum number of calls without an answer; more are rejected. */
 #define PENDING_CALLS_MAX 2000
 
+/** Largest body of a readiness probe, which needs none; in bytes. */
+#define READINESS_BODY_MAX_BYTES 1024
+
 /** How long a stopping process still serves callers while it reports that it
     is not ready, in milliseconds.  The load balancer checks once a second and
     removes a process after two failed checks. */
@@ -49,43 +53,9 @@
  */
 #define DEADLINE_CHECK_INTERVAL_MS 50
 
-struct settings
-{
-  char name[RST_NAME_SIZE];
-  char zone[RST_NAME_SIZE];
-  char listen[RST_ADDRESS_SIZE];
-  char readiness[RST_ADDRESS_SIZE];
-  char store[RST_ADDRESS_SIZE];
-  char metrics[RST_ADDRESS_SIZE];
-  int64_t max_body_bytes;
-  int64_t max_connections;
-  char log_level[16];
-};
-
-static const char *const log_levels[]
-    = { "error", "warning", "info", "debug", NULL };
-
-#define TEXT(path, type, required, member)                                    \
-  RST_CONF_STRING_FIELD (path, type, required, struct settings, member)
-#define INT(path, member, min, max)                                           \
-  RST_CONF_INTEGER_FIELD (path, false, struct settings, member, min, max)
-
-static const struct rst_conf_field fields[] = {
-  TEXT ("name", RST_CONF_NAME, true, name),
-  TEXT ("availability_zone", RST_CONF_NAME, true, zone),
-  TEXT ("listen", RST_CONF_ADDRESS, true, listen),
-  TEXT ("readiness", RST_CONF_ADDRESS, true, readiness),
-  TEXT ("store", RST_CONF_ADDRESS, true, store),
-  TEXT ("metrics", RST_CONF_ADDRESS, false, metrics),
-  INT ("limits.body_bytes", max_body_bytes, 1, 4194304),
-  INT ("limits.connections", max_connections, 1, 100000),
-  { "log.level", RST_CONF_CHOICE, false, offsetof (struct settings, log_level),
-    16, 0, 0, log_levels },
-};
-
 struct jobd
 {
-  struct settings settings;
+  struct rst_jobd_settings settings;
   struct rst_cell_loop *loop;
   struct rst_http_client *client;
   struct rst_adapter *adapter;
@@ -337,6 +307,13 @@
       = call->sent_after + get_caller_wait_ms (request) - DEADLINE_MARGIN_MS;
   pack_call (call, desc);
   rst_jobdesc_destroy (desc);
+  /* The call's frame has all of it that is needed. */
+  if (!rst_http_request_keep (request, sizeof *call + call->frame->len))
+    {
+      free_pending_call (call);
+      send_error (request, 503, "no room for the call", 1);
+      return;
+    }
   g_hash_table_insert (jobd->pending_calls, &call->number, call);
   forward_call (jobd, call);
 }
@@ -347,6 +324,7 @@
   struct jobd *jobd = userdata;
   char *page;
 
+  rst_cell_loop_read_limit_stats (jobd->loop, &jobd->stats.limits);
   page = rst_call_metrics_format_page (&jobd->stats,
                                        g_hash_table_size (jobd->pending_calls),
                                        atomic_load (&jobd->ready));
@@ -616,9 +594,12 @@
   struct rst_http_server_config config = { 0 };
 
   config.address = jobd->settings.listen;
-  config.max_body_bytes = (size_t)jobd->settings.max_body_bytes;
-  config.max_connections = (unsigned)jobd->settings.max_connections;
-  config.idle_timeout_s = 60;
+  config.max_body_bytes = (size_t)jobd->settings.limits.body_bytes;
+  config.max_connections
+      = rst_body_limits_get_connections (&jobd->settings.limits);
+  config.idle_timeout_s = (unsigned)jobd->settings.idle_timeout_s;
+  config.connection_bytes = RST_BODY_CONNECTION_BYTES;
+  config.budget = rst_cell_loop_get_budget (jobd->loop);
   config.handler = handle_request;
   config.userdata = jobd;
   if (rst_cell_loop_start_http_server (jobd->loop, &config,
@@ -629,6 +610,7 @@
       return false;
     }
   config.address = jobd->settings.readiness;
+  config.max_body_bytes = READINESS_BODY_MAX_BYTES;
   config.max_connections = 32;
   config.handler = serve_readiness;
   if (rst_http_server_create (&config, &jobd->readiness_server)
@@ -647,29 +629,24 @@
   return true;
 }
 
-static const struct rst_program program
-    = { "rosemarystile-jobd", "forwards callers' calls on jobs to the planner",
-        fields, G_N_ELEMENTS (fields), NULL };
-
 int
 main (int argc, char **argv)
 {
   struct jobd jobd = { 0 };
   struct rst_cell_loop_config loop_config
-      = { on_link_event, on_tick, &jobd, true };
+      = { on_link_event, on_tick, &jobd, true, &jobd.settings.limits };
   struct rst_log_config log_config = { false, "info", true };
   int status;
 
-  jobd.settings.max_body_bytes = 262144;
-  jobd.settings.max_connections = 3000;
-  g_strlcpy (jobd.settings.log_level, "info", sizeof jobd.settings.log_level);
-  status = rst_program_configure (&program, argc, argv, &jobd.settings);
+  rst_jobd_settings_init (&jobd.settings);
+  status
+      = rst_program_configure (&rst_jobd_program, argc, argv, &jobd.settings);
   if (status >= 0)
     return status;
   rst_os_block_signals ();
   g_strlcpy (log_config.level, jobd.settings.log_level,
              sizeof log_config.level);
-  rst_log_init (program.name, &log_config);
+  rst_log_init (rst_jobd_program.name, &log_config);
   jobd.next_number = 1;
   jobd.pending_calls = g_hash_table_new_full (g_int64_hash, g_int64_equal,
                                               NULL, free_pending_call);
--- a/src/daemon/metrics.c
+++ b/src/daemon/metrics.c
@@ -87,6 +87,23 @@
   write_sample (page, name, "_count", label, NULL, (double)histogram->total);
 }
 
+void
+rst_metrics_add_limits (GString *page, const struct rst_body_stats *stats)
+{
+  rst_metrics_add_counter (page, "bodies_refused_total",
+                           "Requests and frames without room for their body.",
+                           stats->refused);
+  rst_metrics_add_counter (page, "closed_for_bytes_total",
+                           "Connections closed to make room for bodies.",
+                           stats->closed_for_bytes);
+  rst_metrics_add_counter (page, "closed_for_connections_total",
+                           "Connections closed to make room for others.",
+                           stats->closed_for_connections);
+  rst_metrics_add_gauge (page, "body_bytes",
+                         "Bytes held by requests and incomplete frames.",
+                         (double)stats->bytes);
+}
+
 void
 rst_metrics_add_process (GString *page)
 {
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "transport/body_budget.h"
 #include "util/histogram.h"
 
 /** rst_metrics_add_counter() - Appends a counter without labels. */
@@ -51,6 +52,11 @@
                                 struct rst_metrics_label label,
                                 const struct rst_histogram *histogram);
 
+/** rst_metrics_add_limits() - Appends what was rejected and closed to stay
+ * within the limits. */
+void rst_metrics_add_limits (GString *page,
+                             const struct rst_body_stats *stats);
+
 /** rst_metrics_add_process() - Appends processor time and memory of this
  * process. */
 void rst_metrics_add_process (GString *page);
--- a/src/daemon/schedd.c
+++ b/src/daemon/schedd.c
@@ -14,6 +14,7 @@
 #include <sodium.h>
 
 #include "coordination/scheduler.h"
+#include "daemon/limit_settings.h"
 #include "daemon/link.h"
 #include "daemon/metrics.h"
 #include "protocol/platform_http.h"
@@ -40,6 +41,10 @@
 #define STATUS_CONNECTIONS_MAX 64
 #define STATUS_IDLE_TIMEOUT_S 30
 
+/** Maximum number of links that other processes open, if the number of
+    descriptors is not known. */
+#define PEERS_DEFAULT 1024
+
 struct settings
 {
   char name[RST_NAME_SIZE];
@@ -56,6 +61,7 @@
   int64_t promise_ms;
   int64_t quiet_ms;
   int64_t task_lease_ms;
+  struct rst_body_limits limits;
   struct json_object *peers;
   char log_format[8];
   char log_level[16];
@@ -85,6 +91,7 @@
   INT ("tenure.promise_ms", promise_ms, 500, 60000),
   INT ("tenure.quiet_ms", quiet_ms, 500, 120000),
   INT ("task_lease_ms", task_lease_ms, 500, 600000),
+  RST_LIMIT_FIELDS (struct settings),
   { "peers", RST_CONF_LIST, false, offsetof (struct settings, peers), 0, 0, 0,
     NULL },
   { "log.format", RST_CONF_CHOICE, false,
@@ -99,6 +106,8 @@
   struct rst_mailbox *mailbox;
   struct rst_link_net link;
   struct rst_http_server *server;
+  struct rst_shared_budget *budget;
+  struct rst_shared_budget *link_budget;
   struct rst_platform_http *platform;
   struct rst_scheduler *scheduler;
   pthread_t signal_thread;
@@ -119,6 +128,7 @@
   settings->promise_ms = 3000;
   settings->quiet_ms = 5000;
   settings->task_lease_ms = 6000;
+  settings->limits.body_bytes = RST_MESSAGE_MAX_BYTES;
   g_strlcpy (settings->log_format, "plain", sizeof settings->log_format);
   g_strlcpy (settings->log_level, "info", sizeof settings->log_level);
 }
@@ -149,6 +159,8 @@
   const struct settings *settings = target;
   bool valid = check_addresses (settings->peers, problems);
 
+  valid = rst_body_limits_check (&settings->limits, problems) && valid;
+
   if (settings->margin_ms * 2 >= settings->lease_ms
       || settings->margin_ms * 2 >= settings->promise_ms)
     {
@@ -181,6 +193,8 @@
   const struct rst_scheduler_counters *counters
       = rst_scheduler_get_counters (daemon->scheduler);
   GString *page = g_string_new ("");
+  struct rst_body_stats limits;
+  struct rst_body_stats links;
 
   rst_metrics_add_counter (page, "queries_total", "Queries taken.",
                            counters->queries);
@@ -212,6 +226,10 @@
                            counters->fenced);
   rst_metrics_add_gauge (page, "ready", "Whether it takes work.",
                          rst_scheduler_is_ready (daemon->scheduler));
+  rst_shared_budget_read_stats (daemon->budget, &limits);
+  rst_shared_budget_read_stats (daemon->link_budget, &links);
+  rst_body_stats_add (&limits, &links);
+  rst_metrics_add_limits (page, &limits);
   rst_metrics_add_process (page);
   return g_string_free (page, FALSE);
 }
@@ -338,11 +356,19 @@
   struct rst_net_config net
       = rst_link_net_make_config (settings->listen, &daemon->link);
   struct rst_http_server_config status = { 0 };
+  size_t bytes = rst_body_limits_get_bytes (&settings->limits);
 
+  daemon->budget = rst_shared_budget_create (bytes);
+  daemon->link_budget = rst_shared_budget_create (bytes);
+  net.budget = daemon->link_budget;
+  net.max_accepted
+      = rst_body_limits_get_peers (&settings->limits, PEERS_DEFAULT);
   status.address = settings->status_listen;
   status.max_body_bytes = STATUS_BODY_MAX_BYTES;
   status.max_connections = STATUS_CONNECTIONS_MAX;
   status.idle_timeout_s = STATUS_IDLE_TIMEOUT_S;
+  status.connection_bytes = RST_BODY_PAGE_CONNECTION_BYTES;
+  status.budget = daemon->budget;
   status.handler = on_request;
   status.userdata = daemon;
   if (rst_net_create (&net, &daemon->link.net) != RST_TRANSPORT_OK)
@@ -424,6 +450,8 @@
   rst_mailbox_close (daemon->mailbox);
   rst_net_destroy (daemon->link.net);
   rst_http_server_destroy (daemon->server);
+  rst_shared_budget_destroy (daemon->budget);
+  rst_shared_budget_destroy (daemon->link_budget);
   rst_scheduler_destroy (daemon->scheduler);
   rst_platform_http_destroy (daemon->platform);
   for (struct rst_event *event = rst_mailbox_take (daemon->mailbox);
--- a/test/run/programs.sh
+++ b/test/run/programs.sh
@@ -39,6 +39,23 @@
   --check-settings
 echo '{ "name": ' >"$run_dir/cut.json"
 run_program "$bin_dir/rosemarystile-entryd" --settings "$run_dir/cut.json"
+for program in schedd entryd jobd celld
+do
+  echo '{ "limits": { "memory_mb": "8", "max_fds": -1, "budget_bytes": {} } }' \
+    >"$run_dir/limits.json"
+  run_program "$bin_dir/rosemarystile-$program" \
+    --settings "$run_dir/limits.json" | grep ': limits\.\|^status'
+done
+# Bounds that depend on each other.
+cat >"$run_dir/limits.json" <<EOF
+{ "name": "e1", "availability_zone": "z1", "listen": "127.0.0.1:0",
+  "readiness": "127.0.0.1:0",
+  "store": "127.0.0.1:1",
+  "limits": { "memory_mb": 8, "max_fds": 100, "budget_bytes": 1000 } }
+EOF
+run_program "$bin_dir/rosemarystile-jobd" --settings "$run_dir/limits.json"
+sed -i '/readiness/d' "$run_dir/limits.json"
+run_program "$bin_dir/rosemarystile-celld" --settings "$run_dir/limits.json"
 run_program "$bin_dir/rosemarystile-ctl" dance
 run_program "$bin_dir/rosemarystile-ctl" team set
 run_program "$bin_dir/rosemarystile-ctl" --store nowhere team list
--- a/test/unit/metrics_test.cc
+++ b/test/unit/metrics_test.cc
@@ -58,6 +58,7 @@
   rst_call_stats_record (&stats, RST_OPERATION_SUBMIT, 200, 12);
   rst_call_stats_record (&stats, RST_OPERATION_SUBMIT, 504, 2900);
   rst_call_stats_record (&stats, RST_OPERATION_READ, 499, 1);
+  stats.limits = { 3, 4, 5, 6 };
   char *page = rst_call_metrics_format_page (&stats, 0, true);
   std::string text = page;
 
@@ -68,6 +69,10 @@
              std::string::npos);
   EXPECT_NE (text.find ("answers_total{call=\"read 0\"} 1\n"),
              std::string::npos);
+  EXPECT_NE (text.find ("bodies_refused_total 3\n"), std::string::npos);
+  EXPECT_NE (text.find ("closed_for_bytes_total 4\n"), std::string::npos);
+  EXPECT_NE (text.find ("closed_for_connections_total 5\n"),
+             std::string::npos);
 }
 
 TEST (Metrics, CountsAJobFromSubmissionToCompletion)
