Planner: bound the memory for the tasks of large jobs

Cause: a submission of some hundred bytes can ask for 50,000 tasks, for each of which the planner keeps an entry of some 100 bytes, so a few of them use up the memory of the smallest entry instances.

Change: src/cell/job_tables.c decides; a job of over 1,000 tasks is rejected (503, Retry-After 10, before anything is stored) when the entries of all jobs would exceed a quarter of limits.memory_mb. Without that setting nothing changes, nor for jobs of up to 1,000 tasks (ordinary ones have up to 25); those are left to the admission of jobs. The tasks of all jobs are counted only when such a job arrives. Log line, counter jobs_too_large_total.

Ruled out: a count that is kept up to date, which every path that frees a job would have to know.

--- a/src/cell/plan_calls.c
+++ b/src/cell/plan_calls.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "cell/admission.h"
+#include "cell/job_tables.h"
 #include "cell/planner_private.h"
 
 /** When the caller of a submission that may be outdated should retry, in
@@ -194,6 +195,14 @@
       reply_rejected (planner, call->link, call->number, OUTDATED_RETRY_S);
       return;
     }
+  if ((job == NULL || job->is_note)
+      && !rst_plan_has_room_for (planner, id, call->desc))
+    {
+      rst_jobdesc_destroy (call->desc);
+      reply_rejected (planner, call->link, call->number,
+                      RST_JOB_TABLES_RETRY_S);
+      return;
+    }
   if (job != NULL && job->is_note)
     {
       rst_plan_note_free (planner, job);
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -66,6 +66,7 @@
  *   may start; the planner does not use it.
  * @link_bytes_per_ms: Bandwidth of this machine's link to the store; 0 if it
  *   is not known.
+ * @tables_bytes_max: Memory for the tables of jobs; 0 for no bound.
  */
 struct rst_planner_timing
 {
@@ -74,6 +75,8 @@
   rst_ms status_ms;
   rst_ms early_ms;
   int64_t link_bytes_per_ms;
+  /* Part "callers outside the limits". */
+  int64_t tables_bytes_max;
 };
 
 /**
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -605,6 +605,15 @@
 
 void rst_plan_pack_queue (struct rst_pack *pack, const struct queue *queue);
 
+/* plan_tables.c */
+
+/**
+ * rst_plan_has_room_for() - Whether there is memory for a submitted job; if
+ * not, counts and logs it.
+ */
+bool rst_plan_has_room_for (struct rst_planner *planner, const char *id,
+                            const struct rst_jobdesc *desc);
+
 /* plan_journal.c */
 bool rst_plan_job_has_runs (const struct job *job);
 
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -78,6 +78,8 @@
   uint64_t commits;
   struct rst_histogram commit_ms;
   struct rst_histogram advice_ms;
+  /* Part "callers outside the limits". */
+  uint64_t tables_refused;
 };
 
 /**
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -132,6 +132,9 @@
   rst_metrics_add_counter (page, "jobs_outdated_total",
                            "Jobs rejected that may have been cancelled since.",
                            stats->outdated);
+  rst_metrics_add_counter (page, "jobs_too_large_total",
+                           "Jobs rejected for lack of memory for their tasks.",
+                           stats->tables_refused);
   rst_metrics_add_counter (page, "cancels_rejected_total",
                            "Cancels of unknown jobs that were rejected.",
                            stats->notes_rejected);
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -192,6 +192,8 @@
   config.timing.link_bytes_per_ms
       = (int64_t)(g_ascii_strtod (settings->link_mbps, NULL)
                   * BYTES_PER_MS_AND_MBPS);
+  config.timing.tables_bytes_max
+      = rst_body_limits_get_tables (&settings->limits);
   config.jitter_ms = (rst_ms)(rst_os_random () % TAKEOVER_JITTER_MS);
   config.standby_delay_ms = get_standby_delay_ms (settings);
   celld->node = rst_cell_node_create (&config);
--- a/src/transport/body_budget.c
+++ b/src/transport/body_budget.c
@@ -254,3 +254,9 @@
 {
   return limits->max_fds > 0 ? (unsigned)(limits->max_fds / 4) : fallback;
 }
+
+int64_t
+rst_body_limits_get_tables (const struct rst_body_limits *limits)
+{
+  return limits->memory_mb > 0 ? get_memory_bytes (limits) / MEMORY_PARTS : 0;
+}
--- a/src/transport/body_budget.h
+++ b/src/transport/body_budget.h
@@ -249,6 +249,10 @@
 unsigned
 rst_body_limits_get_connections (const struct rst_body_limits *limits);
 
+/** rst_body_limits_get_tables() - Returns the memory for what callers' jobs
+   take beyond requests, a quarter; 0 when the memory is unknown. */
+int64_t rst_body_limits_get_tables (const struct rst_body_limits *limits);
+
 /**
  * rst_body_limits_get_peers() - Returns the bound of a listener of peers: a
  * quarter of the descriptors, or @fallback when they are unknown.
