Loop: bound the bytes of frames that wait for a daemon

Cause: whole frames of peers wait in the mailbox of celld and jobd, which bounds their number (32,768) but not their bytes, up to 4 MB each.

The network thread tells which connections are silent from the time at which it looked for their data, and not from the time after such a wait.

Ruled out: dropping frames (a link would lose one in the middle) and closing the link (the handler can't, and a busy daemon would lose ordinary links).

Open: schedd's own loop has no such bound.

--- a/src/daemon/cell_loop.c
+++ b/src/daemon/cell_loop.c
@@ -44,6 +44,9 @@
   struct rst_shared_budget *budget;
   struct rst_shared_budget *link_budget;
   unsigned max_peers;
+  /* Bytes of the frames that wait in the mailbox, and their maximum. */
+  atomic_size_t waiting_bytes;
+  size_t max_waiting_bytes;
   const struct rst_backend *backend;
   struct rst_backend wrapped_backend;
   atomic_bool stop_requested;
@@ -110,6 +113,7 @@
      A process has many of only one kind. */
   loop->link_budget
       = rst_shared_budget_create (rst_body_limits_get_bytes (config->limits));
+  loop->max_waiting_bytes = rst_body_limits_get_bytes (config->limits);
   loop->max_peers = rst_body_limits_get_peers (config->limits, PEERS_DEFAULT);
   loop->mailbox = rst_mailbox_create (MAILBOX_SIZE);
   if (loop->mailbox == NULL)
@@ -166,10 +170,26 @@
 
   loop->config.on_link_event (loop->config.userdata, event->kind, event->link,
                               event->data->data, event->data->len);
+  atomic_fetch_sub (&loop->waiting_bytes, event->data->len);
   g_byte_array_free (event->data, TRUE);
   g_free (event);
 }
 
+/* Frames wait in the kernel, and then at their senders, while too many wait
+   here.  A frame above the maximum waits until it is alone. */
+static void
+wait_for_room (struct rst_cell_loop *loop, size_t length)
+{
+  while (!atomic_load (&loop->stop_requested))
+    {
+      size_t waiting = atomic_load (&loop->waiting_bytes);
+
+      if (waiting == 0 || waiting + length <= loop->max_waiting_bytes)
+        return;
+      usleep (MAILBOX_FULL_PAUSE_US);
+    }
+}
+
 static void
 post_link_event (enum rst_net_event kind, uint64_t connection,
                  const void *data, size_t length, void *userdata)
@@ -182,7 +202,11 @@
   event->link = connection;
   event->data = g_byte_array_new ();
   if (length > 0)
-    g_byte_array_append (event->data, data, (guint)length);
+    {
+      wait_for_room (event->loop, length);
+      g_byte_array_append (event->data, data, (guint)length);
+      atomic_fetch_add (&event->loop->waiting_bytes, length);
+    }
   rst_cell_loop_post (event->loop, &event->event);
 }
 
--- a/src/transport/net.c
+++ b/src/transport/net.c
@@ -512,6 +512,8 @@
     {
       int count = epoll_wait (net->epoll_fd, events, NET_EVENTS_MAX,
                               (int)(net->config.heartbeat_interval_ms / 2));
+      /* The handler may wait for long while frames arrive. */
+      rst_ms now = rst_os_now ();
 
       /* Ids 0 and 1 are not connections; rst_net_create() sets them. */
       for (int i = 0; i < count; i++)
@@ -523,7 +525,7 @@
           else
             handle_event (net, &events[i]);
         }
-      check_connections (net, rst_os_now ());
+      check_connections (net, now);
     }
   process_commands (net);
   return NULL;
