Limits: leave the library's memory as it is where no memory is named

Cause: callers' connections had 16 KB instead of 32 KB for their headers also where the settings name no memory, so an existing deployment could reject headers that it took before. A platform without a limit may name a very large number, for which the programs would not have started.

Change: 16 KB only with limits.memory_mb. memory_mb and max_fds take up to 1,000,000,000.

--- a/src/daemon/entryd.c
+++ b/src/daemon/entryd.c
@@ -396,7 +396,8 @@
   server.max_connections = rst_body_limits_get_connections (&settings->limits);
   server.max_connections_per_ip = (unsigned)settings->max_connections_per_ip;
   server.idle_timeout_s = (unsigned)settings->idle_timeout_s;
-  server.connection_bytes = RST_BODY_CONNECTION_BYTES;
+  server.connection_bytes
+      = rst_body_limits_get_connection_bytes (&settings->limits);
   daemon->budget = rst_shared_budget_create (
       rst_body_limits_get_bytes (&settings->limits));
   server.budget = daemon->budget;
--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -598,7 +598,8 @@
   config.max_connections
       = rst_body_limits_get_connections (&jobd->settings.limits);
   config.idle_timeout_s = (unsigned)jobd->settings.idle_timeout_s;
-  config.connection_bytes = RST_BODY_CONNECTION_BYTES;
+  config.connection_bytes
+      = rst_body_limits_get_connection_bytes (&jobd->settings.limits);
   config.budget = rst_cell_loop_get_budget (jobd->loop);
   config.handler = handle_request;
   config.userdata = jobd;
--- a/src/daemon/limit_settings.h
+++ b/src/daemon/limit_settings.h
@@ -12,13 +12,14 @@
  * limits.max_fds and limits.budget_bytes.
  * @structure: Structure with a member limits of type struct rst_body_limits.
  *
- * rst_body_limits_check() checks them.
+ * A platform may name very large numbers where it has no limit.
+ * rst_body_limits_check() checks the fields further.
  */
 #define RST_LIMIT_FIELDS(structure)                                           \
   RST_CONF_INTEGER_FIELD ("limits.memory_mb", false, structure,               \
-                          limits.memory_mb, 0, 1048576),                      \
+                          limits.memory_mb, 0, 1000000000),                   \
       RST_CONF_INTEGER_FIELD ("limits.max_fds", false, structure,             \
-                              limits.max_fds, 0, 1048576),                    \
+                              limits.max_fds, 0, 1000000000),                 \
       RST_CONF_INTEGER_FIELD ("limits.budget_bytes", false, structure,        \
                               limits.budget_bytes, 0, 1073741824)
 
--- a/src/transport/body_budget.c
+++ b/src/transport/body_budget.c
@@ -255,6 +255,12 @@
   return limits->max_fds > 0 ? (unsigned)(limits->max_fds / 4) : fallback;
 }
 
+size_t
+rst_body_limits_get_connection_bytes (const struct rst_body_limits *limits)
+{
+  return limits->memory_mb > 0 ? RST_BODY_CONNECTION_BYTES : 0;
+}
+
 int64_t
 rst_body_limits_get_tables (const struct rst_body_limits *limits)
 {
--- a/src/transport/body_budget.h
+++ b/src/transport/body_budget.h
@@ -39,8 +39,9 @@
     process; the smallest entry instances keep 200 for files. */
 #define RST_BODY_RESERVED_FDS 200
 
-/** Memory of the HTTP library that a caller's connection may use, in bytes.
-    Headers above it are rejected with status 431. */
+/** Memory of the HTTP library that a caller's connection may use if the
+    settings name the memory, in bytes.  Headers above it are rejected with
+    status 431. */
 #define RST_BODY_CONNECTION_BYTES 16384
 
 /** The same for listeners of pages. */
@@ -249,6 +250,11 @@
 unsigned
 rst_body_limits_get_connections (const struct rst_body_limits *limits);
 
+/** rst_body_limits_get_connection_bytes() - Returns the HTTP library's memory
+    for a caller's connection; 0 for its default. */
+size_t
+rst_body_limits_get_connection_bytes (const struct rst_body_limits *limits);
+
 /** rst_body_limits_get_tables() - Returns the memory for what callers' jobs
    take beyond requests, a quarter; 0 when the memory is unknown. */
 int64_t rst_body_limits_get_tables (const struct rst_body_limits *limits);
--- a/test/unit/body_budget_test.cc
+++ b/test/unit/body_budget_test.cc
@@ -257,10 +257,17 @@
   rst_body_limits unknown = make_limits (0, 0);
   rst_body_limits few_fds = make_limits (0, 300);
   rst_body_limits small = make_limits (32, 0);
+  rst_body_limits vast = make_limits (1000000000, 1000000000);
 
+  EXPECT_EQ (check_limits (vast), "");
+  EXPECT_EQ (rst_body_limits_get_connections (&vast), 3000u);
   EXPECT_EQ (rst_body_limits_get_connections (&unknown), 3000u);
   EXPECT_EQ (rst_body_limits_get_connections (&few_fds), 100u);
   EXPECT_EQ (rst_body_limits_get_connections (&small), 910u);
+  EXPECT_EQ (rst_body_limits_get_connection_bytes (&unknown), 0u);
+  EXPECT_EQ (rst_body_limits_get_connection_bytes (&small), 16384u);
+  EXPECT_EQ (rst_body_limits_get_tables (&unknown), 0);
+  EXPECT_EQ (rst_body_limits_get_tables (&small), 8 * 1024 * 1024);
   EXPECT_EQ (rst_body_limits_get_peers (&unknown, 1024), 1024u);
   EXPECT_EQ (rst_body_limits_get_peers (&few_fds, 1024), 75u);
 }
