--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -68,6 +68,7 @@
  *   is not known.
  * @ignores_speed: Whether placement treats all instances as equally fast, see
  *   plan_speed.c.
+ * @tables_bytes_max: Memory for the tables of jobs; 0 for no bound.
  */
 struct rst_planner_timing
 {
@@ -77,6 +78,8 @@
   rst_ms early_ms;
   int64_t link_bytes_per_ms;
   bool ignores_speed;
+  /* Part "callers outside the limits". */
+  int64_t tables_bytes_max;
 };
 
 /**
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -50,10 +50,12 @@
 public:
   explicit Planner (int64_t epoch = 1, int64_t link_bytes_per_ms = 0,
                     bool ignores_speed = false)
+      : Planner (make_timing (link_bytes_per_ms, ignores_speed), epoch)
+  {
+  }
+  Planner (const rst_planner_timing &timing, int64_t epoch)
   {
     rst_planner_ops ops = { on_send, on_reply, on_commit, this };
-    rst_planner_timing timing
-        = { 14000, 6000, 120000, 250, link_bytes_per_ms, ignores_speed };
 
     planner = rst_planner_create (&ops, &timing, epoch);
     set_time (1000);
@@ -112,6 +114,20 @@
       }
   }
 
+  static rst_planner_timing
+  make_timing (int64_t link_bytes_per_ms = 0, bool ignores_speed = false)
+  {
+    rst_planner_timing timing = {};
+
+    timing.unconfirmed_renewal_ms = 14000;
+    timing.lease_ms = 6000;
+    timing.status_ms = 120000;
+    timing.early_ms = 250;
+    timing.link_bytes_per_ms = link_bytes_per_ms;
+    timing.ignores_speed = ignores_speed;
+    return timing;
+  }
+
   // Configures a queue "q" and a customer with a limit; 0 means none.
   void
   configure (int64_t cpu_limit = 0, bool needs_approval = false,
