Reject a job at submission that would end when it has no value any more

Cause: a job was rejected only for the age of the store's last answer. In a burst beyond the fleet's capacity everything else was accepted, waited and ran late, and delayed what could still have been in time.

Change: at submission the planner estimates when the job could start (start_estimate.[ch], pure): work that runs and work that is placed before it by rank, divided by the capacity of the pool; the same for the customer's upper limit; seconds of pending advice divided by the agents. If the job would end later than admission.latest_end_percent (celld, default 300, 0 for off) of its objective, counted from its first attempt, the answer is 429 with Retry-After: the time until what waits before it has started, up to twice that by the id. plan_admission.c sums up runs and waiting steps at most once per 50 ms and only when jobs are submitted; accepted jobs are added in between.

The estimate errs towards accepting. No job is rejected that could start within 250 ms, that is long-running, best-effort or repeating, or that exists; none before a run of its queue has ended, in the first 3 s of a planner, while instances inherited from the predecessor are unaccounted for, or while the store has not confirmed the planner for 400 ms: a successor may have accepted an earlier call for the same id, and 429 says that the job never runs. Work of unknown length, of steps with a label or with suspects, and of later arrivals counts as nothing; paused and silent instances count as capacity.

Ruled out: to leave the slot of equal start times out of the work before a job (jobs of one kind that arrive within 100 ms then see nothing before them: 0 of 40 rejected in Overload.RejectsAtOnceWhatWouldEndTooLate); to walk over the waiting steps at each submission.

--- a/src/cell/admission.c
+++ b/src/cell/admission.c
@@ -19,3 +19,26 @@
   retry_s = (int)(store_age_ms / 1000) + (int)(spread % 2);
   return CLAMP (retry_s, RETRY_MIN_S, RETRY_MAX_S);
 }
+
+/** A job that starts within this time takes nothing from jobs that wait. */
+#define START_DELAY_MIN_MS 250.0
+
+/** Longest base of a retry delay under overload.  A backlog that lasts longer
+    does not follow from the estimate alone. */
+#define OVERLOAD_RETRY_MAX_S 6
+
+int
+rst_admission_decide (const struct rst_admission_input *input, guint spread)
+{
+  double end_ms = (double)input->age_ms + input->start_ms + input->path_ms;
+  double latest_ms
+      = (double)(input->objective_ms * input->latest_end_percent) / 100.0;
+  int base_s;
+
+  if (input->latest_end_percent == 0 || input->start_ms < START_DELAY_MIN_MS
+      || end_ms <= latest_ms)
+    return 0;
+  base_s = (int)CLAMP ((input->start_ms + 999.0) / 1000.0, RETRY_MIN_S,
+                       OVERLOAD_RETRY_MAX_S);
+  return base_s + (int)(spread % ((guint)base_s + 1));
+}
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -111,6 +111,9 @@
  * @RST_OUTCOME_REJECTED: Nothing was done; a job that was submitted was not
  * accepted and will never run.
  * @RST_OUTCOME_UNKNOWN: The job may or may not have been accepted.
+ * @RST_OUTCOME_OVERLOADED: As RST_OUTCOME_REJECTED, because the job would end
+ *   too late.  Entry instances of earlier versions take it for
+ *   RST_OUTCOME_UNKNOWN.
  */
 enum rst_outcome
 {
@@ -123,6 +126,7 @@
   RST_OUTCOME_MALFORMED,
   RST_OUTCOME_REJECTED,
   RST_OUTCOME_UNKNOWN,
+  RST_OUTCOME_OVERLOADED,
 };
 
 /**
--- a/src/cell/plan_calls.c
+++ b/src/cell/plan_calls.c
@@ -88,14 +88,21 @@
   planner->ops.reply (planner->ops.userdata, link, call, &reply);
 }
 
-/* Rejects a job that no commit contains and forgets it. */
+/* Remembers when a job that is rejected was first submitted. */
 static void
-reject_job (struct rst_planner *planner, struct job *job, int retry_s)
+note_attempt (struct rst_planner *planner, const struct job *job)
 {
-  log_rejected (planner, job->id, retry_s);
   rst_attempts_note (planner->attempts, job->id,
                      planner->now - (planner->unix_ms - job->first_attempt_ms),
                      planner->now);
+}
+
+/* Rejects a job that no commit contains and forgets it. */
+static void
+reject_job (struct rst_planner *planner, struct job *job, int retry_s)
+{
+  log_rejected (planner, job->id, retry_s);
+  note_attempt (planner, job);
   for (guint i = 0; i < job->pending_replies->len; i++)
     {
       struct pending_reply pending_reply
@@ -175,6 +182,26 @@
     reply_after_commit (job, call);
 }
 
+/* Rejects a new job that would end too late.  It is in no table but that of
+   the jobs yet. */
+static bool
+reject_overloaded (struct rst_planner *planner,
+                   const struct rst_planner_call *call, struct job *job)
+{
+  struct rst_reply reply = { .outcome = RST_OUTCOME_OVERLOADED };
+
+  reply.retry_s = rst_plan_admit (planner, job);
+  if (reply.retry_s == 0)
+    return false;
+  note_attempt (planner, job);
+  if (!job->over_share)
+    job->customer->share_tokens += 1.0;
+  job->queue->pending--;
+  g_hash_table_remove (planner->jobs, job->id);
+  planner->ops.reply (planner->ops.userdata, call->link, call->number, &reply);
+  return true;
+}
+
 static void
 submit_job (struct rst_planner *planner, const struct rst_planner_call *call,
             const struct rst_queue *route, struct customer *customer,
@@ -217,6 +244,8 @@
                - (planner->now
                   - rst_attempts_find (planner->attempts, id, planner->now)));
   job->over_share = is_over_share (planner, customer);
+  if (reject_overloaded (planner, call, job))
+    return;
   if (RST_CELL_FAULT (RST_CELL_FAULT_EARLY_ACCEPT))
     send_reply (planner, call, RST_OUTCOME_OK);
   else
--- a/src/cell/plan_rank.c
+++ b/src/cell/plan_rank.c
@@ -41,9 +41,8 @@
   return longest;
 }
 
-/* Returns the expected run time of the job's longest chain of steps. */
-static double
-get_critical_path_ms (const struct job *job)
+double
+rst_plan_get_critical_path_ms (const struct job *job)
 {
   double ends[RST_STEPS_MAX] = { 0 };
   double longest = 0.0;
@@ -60,15 +59,27 @@
   return longest;
 }
 
-void
-rst_plan_set_objective (struct step *step)
+int64_t
+rst_plan_get_objective_ms (const struct job *job)
 {
-  const struct job *job = step->occurrence->job;
   const struct rst_queue *queue = &job->queue->settings;
 
-  step->objective_ms = (int64_t)(get_critical_path_ms (job)
-                                 * (double)queue->slack_permille / 1000.0)
-                       + queue->target_ms;
+  return (int64_t)(rst_plan_get_critical_path_ms (job)
+                   * (double)queue->slack_permille / 1000.0)
+         + queue->target_ms;
+}
+
+bool
+rst_plan_has_no_value (const struct rst_planner *planner, int64_t due_ms,
+                       int64_t objective_ms)
+{
+  return planner->unix_ms > due_ms + MISSED_OBJECTIVE_FACTOR * objective_ms;
+}
+
+void
+rst_plan_set_objective (struct step *step)
+{
+  step->objective_ms = rst_plan_get_objective_ms (step->occurrence->job);
   step->start_by_ms = step->occurrence->due_ms + step->objective_ms
                       - (int64_t)rst_plan_get_remaining_path_ms (step);
 }
@@ -91,8 +102,8 @@
     return step->occurrence->due_ms;
   if (step->spec->long_running)
     return 0;
-  if (planner->unix_ms > step->occurrence->due_ms
-                             + MISSED_OBJECTIVE_FACTOR * step->objective_ms)
+  if (rst_plan_has_no_value (planner, step->occurrence->due_ms,
+                             step->objective_ms))
     return RANK_BAND_MISSED + start_by_rank;
   if (job->over_share)
     return RANK_BAND_OVER_SHARE + start_by_rank;
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -87,6 +87,7 @@
   planner->unmet_needs
       = g_array_new (FALSE, FALSE, sizeof (struct rst_resources));
   planner->attempts = rst_attempts_create (ATTEMPTS_MAX, ATTEMPT_RETENTION_MS);
+  planner->admission = rst_plan_admission_new ();
   return planner;
 }
 
@@ -125,6 +126,7 @@
   g_ptr_array_free (planner->start_batches, TRUE);
   g_array_free (planner->unmet_needs, TRUE);
   rst_attempts_destroy (planner->attempts);
+  rst_plan_admission_free (planner->admission);
   rst_cellconfig_destroy (planner->config);
   g_free (planner);
 }
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -66,6 +66,8 @@
  *   may start; the planner does not use it.
  * @link_bytes_per_ms: Bandwidth of this machine's link to the store; 0 if it
  *   is not known.
+ * @latest_end_percent: A job that would end later than this percentage of its
+ *   objective is rejected; 0 for none.
  */
 struct rst_planner_timing
 {
@@ -74,6 +76,8 @@
   rst_ms status_ms;
   rst_ms early_ms;
   int64_t link_bytes_per_ms;
+  /* Admission. */
+  int64_t latest_end_percent;
 };
 
 /**
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -8,7 +8,8 @@
  * wait to be stored.  plan_crash.c: which runs a crash of their instance is
  * attributed to.  plan_trial.c: trials of suspects.  plan_rank.c: the order
  * of waiting steps.  plan_place.c: placement of waiting tasks.  plan_limit.c:
- * upper limits of customers.  plan_pace.c: the pace of best-effort tasks.
+ * upper limits of customers.  plan_admission.c: which jobs are rejected under
+ * overload.  plan_pace.c: the pace of best-effort tasks.
  * plan_advice.c: requests to the advice service.  plan_journal.c: which
  * records are committed when; plan_record.c writes records, plan_restore.c
  * reads them.
@@ -462,6 +463,19 @@
     that follow it, in milliseconds. */
 double rst_plan_get_remaining_path_ms (const struct step *step);
 
+/** rst_plan_get_critical_path_ms() - Expected run time of a job's longest
+   chain of steps, in milliseconds. */
+double rst_plan_get_critical_path_ms (const struct job *job);
+
+/** rst_plan_get_objective_ms() - Time after its first attempt within which a
+    job should end. */
+int64_t rst_plan_get_objective_ms (const struct job *job);
+
+/** rst_plan_has_no_value() - Whether a job has missed its objective by so much
+    that it has no value any more. */
+bool rst_plan_has_no_value (const struct rst_planner *planner, int64_t due_ms,
+                            int64_t objective_ms);
+
 /** rst_plan_compute_rank() - Position of a step among the waiting steps; the
     lowest is placed first. */
 int64_t rst_plan_compute_rank (const struct rst_planner *planner,
@@ -545,6 +559,21 @@
 
 void rst_plan_count_in_doubt (struct rst_planner *planner);
 
+/* plan_admission.c */
+
+struct rst_plan_admission *rst_plan_admission_new (void);
+void rst_plan_admission_free (struct rst_plan_admission *admission);
+
+/**
+ * rst_plan_admit() - Decides whether a submitted job is accepted under the
+ * present load.
+ * @job: The job, without occurrences.  An accepted one is added to the load.
+ *
+ * Return: 0 if it is accepted; else seconds after which its caller should
+ * retry.
+ */
+int rst_plan_admit (struct rst_planner *planner, const struct job *job);
+
 /* plan_advice.c */
 
 /**
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -630,6 +630,8 @@
   struct rst_planner_stats stats;
   /* Admission: first attempts of the rejected ids. */
   struct rst_attempts *attempts;
+  /* What runs and waits, as last summed up; see plan_admission.c. */
+  struct rst_plan_admission *admission;
 };
 
 #endif
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -46,6 +46,8 @@
  * @commits: Segments appended to the journal.
  * @commit_ms: Time from a commit to its confirmation by the store.
  * @advice_ms: Time from an advice request to its answer.
+ * @overloaded: Submitted jobs that were rejected because they would end too
+ *   late.
  */
 struct rst_planner_stats
 {
@@ -78,6 +80,8 @@
   uint64_t commits;
   struct rst_histogram commit_ms;
   struct rst_histogram advice_ms;
+  /* Admission. */
+  uint64_t overloaded;
 };
 
 /**
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -128,6 +128,9 @@
   rst_metrics_add_counter (page, "jobs_rejected_total",
                            "Jobs rejected while the store did not answer.",
                            stats->rejected);
+  rst_metrics_add_counter (page, "jobs_overloaded_total",
+                           "Jobs rejected that would end too late.",
+                           stats->overloaded);
   rst_metrics_add_counter (page, "jobs_outdated_total",
                            "Jobs rejected that may have been cancelled since.",
                            stats->outdated);
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -32,6 +32,9 @@
     in milliseconds. */
 #define UNCONFIRMED_RENEWAL_MS 5000
 
+/** A job has no value to its caller after three times its objective. */
+#define LATEST_END_PERCENT 300
+
 /** Upper bound of the random delay before a takeover, in milliseconds. */
 #define TAKEOVER_JITTER_MS 120
 
@@ -59,6 +62,7 @@
   int64_t lease_max_ms;
   int64_t status_s;
   int64_t early_ms;
+  int64_t latest_end_percent;
   char cpu_share[16];
   char link_mbps[16];
   char log_level[16];
@@ -83,6 +87,7 @@
   INT ("lease_max_ms", lease_max_ms, 500, 600000),
   INT ("status_s", status_s, 1, 86400),
   INT ("early_ms", early_ms, 0, 60000),
+  INT ("admission.latest_end_percent", latest_end_percent, 0, 10000),
   TEXT ("machine.cpu_share", RST_CONF_STRING, false, cpu_share),
   TEXT ("machine.link_mbps", RST_CONF_STRING, false, link_mbps),
   { "log.level", RST_CONF_CHOICE, false, offsetof (struct settings, log_level),
@@ -182,6 +187,7 @@
   config.timing.lease_ms = settings->lease_max_ms;
   config.timing.status_ms = settings->status_s * 1000;
   config.timing.early_ms = settings->early_ms;
+  config.timing.latest_end_percent = settings->latest_end_percent;
   config.timing.link_bytes_per_ms
       = (int64_t)(g_ascii_strtod (settings->link_mbps, NULL)
                   * BYTES_PER_MS_AND_MBPS);
@@ -205,6 +211,7 @@
 
   celld.settings.lease_max_ms = 6000;
   celld.settings.status_s = 120;
+  celld.settings.latest_end_percent = LATEST_END_PERCENT;
   g_strlcpy (celld.settings.log_level, "info",
              sizeof celld.settings.log_level);
   status = rst_program_configure (&program, argc, argv, &celld.settings);
--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -409,6 +409,10 @@
       reject_call (jobd, call, call->sent_on_lost_link ? 504 : 503,
                    "turned away", retry_s);
       break;
+    case RST_OUTCOME_OVERLOADED:
+      reject_call (jobd, call, call->sent_on_lost_link ? 504 : 429, "too busy",
+                   retry_s);
+      break;
     default:
       reject_call (jobd, call, 504, "not known", retry_s);
       break;
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -219,7 +219,8 @@
   config.name = node.name.c_str ();
   config.zone = node.zone.c_str ();
   config.address = node.address.c_str ();
-  config.timing = { 5000, 6000, 120000, 250 };
+  /* Rejects more jobs than deployments do, so that rejections meet faults. */
+  config.timing = { 5000, 6000, 120000, 250, 0, 50 };
   config.jitter_ms = draw_below (120);
   node.cell_node = rst_cell_node_create (&config);
   run_node (node);
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -47,11 +47,12 @@
 class Planner
 {
 public:
-  explicit Planner (int64_t epoch = 1, int64_t link_bytes_per_ms = 0)
+  explicit Planner (int64_t epoch = 1, int64_t link_bytes_per_ms = 0,
+                    int64_t latest_end_percent = 0)
   {
     rst_planner_ops ops = { on_send, on_reply, on_commit, this };
     rst_planner_timing timing
-        = { 14000, 6000, 120000, 250, link_bytes_per_ms };
+        = { 14000, 6000, 120000, 250, link_bytes_per_ms, latest_end_percent };
 
     planner = rst_planner_create (&ops, &timing, epoch);
     set_time (1000);
