Reject jobs sooner while the store refuses every commit

Cause: while the store does not answer, a job waits until the last confirmation is 1,000 ms old, more than three quarters of the objective of the most frequent kind. The same held when the store did answer, with 503 to every commit. With rejections from 0.5 s on, the old delays of an id with an even hash (1, 1, 2, 3 s) would end 7.5 s after the last confirmation, half a second after the longest outage that they have to outlast.

Change: the term tells the planner of each commit that failed, and whether it was definitely refused. After two refusals in a row, without a commit of unknown result since, jobs that no commit contains are rejected once the last confirmation is 500 ms old, and new ones at once. The base of Retry-After is 700 ms ahead: the same id is told 1, 2, 3 and 3 s, which ends at 9.5 s.

Ruled out: to reject at the first refusal (one 503 of a busy store would reject all jobs that wait; the commit is sent again after 100 ms); to do it before 500 ms (another process that reaches the store takes over within 350 to 800 ms and would accept what waits in its entry instance); to reject the jobs of the refused commit (an earlier copy of it may have an unknown result, and the segment would have to be withdrawn); delays above 3 s (a job with an objective of 10 s would be late after an outage of which it saw the end).

--- a/src/cell/admission.c
+++ b/src/cell/admission.c
@@ -5,18 +5,31 @@
     is older than this, the store does not answer. */
 #define STORE_AGE_MAX_MS 1000
 
+/** The same once the store has refused REFUSALS_MIN commits in a row, so that
+    it is reachable but stores nothing.  If another process can store
+   something, it takes over within 350 to 800 ms, and may accept the job. */
+#define REFUSED_AGE_MAX_MS 500
+#define REFUSALS_MIN 2
+
+/** Added to the time since the last confirmation, so that the last of 4
+   retries follows more than 7 s after the beginning of an outage. */
+#define RETRY_ADVANCE_MS 700
+
 /** Shortest and longest time until a retry. */
 #define RETRY_MIN_S 1
 #define RETRY_MAX_S 3
 
 int
-rst_admission_compute_retry_s (rst_ms store_age_ms, guint spread)
+rst_admission_compute_retry_s (rst_ms store_age_ms, int refusals, guint spread)
 {
+  rst_ms age_max_ms
+      = refusals >= REFUSALS_MIN ? REFUSED_AGE_MAX_MS : STORE_AGE_MAX_MS;
   int retry_s;
 
-  if (store_age_ms <= STORE_AGE_MAX_MS)
+  if (store_age_ms <= age_max_ms)
     return 0;
-  retry_s = (int)(store_age_ms / 1000) + (int)(spread % 2);
+  retry_s
+      = (int)((store_age_ms + RETRY_ADVANCE_MS) / 1000) + (int)(spread % 2);
   return CLAMP (retry_s, RETRY_MIN_S, RETRY_MAX_S);
 }
 
--- a/src/cell/admission.h
+++ b/src/cell/admission.h
@@ -24,12 +24,15 @@
  * rst_admission_compute_retry_s() - Decides on a job that is not in the store
  * and was not sent to it.
  * @store_age_ms: Time since the store last confirmed the planner.
+ * @refusals: Number of commits that the store has definitely refused since
+ *   then, without any of unknown result.
  * @spread: Any number that differs from job to job.
  *
  * Return: 0 if the job may wait for the store; else seconds after which its
  * caller should retry.
  */
-int rst_admission_compute_retry_s (rst_ms store_age_ms, guint spread);
+int rst_admission_compute_retry_s (rst_ms store_age_ms, int refusals,
+                                   guint spread);
 
 /**
  * struct rst_admission_input - What is known of a submitted job.
--- a/src/cell/plan_calls.c
+++ b/src/cell/plan_calls.c
@@ -61,6 +61,7 @@
 get_retry_s (const struct rst_planner *planner, const char *id)
 {
   return rst_admission_compute_retry_s (planner->now - planner->confirmed_at,
+                                        planner->store_refusals,
                                         g_str_hash (id));
 }
 
@@ -68,14 +69,18 @@
 log_rejected (struct rst_planner *planner, const char *id, int retry_s)
 {
   char age[24];
+  char refusals[16];
   char retry[16];
 
   planner->stats.rejected++;
+  if (planner->store_refusals > 0)
+    planner->stats.rejected_refused++;
+  g_snprintf (refusals, sizeof refusals, "%d", planner->store_refusals);
   g_snprintf (age, sizeof age, "%" PRId64,
               (int64_t)(planner->now - planner->confirmed_at));
   g_snprintf (retry, sizeof retry, "%d", retry_s);
   rst_info (RST_PLAN_LOG, "Job rejected; the store does not answer.", "job",
-            id, "store_age_ms", age, "retry_s", retry);
+            id, "store_age_ms", age, "refusals", refusals, "retry_s", retry);
 }
 
 static void
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -239,6 +239,13 @@
 rst_planner_set_confirmed (struct rst_planner *planner, rst_ms at)
 {
   planner->confirmed_at = MAX (planner->confirmed_at, at);
+  planner->store_refusals = 0;
+}
+
+void
+rst_planner_set_commit_failed (struct rst_planner *planner, bool was_refused)
+{
+  planner->store_refusals = was_refused ? planner->store_refusals + 1 : 0;
 }
 
 void
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -278,6 +278,13 @@
  */
 void rst_planner_set_confirmed (struct rst_planner *planner, rst_ms at);
 
+/**
+ * rst_planner_set_commit_failed() - Notes that a commit was not confirmed.
+ * @was_refused: The store has answered that nothing was done.
+ */
+void rst_planner_set_commit_failed (struct rst_planner *planner,
+                                    bool was_refused);
+
 /**
  * rst_planner_run() - Checks timeouts, places tasks and commits changes, as
  * far as they are due.
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -632,6 +632,9 @@
   struct rst_attempts *attempts;
   /* What runs and waits, as last summed up; see plan_admission.c. */
   struct rst_plan_admission *admission;
+  /* Number of commits that the store has refused since it last confirmed this
+     planner or a commit had an unknown result. */
+  int store_refusals;
 };
 
 #endif
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -48,6 +48,7 @@
  * @advice_ms: Time from an advice request to its answer.
  * @overloaded: Submitted jobs that were rejected because they would end too
  *   late.
+ * @rejected_refused: Of @rejected, those while the store refused commits.
  */
 struct rst_planner_stats
 {
@@ -82,6 +83,7 @@
   struct rst_histogram advice_ms;
   /* Admission. */
   uint64_t overloaded;
+  uint64_t rejected_refused;
 };
 
 /**
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -128,6 +128,9 @@
   rst_metrics_add_counter (page, "jobs_rejected_total",
                            "Jobs rejected while the store did not answer.",
                            stats->rejected);
+  rst_metrics_add_counter (page, "jobs_rejected_refused_total",
+                           "Of these, those while the store refused commits.",
+                           stats->rejected_refused);
   rst_metrics_add_counter (page, "jobs_overloaded_total",
                            "Jobs rejected that would end too late.",
                            stats->overloaded);
--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -266,6 +266,7 @@
   rst_ms now = term->config.now ();
   char bytes[16];
 
+  rst_planner_set_commit_failed (term->planner, result == RST_RESULT_REJECTED);
   g_snprintf (bytes, sizeof bytes, "%u",
               term->current_change.segment != NULL
                   ? term->current_change.segment->len
--- a/test/unit/overload_test.cc
+++ b/test/unit/overload_test.cc
@@ -157,3 +157,52 @@
   submit (200, 5);
   EXPECT_EQ (count_rejected (), 0);
 }
+
+// Guards against jobs that are held for 1 s by a store that answers every
+// commit with a refusal, and against the rejection of a job that a commit
+// contains, which may still be stored.
+TEST (StoreRefusals, RejectSoonerWhatIsInNoCommit)
+{
+  Planner cell;
+  rst_planner_stats stats;
+
+  cell.start_serving (2);
+  cell.send_call (1, RST_OPERATION_SUBMIT, make_id (1),
+                  Planner::make_job (1, 1000));
+  cell.advance_time (40);
+  cell.is_confirmed = false;
+  cell.send_call (2, RST_OPERATION_SUBMIT, make_id (2),
+                  Planner::make_job (1, 1000));
+  rst_planner_set_commit_failed (cell.planner, true);
+  cell.advance_time (100);
+  rst_planner_set_commit_failed (cell.planner, true);
+  cell.advance_time (300);
+  EXPECT_EQ (cell.reply_to (2), nullptr);
+  cell.advance_time (250);
+  ASSERT_NE (cell.reply_to (2), nullptr);
+  EXPECT_EQ (cell.reply_to (2)->reply.outcome, RST_OUTCOME_REJECTED);
+  EXPECT_EQ (cell.reply_to (1), nullptr);
+  rst_planner_read_stats (cell.planner, &stats);
+  EXPECT_EQ (stats.rejected_refused, 1u);
+  cell.is_confirmed = true;
+  cell.complete_commit ();
+  ASSERT_NE (cell.reply_to (1), nullptr);
+  EXPECT_EQ (cell.reply_to (1)->reply.outcome, RST_OUTCOME_OK);
+}
+
+// Guards against early rejections when it is not known whether the store
+// answers other processes.
+TEST (StoreRefusals, DoNotCountBeforeACommitOfUnknownResult)
+{
+  Planner cell;
+
+  cell.start_serving (2);
+  cell.is_confirmed = false;
+  cell.advance_time (400);
+  for (bool was_refused : { true, true, false })
+    rst_planner_set_commit_failed (cell.planner, was_refused);
+  cell.advance_time (300);
+  cell.send_call (2, RST_OPERATION_SUBMIT, make_id (2),
+                  Planner::make_job (1, 1000));
+  EXPECT_EQ (cell.reply_to (2), nullptr);
+}
