Estimate no wait for jobs that have room, or that mostly start in time

A job whose wait in the band of those that can be in time exceeded the time left by little was taken for a late one, behind the whole backlog: of 654 queries that would have been rejected in a burst at 1.4 times the capacity, 372 started in time, since others become late and make room. And jobs that returned after an outage were rejected four times although half of the processors were free: gangs that did not fit as a whole counted as work before them.

Change: a job counts as late only if its wait is longer than twice the time left. A job whose first tasks all have room now, beside what is reserved for gangs and advice requests, has no wait in its pool.

--- a/src/cell/plan_admission.c
+++ b/src/cell/plan_admission.c
@@ -7,6 +7,7 @@
    is submitted.  Whatever is not known counts as nothing, so that in doubt a
    job is accepted. */
 #include <inttypes.h>
+#include <string.h>
 
 #include "cell/admission.h"
 #include "cell/planner_private.h"
@@ -25,6 +26,24 @@
  */
 #define LIMITED_WORK_MS 4000
 
+/** A job is taken for a late one if the estimated delay is longer than the
+   time left to start by this factor: less than half of such jobs start in
+   time. With 1.0, 372 of 654 rejected jobs of a burst at 1.4 times the
+   capacity would have started in time; with 2.0, 0 of 95. */
+#define IN_TIME_DOUBT 2.0
+
+/** Number of different needs whose free room is remembered; a job with another
+    one is taken for one without free room. */
+#define FREE_ROOMS_MAX 32
+
+/** struct free_room - Number of tasks of one need that could start at once. */
+struct free_room
+{
+  const char *pool;
+  struct rst_resources need;
+  int64_t slots;
+};
+
 struct rst_plan_admission
 {
   /* When the loads were determined; 0 before the first time. */
@@ -35,6 +54,8 @@
   GHashTable *customers;
   /* How long a new advice request waits for an agent. */
   double advice_delay_ms;
+  struct free_room free_rooms[FREE_ROOMS_MAX];
+  int free_room_count;
 };
 
 struct rst_plan_admission *
@@ -251,6 +272,82 @@
   for (guint i = 0; i < planner->waiting_steps->len; i++)
     add_waiting_step (planner, g_ptr_array_index (planner->waiting_steps, i));
   admission->advice_delay_ms = get_advice_delay_ms (planner);
+  admission->free_room_count = 0;
+}
+
+/* Counts the tasks that have room beside the runs and what is reserved for
+   gangs and for advice requests under way. */
+static int64_t
+count_free_slots (const struct rst_planner *planner, const char *pool,
+                  const struct rst_resources *need)
+{
+  int64_t sum = 0;
+
+  for (guint i = 0; i < planner->schedulable_instances->len; i++)
+    {
+      const struct instance *instance
+          = g_ptr_array_index (planner->schedulable_instances, i);
+      struct rst_resources room = instance->entry.capacity;
+      int64_t slots = RST_TASKS_MAX;
+
+      if (strcmp (pool, instance->entry.pool) != 0)
+        continue;
+      rst_resources_add (&room, &instance->used, -1);
+      rst_resources_add (&room, &instance->reserved, -1);
+      if (need->cpu > 0)
+        slots = MIN (slots, room.cpu / need->cpu);
+      if (need->memory > 0)
+        slots = MIN (slots, room.memory / need->memory);
+      if (need->gpu > 0)
+        slots = MIN (slots, room.gpu / need->gpu);
+      sum += MAX (slots, 0);
+    }
+  return sum;
+}
+
+static struct free_room *
+find_free_room (struct rst_planner *planner, const char *pool,
+                const struct rst_resources *need)
+{
+  struct rst_plan_admission *admission = planner->admission;
+  struct free_room *room;
+
+  for (int i = 0; i < admission->free_room_count; i++)
+    {
+      room = &admission->free_rooms[i];
+      if (room->need.cpu == need->cpu && room->need.memory == need->memory
+          && room->need.gpu == need->gpu && strcmp (room->pool, pool) == 0)
+        return room;
+    }
+  if (admission->free_room_count == FREE_ROOMS_MAX)
+    return NULL;
+  room = &admission->free_rooms[admission->free_room_count++];
+  room->pool = pool;
+  room->need = *need;
+  room->slots = count_free_slots (planner, pool, need);
+  return room;
+}
+
+/* Whether all tasks of the job's first steps have room now.  What waits may
+   have found none: a gang as a whole, or a step on the few instances that it
+   may use.  The room is then taken. */
+static bool
+take_free_room (struct rst_planner *planner, const struct job *job)
+{
+  for (int i = 0; i < job->desc->step_count; i++)
+    {
+      const struct rst_step *spec = &job->desc->steps[i];
+      struct rst_resources need = rst_step_get_task_need (spec);
+      struct free_room *room;
+
+      if (spec->after_count > 0)
+        continue;
+      room = find_free_room (planner, job->queue->settings.pool, &need);
+      if (room == NULL || room->slots < spec->count)
+        return false;
+      room->slots -= spec->count;
+    }
+  return true;
 }
 
 /* Whether too little is known for an estimate, or none is made for the job. */
@@ -271,15 +368,17 @@
 
 static double
 get_delay_ms (struct rst_planner *planner, const struct job *job, int band,
-              int64_t start_by_ms)
+              int64_t start_by_ms, bool has_room)
 {
   const struct rst_start_load *pool
       = get_pool_load (planner, job->queue->settings.pool);
   const struct rst_start_load *customer
       = get_customer_load (planner, job->customer);
   enum rst_start_band start_band = (enum rst_start_band)band;
-  double delay_ms = rst_start_load_get_delay_ms (pool, start_band, start_by_ms,
-                                                 planner->unix_ms);
+  double delay_ms
+      = has_room ? 0.0
+                 : rst_start_load_get_delay_ms (pool, start_band, start_by_ms,
+                                                planner->unix_ms);
 
   if (customer != NULL)
     delay_ms = MAX (
@@ -288,21 +387,23 @@
   return delay_ms;
 }
 
-/* A job that can't start in time joins the late ones. */
+/* A job that can't start in time joins the late ones.  If the time that it
+   needs is longer by little only, many of its kind still make it: whoever does
+   not becomes late and makes room. */
 static double
 estimate_delay_ms (struct rst_planner *planner, const struct job *job,
-                   int band, int64_t start_by_ms)
+                   int band, int64_t start_by_ms, bool has_room)
 {
   bool is_urgent = job->queue->settings.priority == 0;
-  double delay_ms = get_delay_ms (planner, job, band, start_by_ms);
+  double delay_ms = get_delay_ms (planner, job, band, start_by_ms, has_room);
 
   if (band > RST_START_BAND_IN_TIME
-      || (double)planner->unix_ms + delay_ms <= (double)start_by_ms)
+      || delay_ms <= IN_TIME_DOUBT * (double)(start_by_ms - planner->unix_ms))
     return delay_ms;
   return get_delay_ms (planner, job,
                        is_urgent ? RST_START_BAND_LATE_URGENT
                                  : RST_START_BAND_LATE,
-                       start_by_ms);
+                       start_by_ms, has_room);
 }
 
 static void
@@ -333,10 +434,12 @@
   int64_t start_by_ms;
   int band;
   int retry_s;
+  bool has_room;
 
   if (is_exempt (planner, job))
     return 0;
   take_snapshot (planner);
+  has_room = take_free_room (planner, job);
   input.latest_end_percent = planner->timing.latest_end_percent;
   input.age_ms = planner->unix_ms - job->first_attempt_ms;
   input.path_ms = rst_plan_get_critical_path_ms (job);
@@ -345,10 +448,11 @@
       = job->first_attempt_ms + input.objective_ms - (int64_t)input.path_ms;
   band = get_band (planner, job, job->first_attempt_ms, input.objective_ms,
                    start_by_ms);
-  input.start_ms = band == RST_START_BANDS
-                       ? get_delay_ms (planner, job, RST_START_BAND_OVER_SHARE,
-                                       INT64_MAX / 2)
-                       : estimate_delay_ms (planner, job, band, start_by_ms);
+  input.start_ms
+      = band == RST_START_BANDS
+            ? get_delay_ms (planner, job, RST_START_BAND_OVER_SHARE,
+                            INT64_MAX / 2, has_room)
+            : estimate_delay_ms (planner, job, band, start_by_ms, has_room);
   if (job->queue->settings.needs_approval)
     input.start_ms = MAX (input.start_ms, planner->admission->advice_delay_ms);
   retry_s = rst_admission_decide (&input, g_str_hash (job->id));
--- a/test/unit/overload_test.cc
+++ b/test/unit/overload_test.cc
@@ -29,11 +29,13 @@
     cell->settle ();
     cell->answer_order (1, RST_MSG_STARTED, "i-0", make_id (1) + ".0.0.0", 1,
                         RST_RESULT_OK);
-    cell->advance_time (3500);
+    cell->advance_time (900);
     cell->report (1, "i-0",
                   { Planner::make_ended_run (1, make_id (1) + ".0.0.0", 1,
                                              RST_END_DONE) });
     cell->settle ();
+    cell->advance_time (3000);
+    cell->sent.clear ();
     cell->replies.clear ();
   }
 
@@ -89,6 +91,31 @@
     }
 }
 
+// Guards against the rejection of jobs that have room while others wait for
+// instances that they may use.
+TEST_F (Overload, AcceptsWhatHasRoomBesideABacklog)
+{
+  start (300);
+  for (int i = 10; i < 12; i++)
+    {
+      rst_jobdesc *desc = Planner::make_job (25, 1000);
+
+      desc->steps[0].max_per_instance = 1;
+      cell->send_call ((uint64_t)i, RST_OPERATION_SUBMIT, make_id (i), desc);
+    }
+  cell->settle ();
+  cell->advance_time (100);
+  ASSERT_EQ (cell->sent_of_kind (RST_MSG_START).size (), 2u);
+  cell->send_call (20, RST_OPERATION_SUBMIT, make_id (20),
+                   Planner::make_job (2, 1000));
+  EXPECT_EQ (cell->reply_to (20), nullptr);
+  // The room is taken.
+  cell->send_call (21, RST_OPERATION_SUBMIT, make_id (21),
+                   Planner::make_job (1, 1000));
+  ASSERT_NE (cell->reply_to (21), nullptr);
+  EXPECT_EQ (cell->reply_to (21)->reply.outcome, RST_OUTCOME_OVERLOADED);
+}
+
 TEST_F (Overload, AcceptsEverythingWhenSwitchedOff)
 {
   start (0);
