Replay a burst beyond the capacity and an outage with returning callers

Cause: the loads of test/replay never exceed the capacity for long, and the model knew neither rejected calls nor an outage of the store.

Change: the model refuses commits during an outage, callers submit a rejected job again after Retry-After, up to 4 times, and the value of a job (1 in its objective, 0.2 up to three times) is summed up, also that of the jobs that were first submitted 1 to 4 s after an outage. New words of a load file: outage, callers_return, latest_end_percent.

--- a/test/replay/model.cc
+++ b/test/replay/model.cc
@@ -15,6 +15,9 @@
 static const rst_ms commit_ms = 8;
 static const rst_ms time_step_ms = 2;
 static const rst_ms poll_wait_ms = 2000;
+static const rst_ms commit_retry_ms = 100;
+// Number of times that a caller submits a job.
+static const int attempts_max = 5;
 
 std::string
 read_load (const char *path, Load *out)
@@ -65,6 +68,17 @@
             if (kind.name == name)
               kind.tasks_spread = spread;
         }
+      else if (word == "outage")
+        {
+          Outage outage;
+
+          words >> outage.from_s >> outage.to_s;
+          out->outages.push_back (outage);
+        }
+      else if (word == "latest_end_percent")
+        words >> out->latest_end_percent;
+      else if (word == "callers_return")
+        out->callers_return = true;
       else if (word == "expect")
         {
           Bound bound;
@@ -109,6 +123,10 @@
     return (double)kind.jobs_on_time / kind.jobs;
   if (bound.measure == "work_on_time")
     return kind.core_seconds_on_time / kind.core_seconds;
+  if (bound.measure == "value")
+    return kind.value / kind.jobs;
+  if (bound.measure == "value_after_outage")
+    return kind.value_after_outage / std::max (kind.jobs_after_outage, 1);
   return (double)quantile (kind.first_start_delays_ms, 0.99);
 }
 
@@ -137,6 +155,9 @@
   // Number of runs that have yet to complete; a gang counts as one.
   int remaining_ends;
   bool has_started = false;
+  std::string customer;
+  int attempts = 0;
+  bool is_after_outage = false;
 };
 
 struct Run
@@ -158,7 +179,8 @@
 {
 public:
   Model (const Load &load, const Policy &policy)
-      : load_ (load), random_ (load.seed)
+      : load_ (load), random_ (load.seed),
+        planner_ (1, 0, load.latest_end_percent)
   {
     rst_planner_set_policy (planner_.planner, policy.order, policy.fit);
     configure ();
@@ -186,6 +208,7 @@
     while (now_ < end + drain_ms)
       {
         now_ += time_step_ms;
+        planner_.is_confirmed = !is_outage (now_);
         planner_.set_time (now_);
         while (!events_.empty () && events_.top ().at <= now_)
           {
@@ -371,14 +394,79 @@
                        + kind.target_ms;
     result_.kinds[kind.name].jobs++;
     result_.kinds[kind.name].core_seconds += job.core_seconds;
+    job.customer = customer;
+    job.is_after_outage = is_after_outage (now_);
+    result_.kinds[kind.name].jobs_after_outage += job.is_after_outage ? 1 : 0;
+    jobs_[id] = job;
+    send_submission (next_job_);
+  }
+
+  void
+  send_submission (unsigned number)
+  {
+    char id[17];
+
+    g_snprintf (id, sizeof id, "%016x", number);
+    Job &job = jobs_[id];
+    const JobKind &kind = *job.kind;
     rst_jobdesc *desc
         = Planner::make_job (job.tasks, kind.cpu_milli, job.is_gang);
 
+    job.attempts++;
     desc->steps[0].need.memory = kind.memory_mb;
     desc->steps[0].estimate_ms = kind.mean_run_ms;
-    jobs_[id] = job;
-    planner_.send_call (next_job_, RST_OPERATION_SUBMIT, id, desc,
-                        customer.c_str (), ("/" + kind.name + "/").c_str ());
+    planner_.send_call (number, RST_OPERATION_SUBMIT, id, desc,
+                        job.customer.c_str (),
+                        ("/" + kind.name + "/").c_str ());
+  }
+
+  bool
+  is_outage (rst_ms time) const
+  {
+    for (const Outage &outage : load_.outages)
+      if (time >= start_ms + (rst_ms)(outage.from_s * 1000)
+          && time < start_ms + (rst_ms)(outage.to_s * 1000))
+        return true;
+    return false;
+  }
+
+  // The first second after an outage is not counted.
+  bool
+  is_after_outage (rst_ms time) const
+  {
+    for (const Outage &outage : load_.outages)
+      if (time >= start_ms + (rst_ms)((outage.to_s + 1.0) * 1000)
+          && time < start_ms + (rst_ms)((outage.to_s + 4.0) * 1000))
+        return true;
+    return false;
+  }
+
+  // A caller submits a rejected job again after the time that it is told.
+  void
+  handle_replies ()
+  {
+    std::vector<harness::Reply> replies;
+
+    replies.swap (planner_.replies);
+    for (const harness::Reply &reply : replies)
+      {
+        unsigned number = (unsigned)reply.call;
+        char id[17];
+
+        g_snprintf (id, sizeof id, "%016x", number);
+        Job &job = jobs_[id];
+        KindResult &kind = result_.kinds[job.kind->name];
+
+        if (reply.reply.outcome != RST_OUTCOME_REJECTED
+            && reply.reply.outcome != RST_OUTCOME_OVERLOADED)
+          continue;
+        kind.jobs_rejected += job.attempts == 1 ? 1 : 0;
+        if (!load_.callers_return || job.attempts == attempts_max)
+          kind.jobs_never_accepted++;
+        else
+          schedule (now_ + 1000 * reply.reply.retry_s,
+                    [this, number] { send_submission (number); });
+      }
   }
 
   void
@@ -387,7 +475,7 @@
     std::vector<Sent> sent;
 
     sent.swap (planner_.sent);
-    planner_.replies.clear ();
+    handle_replies ();
     for (const Sent &message : sent)
       {
         if (message.kind == RST_MSG_HOLD)
@@ -411,8 +499,20 @@
     if (planner_.commits.empty ())
       return;
     planner_.commits.clear ();
-    schedule (now_ + commit_ms,
-              [this] { rst_planner_commit_done (planner_.planner); });
+    schedule (now_ + commit_ms, [this] { finish_commit (); });
+  }
+
+  // The store refuses commits during an outage; they are sent again.
+  void
+  finish_commit ()
+  {
+    if (!is_outage (now_))
+      {
+        rst_planner_commit_done (planner_.planner);
+        return;
+      }
+    rst_planner_set_commit_failed (planner_.planner, true);
+    schedule (now_ + commit_retry_ms, [this] { finish_commit (); });
   }
 
   void
@@ -466,8 +566,14 @@
   record_job_end (const Job &job)
   {
     KindResult &kind = result_.kinds[job.kind->name];
-
-    if (now_ - job.submitted_at > job.objective_ms)
+    rst_ms took_ms = now_ - job.submitted_at;
+    double value = took_ms <= job.objective_ms       ? 1.0
+                   : took_ms <= 3 * job.objective_ms ? 0.2
+                                                     : 0.0;
+
+    kind.value += value;
+    kind.value_after_outage += job.is_after_outage ? value : 0.0;
+    if (took_ms > job.objective_ms)
       return;
     kind.jobs_on_time++;
     kind.core_seconds_on_time += job.core_seconds;
--- a/test/replay/model.h
+++ b/test/replay/model.h
@@ -48,12 +48,20 @@
   double to_s;
 };
 
+// A time in which the store confirms nothing.
+struct Outage
+{
+  double from_s;
+  double to_s;
+};
+
 // A bound on the results of one kind of job.
 struct Bound
 {
   std::string kind;
-  std::string measure; // on_time, work_on_time or first_start_p99_ms
-  double value;        // a minimum; of first_start_p99_ms, a maximum
+  // on_time, work_on_time, value, value_after_outage or first_start_p99_ms
+  std::string measure;
+  double value; // a minimum; of first_start_p99_ms, a maximum
 };
 
 struct Load
@@ -71,6 +79,11 @@
   // Each raises the weight of a customer in the draw of who submits a job.
   std::vector<Surge> customer_surges;
   std::vector<Bound> bounds;
+  std::vector<Outage> outages;
+  // The planner's setting; 0 for no rejections under overload.
+  int64_t latest_end_percent = 0;
+  // Whether callers submit a rejected job again, up to 4 times.
+  bool callers_return = false;
 };
 
 // Reads a load file.  Returns an error message, "" on success.
@@ -93,6 +106,14 @@
   int jobs_on_time = 0;
   double core_seconds = 0; // of all jobs
   double core_seconds_on_time = 0;
+  // Jobs that were rejected at least once, and those never accepted.
+  int jobs_rejected = 0;
+  int jobs_never_accepted = 0;
+  // Sum of the jobs' values: 1 on time, 0.2 up to three times the objective.
+  double value = 0;
+  // Jobs first submitted 1 to 4 s after an outage, and their value.
+  int jobs_after_outage = 0;
+  double value_after_outage = 0;
 };
 
 struct Result
--- a/test/replay/replay.cc
+++ b/test/replay/replay.cc
@@ -19,6 +19,13 @@
           100.0 * kind.core_seconds_on_time / kind.core_seconds,
           (long long)replay::quantile (kind.first_start_delays_ms, 0.5),
           (long long)replay::quantile (kind.first_start_delays_ms, 0.99));
+  printf ("           value %5.1f %%  after outages %5.1f %% of %d  rejected "
+          "%d  never accepted %d\n",
+          100.0 * kind.value / kind.jobs,
+          100.0 * kind.value_after_outage
+              / (kind.jobs_after_outage > 0 ? kind.jobs_after_outage : 1),
+          kind.jobs_after_outage, kind.jobs_rejected,
+          kind.jobs_never_accepted);
 }
 
 // Simulates the load under the planner's own policy and checks the bounds of
