Describe admission; count returning jobs

Cause: nothing showed how many jobs come back after a rejection, or whether the table of first attempts is full, and no page said who rejects a job and why.

--- a/src/cell/plan_calls.c
+++ b/src/cell/plan_calls.c
@@ -258,6 +258,7 @@
   rst_plan_mark_dirty (planner, job);
   rst_plan_begin_job (planner, job);
   planner->stats.accepted++;
+  planner->stats.returned += job->first_attempt_ms < job->submitted_ms ? 1 : 0;
   rst_info (RST_PLAN_LOG, "Job submitted.", "job", id, "queue", route->name,
             "customer", customer->settings.name);
 }
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -262,6 +262,7 @@
   out->waiting_steps = planner->waiting_steps->len;
   out->journal_bytes = planner->journal_bytes;
   out->journal_needed_bytes = planner->needed_bytes;
+  out->rejected_ids = rst_attempts_count (planner->attempts);
   g_hash_table_iter_init (&iter, planner->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -49,6 +49,8 @@
  * @overloaded: Submitted jobs that were rejected because they would end too
  *   late.
  * @rejected_refused: Of @rejected, those while the store refused commits.
+ * @returned: Submitted jobs that were accepted after a rejection.
+ * @rejected_ids: Rejected ids whose first attempts are known.
  */
 struct rst_planner_stats
 {
@@ -84,6 +86,8 @@
   /* Admission. */
   uint64_t overloaded;
   uint64_t rejected_refused;
+  uint64_t returned;
+  uint64_t rejected_ids;
 };
 
 /**
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -96,6 +96,9 @@
   rst_metrics_add_gauge (page, "cancelled_ids",
                          "Cancelled ids that no job has.",
                          (double)stats->notes);
+  rst_metrics_add_gauge (page, "rejected_ids",
+                         "Rejected ids whose first attempts are known.",
+                         (double)stats->rejected_ids);
   rst_metrics_add_gauge (page, "instances", "Instances registered.",
                          (double)stats->instances);
   rst_metrics_add_gauge (page, "instances_known",
@@ -134,6 +137,9 @@
   rst_metrics_add_counter (page, "jobs_overloaded_total",
                            "Jobs rejected that would end too late.",
                            stats->overloaded);
+  rst_metrics_add_counter (page, "jobs_returned_total",
+                           "Jobs accepted after a rejection.",
+                           stats->returned);
   rst_metrics_add_counter (page, "jobs_outdated_total",
                            "Jobs rejected that may have been cancelled since.",
                            stats->outdated);
--- a/test/unit/first_attempt_test.cc
+++ b/test/unit/first_attempt_test.cc
@@ -33,6 +33,7 @@
 TEST (FirstAttempt, PlacesNewJobsBeforeReturningOnesThatAreLate)
 {
   Planner cell;
+  rst_planner_stats stats;
 
   reject_in_outage (&cell);
   cell.send_call (2, RST_OPERATION_SUBMIT, returning_job,
@@ -44,6 +45,9 @@
   EXPECT_EQ (cell.sent_of_kind (RST_MSG_START)[0].task.substr (0, 16),
              new_job);
   EXPECT_EQ (cell.reply_to (2)->reply.outcome, RST_OUTCOME_OK);
+  rst_planner_read_stats (cell.planner, &stats);
+  EXPECT_EQ (stats.returned, 1u);
+  EXPECT_EQ (stats.rejected_ids, 1u);
 }
 
 // Guards against a job that is rejected a second time and is then as old as
