--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -20,7 +20,8 @@
 // --crashing draws jobs with a task that crashes each instance that starts it;
 // an instance that has crashed mostly comes back under another id.
 // --resizing changes the capacity of instances while they run.
-// --refusals lets a store that is down answer commits with a refusal.
+// --refusals lets a store that is down answer commits with a refusal, and
+// planners reject jobs that would end too late.
 // --sequences draws faults as sequences in the order of events, in a network
 // that can be cut, and freezes processes in pieces; see sequences.h.
 #include "partitions.h"
@@ -260,7 +261,8 @@
 static bool
 run_seed (uint64_t seed, const Options &options)
 {
-  World world (seed, 5, 12, options.has_partitions || options.has_sequences);
+  World world (seed, 5, 12, options.has_partitions || options.has_sequences,
+               options.has_refusals);
   // Fewer of the other faults, so that partitions meet a cell at work.
   double node_fault_probability = world.has_partitions ? 0.01 : 0.03;
   double instance_fault_probability = 0.03;
@@ -273,7 +275,6 @@
 
   if (options.has_repeating_jobs)
     settle_ms *= repeating_settle_factor;
-  world.has_refusals = options.has_refusals;
   world.orders_survive_restart = options.orders_survive_restart;
   world.has_repeating_jobs = options.has_repeating_jobs;
   world.listed_ends_max = options.listed_ends_max;
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -62,8 +62,9 @@
 static const int64_t customer_cpu_limit_milli = 12000;
 
 World::World (uint64_t seed, int node_count, int instance_count,
-              bool has_partitions)
-    : has_partitions (has_partitions), random (seed)
+              bool has_partitions, bool has_refusals)
+    : has_partitions (has_partitions), has_refusals (has_refusals),
+      random (seed)
 {
   static const char *const zones[] = { "a", "b", "c" };
 
@@ -219,8 +220,8 @@
   config.name = node.name.c_str ();
   config.zone = node.zone.c_str ();
   config.address = node.address.c_str ();
-  /* Rejects more jobs than deployments do, so that rejections meet faults. */
-  config.timing = { 5000, 6000, 120000, 250, 0, 50 };
+  // Rejects more jobs than deployments do, so that rejections meet faults.
+  config.timing = { 5000, 6000, 120000, 250, 0, has_refusals ? 50 : 0 };
   config.jitter_ms = draw_below (120);
   node.cell_node = rst_cell_node_create (&config);
   run_node (node);
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -296,12 +296,14 @@
   // arrive when it ends, and each side closes a silent link by itself; entries
   // of instances follow their reports to the store.  Without it, none of this
   // happens, since the seeds in tools/check depend on the order of events.
-  World (uint64_t seed, int nodes, int instances, bool has_partitions);
+  World (uint64_t seed, int nodes, int instances, bool has_partitions,
+         bool has_refusals = false);
   ~World ();
 
   const bool has_partitions;
-  // Whether a store that is down answers commits with a refusal.
-  bool has_refusals = false;
+  // Whether a store that is down answers commits with a refusal, and planners
+  // reject jobs that would end too late.
+  const bool has_refusals;
 
   Faults faults;
   // Whether an instance may carry out a late order to its previous
