--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -220,8 +220,13 @@
   config.name = node.name.c_str ();
   config.zone = node.zone.c_str ();
   config.address = node.address.c_str ();
+  config.timing = {};
+  config.timing.unconfirmed_renewal_ms = 5000;
+  config.timing.lease_ms = 6000;
+  config.timing.status_ms = 120000;
+  config.timing.early_ms = 250;
   // Rejects more jobs than deployments do, so that rejections meet faults.
-  config.timing = { 5000, 6000, 120000, 250, 0, has_refusals ? 50 : 0 };
+  config.timing.latest_end_percent = has_refusals ? 50 : 0;
   config.jitter_ms = draw_below (120);
   node.cell_node = rst_cell_node_create (&config);
   run_node (node);
