jobd: reject calls at once when no planner serves for longer than a succession

Cause: an entry instance without a planner held each call for 1.5 s before it answered 503.

Change: entry_state (pure) decides whether a call is sent, waits or is rejected. For 1,000 ms after the loss of the planner calls wait as before: a succession takes 350 to 800 ms, and the record is read every 150 ms. After that, calls that no planner was sent are answered with 503, Retry-After 1 and Connection: close, new ones on arrival, so that the next connection goes through the load balancer. A planner that stops serving on its own link is isolated; there is no wait then. Calls that were sent over a lost link are still answered by the next planner or with 504. The pending calls move to jobd_calls.[ch].

Ruled out: a shorter time for each call, as a call that arrives late in an ordinary succession would be rejected; not ready alone, as the load balancer doesn't move open connections.

--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -54,6 +54,9 @@
                          ready);
   rst_metrics_add_gauge (page, "calls_waiting",
                          "Calls without an answer so far.", pending_calls);
+  rst_metrics_add_counter (page, "calls_rejected_at_once_total",
+                           "Calls rejected on arrival as no planner serves.",
+                           stats->rejected_at_once);
   rst_metrics_begin_family (
       page, "answers_total", "counter",
       "Answers by operation and status; 0 is any other.");
--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -15,6 +15,7 @@
 #include "cell/planner_client.h"
 #include "daemon/cell_loop.h"
 #include "daemon/cell_metrics.h"
+#include "daemon/jobd_calls.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/transport.h"
@@ -26,14 +27,6 @@
 /** Deadline of a request that does not set one, in milliseconds. */
 #define DEFAULT_DEADLINE_MS 3000
 
-/** A call is answered this long before the caller's deadline, in milliseconds.
- */
-#define DEADLINE_MARGIN_MS 150
-
-/** A call that could not be sent to a planner for this long is rejected; in
-    milliseconds. */
-#define UNSENT_TIMEOUT_MS 1500
-
 /** Maximum number of calls without an answer; more are rejected. */
 #define PENDING_CALLS_MAX 2000
 
@@ -92,43 +85,18 @@
   struct rst_planner_client *planner_client;
   struct rst_http_server *caller_server;
   struct rst_http_server *readiness_server;
-  GHashTable *pending_calls;
+  struct rst_jobd_calls *calls;
   struct rst_call_stats stats;
-  uint64_t next_number;
   atomic_bool ready;
-  bool serving;
+  /* What is known of the planner, and the last decision made from it. */
+  struct rst_entry_state entry_state;
+  enum rst_entry_action action;
   bool stopping;
   rst_ms linger_until;
   rst_ms stop_deadline;
   rst_ms next_deadline_check;
 };
 
-/* A call that has no answer yet. */
-struct pending_call
-{
-  uint64_t number;
-  struct rst_http_request *request;
-  enum rst_operation operation;
-  GByteArray *frame;
-  rst_ms received_at;
-  /* A time at which the caller had not sent it yet. */
-  rst_ms sent_after;
-  rst_ms answer_deadline;
-  /* Sent over the current link to the planner. */
-  bool sent;
-  /* Sent over an earlier link, so its outcome is unknown. */
-  bool sent_on_lost_link;
-};
-
-static void
-free_pending_call (gpointer data)
-{
-  struct pending_call *call = data;
-
-  g_byte_array_free (call->frame, TRUE);
-  g_free (call);
-}
-
 static void
 send_reply (struct rst_http_request *request, unsigned status,
             const char *text, unsigned retry_s)
@@ -151,10 +119,7 @@
 finish_call (struct jobd *jobd, struct pending_call *call, unsigned status,
              const char *text, unsigned retry_s)
 {
-  rst_call_stats_record (&jobd->stats, call->operation, status,
-                         rst_os_now () - call->received_at);
-  send_reply (call->request, status, text, retry_s);
-  g_hash_table_remove (jobd->pending_calls, &call->number);
+  rst_jobd_calls_finish (jobd->calls, call, status, text, retry_s);
 }
 
 /* Replies to a call with an error, and logs it. */
@@ -162,23 +127,7 @@
 reject_call (struct jobd *jobd, struct pending_call *call, unsigned status,
              const char *reason, unsigned retry_s)
 {
-  char text[256];
-
-  if (rst_log_enabled (G_LOG_LEVEL_INFO))
-    {
-      char number[16];
-      char age[24];
-
-      g_snprintf (number, sizeof number, "%u", status);
-      g_snprintf (age, sizeof age, "%lld",
-                  (long long)(rst_os_now () - call->received_at));
-      rst_info (LOG_DOMAIN, "Call failed.", "path",
-                rst_http_request_path (call->request), "status", number, "why",
-                reason, "age_ms", age, "passed_on",
-                call->sent || call->sent_on_lost_link ? "yes" : "no");
-    }
-  g_snprintf (text, sizeof text, "{\"error\":\"%s\"}\n", reason);
-  finish_call (jobd, call, status, text, retry_s);
+  rst_jobd_calls_reject (jobd->calls, call, status, reason, retry_s);
 }
 
 /* Why a submission must not be sent to the planner, or NULL.  Its caller may
@@ -188,7 +137,7 @@
 static const char *
 find_objection (const struct pending_call *call)
 {
-  if (rst_os_now () >= call->answer_deadline + DEADLINE_MARGIN_MS)
+  if (rst_os_now () >= call->answer_deadline + RST_JOBD_DEADLINE_MARGIN_MS)
     return "read too late";
   if (rst_http_request_client_has_left (call->request))
     return "the caller has left";
@@ -217,11 +166,12 @@
 
 /* Sends a call to the planner, or rejects it. */
 static void
-forward_call (struct jobd *jobd, struct pending_call *call)
+forward_call (void *userdata, struct pending_call *call)
 {
+  struct jobd *jobd = userdata;
   const char *objection = NULL;
 
-  if (!jobd->serving || call->sent)
+  if (jobd->action != RST_ENTRY_SEND || call->sent)
     return;
   if (call->operation == RST_OPERATION_SUBMIT)
     objection = find_objection (call);
@@ -235,6 +185,33 @@
                                           call->frame->data, call->frame->len);
 }
 
+/* Decides what to do with calls, and does it with those that wait. */
+static void
+update_action (struct jobd *jobd)
+{
+  rst_ms now = rst_os_now ();
+  enum rst_entry_action previous = jobd->action;
+
+  jobd->action = rst_entry_state_decide (&jobd->entry_state, now);
+  /* While there is no planner the load balancer should send callers to other
+     instances. */
+  atomic_store (&jobd->ready,
+                jobd->action == RST_ENTRY_SEND && !jobd->stopping);
+  rst_jobd_calls_set_closing (jobd->calls, jobd->action == RST_ENTRY_REJECT);
+  if (jobd->action == previous)
+    return;
+  if (jobd->action == RST_ENTRY_SEND)
+    rst_info (LOG_DOMAIN, "Planner is ready; serving callers.");
+  else if (jobd->action == RST_ENTRY_REJECT)
+    {
+      rst_info (LOG_DOMAIN, "No planner serves; calls are rejected at once.",
+                "why",
+                jobd->entry_state.withdrawn ? "the planner is isolated"
+                                            : "no planner");
+      rst_jobd_calls_expire (jobd->calls, now, jobd->action);
+    }
+}
+
 static const char *
 get_header (const struct rst_http_request *request, const char *name)
 {
@@ -303,14 +280,21 @@
   struct rst_jobdesc *desc = NULL;
   const char *problem = NULL;
   struct pending_call *call;
-  rst_ms now = rst_os_now ();
 
   if (!read_operation (request, &operation))
     {
       send_error (request, 405, "method: must be GET, POST or DELETE", 0);
       return;
     }
-  if (g_hash_table_size (jobd->pending_calls) >= PENDING_CALLS_MAX)
+  update_action (jobd);
+  if (jobd->action == RST_ENTRY_REJECT)
+    {
+      jobd->stats.rejected_at_once++;
+      reject_call (jobd, rst_jobd_calls_add (jobd->calls, request, operation),
+                   503, "no planner", 1);
+      return;
+    }
+  if (rst_jobd_calls_count (jobd->calls) >= PENDING_CALLS_MAX)
     {
       send_error (request, 503, "too many calls wait", 1);
       return;
@@ -324,20 +308,15 @@
                   "Submitted job can't be read; the planner will reject it.",
                   "problem", problem);
     }
-  call = g_new0 (struct pending_call, 1);
-  call->number = jobd->next_number++;
-  call->request = request;
-  call->operation = operation;
-  call->received_at = now;
+  call = rst_jobd_calls_add (jobd->calls, request, operation);
   /* Other calls may be carried out late. */
   call->sent_after = operation == RST_OPERATION_SUBMIT
                          ? rst_cell_loop_date_request (jobd->loop)
-                         : now;
-  call->answer_deadline
-      = call->sent_after + get_caller_wait_ms (request) - DEADLINE_MARGIN_MS;
+                         : call->received_at;
+  call->answer_deadline = call->sent_after + get_caller_wait_ms (request)
+                          - RST_JOBD_DEADLINE_MARGIN_MS;
   pack_call (call, desc);
   rst_jobdesc_destroy (desc);
-  g_hash_table_insert (jobd->pending_calls, &call->number, call);
   forward_call (jobd, call);
 }
 
@@ -348,7 +327,7 @@
   char *page;
 
   page = rst_call_metrics_format_page (&jobd->stats,
-                                       g_hash_table_size (jobd->pending_calls),
+                                       rst_jobd_calls_count (jobd->calls),
                                        atomic_load (&jobd->ready));
   rst_http_request_reply (request, 200, "text/plain", page, strlen (page), 0);
   g_free (page);
@@ -423,8 +402,7 @@
   int64_t state = rst_reader_read_int (reader);
   int64_t count = rst_reader_read_int (reader);
   unsigned retry_s = (unsigned)rst_reader_read_int (reader);
-  struct pending_call *call
-      = g_hash_table_lookup (jobd->pending_calls, &number);
+  struct pending_call *call = rst_jobd_calls_find (jobd->calls, number);
 
   if (call == NULL || reader->bad)
     return;
@@ -449,35 +427,22 @@
 on_connected (void *userdata, bool serving)
 {
   struct jobd *jobd = userdata;
-  GList *calls = g_hash_table_get_values (jobd->pending_calls);
 
-  if (serving && !jobd->serving)
-    rst_info (LOG_DOMAIN, "Planner is ready; serving callers.");
-  jobd->serving = serving;
-  atomic_store (&jobd->ready, serving && !jobd->stopping);
-  for (GList *node = calls; node != NULL; node = node->next)
-    forward_call (jobd, node->data);
-  g_list_free (calls);
+  rst_entry_state_welcome (&jobd->entry_state, rst_os_now (), serving);
+  update_action (jobd);
+  rst_jobd_calls_foreach (jobd->calls, forward_call, jobd);
 }
 
 static void
 on_disconnected (void *userdata)
 {
   struct jobd *jobd = userdata;
-  GHashTableIter iter;
-  gpointer value;
 
   rst_info (LOG_DOMAIN,
             "Link to the planner lost; callers wait for the next planner.");
-  jobd->serving = false;
-  g_hash_table_iter_init (&iter, jobd->pending_calls);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct pending_call *call = value;
-
-      call->sent_on_lost_link |= call->sent;
-      call->sent = false;
-    }
+  rst_entry_state_link_lost (&jobd->entry_state, rst_os_now ());
+  rst_jobd_calls_link_lost (jobd->calls);
+  update_action (jobd);
 }
 
 static void
@@ -487,27 +452,6 @@
   (void)heartbeat;
 }
 
-/* Replies to calls that are close to their deadline or could not be sent. */
-static void
-expire_calls (struct jobd *jobd, rst_ms now)
-{
-  GList *calls = g_hash_table_get_values (jobd->pending_calls);
-
-  for (GList *node = calls; node != NULL; node = node->next)
-    {
-      struct pending_call *call = node->data;
-      bool was_sent = call->sent || call->sent_on_lost_link;
-
-      if (was_sent && now >= call->answer_deadline)
-        reject_call (jobd, call, 504, "no answer in time", 0);
-      else if (!was_sent
-               && (now >= call->answer_deadline
-                   || now - call->received_at >= UNSENT_TIMEOUT_MS))
-        reject_call (jobd, call, 503, "no planner", 1);
-    }
-  g_list_free (calls);
-}
-
 static void
 on_link_event (void *userdata, enum rst_net_event event, uint64_t link,
                const void *data, size_t length)
@@ -530,19 +474,21 @@
   struct jobd *jobd = userdata;
   rst_ms now = rst_os_now ();
   rst_ms wake = rst_planner_client_run (jobd->planner_client);
-  bool has_pending_calls = g_hash_table_size (jobd->pending_calls) > 0;
-
+  rst_ms next_change;
+  bool has_pending_calls;
+
+  update_action (jobd);
+  next_change = rst_entry_state_next_change (&jobd->entry_state, now);
+  if (next_change != 0)
+    wake = MIN (wake, next_change);
+  has_pending_calls = rst_jobd_calls_count (jobd->calls) > 0;
   if (has_pending_calls && now >= jobd->next_deadline_check)
     {
       jobd->next_deadline_check = now + DEADLINE_CHECK_INTERVAL_MS;
-      expire_calls (jobd, now);
+      rst_jobd_calls_expire (jobd->calls, now, jobd->action);
     }
   if (has_pending_calls)
     wake = MIN (wake, jobd->next_deadline_check);
-  /* While there is no planner the load balancer should send callers to other
-     instances. */
-  if (!jobd->serving)
-    atomic_store (&jobd->ready, false);
   if (!jobd->stopping)
     return wake;
   if ((now >= jobd->linger_until && !has_pending_calls)
@@ -670,9 +616,9 @@
   g_strlcpy (log_config.level, jobd.settings.log_level,
              sizeof log_config.level);
   rst_log_init (program.name, &log_config);
-  jobd.next_number = 1;
-  jobd.pending_calls = g_hash_table_new_full (g_int64_hash, g_int64_equal,
-                                              NULL, free_pending_call);
+  jobd.calls = rst_jobd_calls_create (&jobd.stats);
+  rst_entry_state_init (&jobd.entry_state, rst_os_now ());
+  jobd.action = RST_ENTRY_WAIT;
   jobd.loop = rst_cell_loop_create (&loop_config);
   jobd.client = rst_http_client_create (64, 0);
   if (jobd.loop == NULL || jobd.client == NULL)
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -37,6 +37,8 @@
   struct MHD_Response *response;
   unsigned status;
   bool aborted;
+  /* The connection is closed after the reply. */
+  bool closes_connection;
   CK_LIST_ENTRY (rst_http_request) list_entry;
 };
 
@@ -327,13 +329,20 @@
 {
   request->response
       = make_response (content_type, body, length, retry_after_s);
-  if (atomic_load (&request->server->keep_alive_disabled))
+  if (request->closes_connection
+      || atomic_load (&request->server->keep_alive_disabled))
     MHD_add_response_header (request->response, MHD_HTTP_HEADER_CONNECTION,
                              "close");
   request->status = status;
   resume_request (request);
 }
 
+void
+rst_http_request_close_connection (struct rst_http_request *request)
+{
+  request->closes_connection = true;
+}
+
 void
 rst_http_request_reply_json (struct rst_http_request *request, unsigned status,
                              const char *text)
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -131,6 +131,12 @@
                              const char *content_type, const void *body,
                              size_t length, unsigned retry_after_s);
 
+/**
+ * rst_http_request_close_connection() - Closes the connection after the reply.
+ * @request: A pending request; its reply will carry "Connection: close".
+ */
+void rst_http_request_close_connection (struct rst_http_request *request);
+
 /**
  * rst_http_request_reply_json() - Replies with a string of JSON.
  * @request: The request; must not be used afterwards.
