jobd: send nothing to a planner that has fallen silent

Cause: a link that was cut carries nothing, and jobd noticed after 1.25 s, when the transport closes it.

Change: a planner that was not heard for 800 ms makes jobd not ready, and calls wait. Heartbeats come every 250 ms, so three in a row are missing then. They count from when they were sent, so those that a cut held up are no sign of life. The wait for the successor begins with the silence, not with the closing of the link. Time in which jobd itself did not run does not count. Calls that were sent before are not touched: they are answered by a planner, or with 504.

Ruled out: 500 ms, as a pause of the planner of 300 ms flaps it; 1,000 ms, as the link is closed then anyway; any frame as a sign of life, as replies that a cut held up would count; the age of the store's confirmation, as all entry instances would become not ready in an outage of the store.

--- a/src/cell/entry_state.h
+++ b/src/cell/entry_state.h
@@ -7,6 +7,8 @@
  * planner, which is the fastest answer then.  After that a caller is better
  * served by another entry instance: its call is rejected at once and its
  * connection is closed, so that the next one goes through the load balancer.
+ * Nothing is sent into a link that carries no heartbeats: the outcome of what
+ * is sent there is unknown, while what waits can still be sent elsewhere.
  * There is no I/O here; the caller passes the time.
  */
 #ifndef RST_ENTRY_STATE_H
@@ -16,9 +18,21 @@
 
 /** How long calls wait for the next planner, in milliseconds.  A succession
     usually takes 350 to 800 ms, and this process reads the planner record
-   every 150 ms. */
+    every 150 ms. */
 #define RST_ENTRY_SUCCESSION_MS 1000
 
+/** A planner that was not heard for this long is not sent calls, in
+    milliseconds.  It sends a heartbeat every 250 ms, so three in a row have to
+    be missing.  A pause of its process of half a second passes unnoticed, as
+    does a heartbeat behind 600 KB on a link of 10 Mbit/s; the planner limits
+    its commits to what its link carries in 100 ms.  The link itself is closed
+    after 1,000 ms of silence, which takes up to 1,250 ms to be noticed. */
+#define RST_ENTRY_SILENCE_MS 800
+
+/** Longest time between two evaluations, in milliseconds.  During a longer gap
+    this process did not run, and heartbeats that arrived could not be read. */
+#define RST_ENTRY_GAP_MAX_MS 250
+
 /**
  * enum rst_entry_action - What to do with a call that was not sent yet.
  * @RST_ENTRY_SEND: Send it to the planner.
@@ -39,6 +53,8 @@
  * @withdrawn: The planner of the link has stopped serving callers.
  * @unserved_since: Since when no planner has served; valid unless @linked and
  *   @serving.
+ * @heard_at: When the planner of the link is known to have been alive.
+ * @evaluated_at: When rst_entry_state_run() was last called.
  */
 struct rst_entry_state
 {
@@ -46,6 +62,8 @@
   bool serving;
   bool withdrawn;
   rst_ms unserved_since;
+  rst_ms heard_at;
+  rst_ms evaluated_at;
 };
 
 /** rst_entry_state_init() - Begins without a planner. */
@@ -62,9 +80,32 @@
 void rst_entry_state_welcome (struct rst_entry_state *state, rst_ms now,
                               bool serving);
 
+/**
+ * rst_entry_state_heartbeat() - Notes that a heartbeat arrived.
+ * @sent_at: When the planner sent it at the earliest; 0 if that is unknown.
+ *
+ * A heartbeat that a cut held up says nothing of the planner's present state.
+ */
+void rst_entry_state_heartbeat (struct rst_entry_state *state, rst_ms now,
+                                rst_ms sent_at);
+
 /** rst_entry_state_link_lost() - Notes that the link was lost. */
 void rst_entry_state_link_lost (struct rst_entry_state *state, rst_ms now);
 
+/**
+ * rst_entry_state_run() - Notes that this process runs; to be called every
+ * RST_ENTRY_GAP_MAX_MS at least, and before each decision.
+ *
+ * Time in which this process did not run does not count as silence of the
+ * planner, nor as time without one.
+ */
+void rst_entry_state_run (struct rst_entry_state *state, rst_ms now);
+
+/** rst_entry_state_is_silent() - Whether a planner is linked that has not been
+ * heard for too long. */
+bool rst_entry_state_is_silent (const struct rst_entry_state *state,
+                                rst_ms now);
+
 /** rst_entry_state_decide() - Decides on calls that were not sent yet.  The
  * entry instance is ready while the decision is RST_ENTRY_SEND. */
 enum rst_entry_action
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -57,6 +57,9 @@
   rst_metrics_add_counter (page, "calls_rejected_at_once_total",
                            "Calls rejected on arrival as no planner serves.",
                            stats->rejected_at_once);
+  rst_metrics_add_counter (page, "planner_silences_total",
+                           "Times that no heartbeat came for too long.",
+                           stats->silent_links);
   rst_metrics_begin_family (
       page, "answers_total", "counter",
       "Answers by operation and status; 0 is any other.");
--- a/src/daemon/cell_metrics.h
+++ b/src/daemon/cell_metrics.h
@@ -21,12 +21,14 @@
  * @answer_ms: Time until the answer, by operation.
  * @rejected_at_once: Calls rejected on arrival because no planner has served
  *   for longer than a succession takes.
+ * @silent_links: Times that no heartbeat came for too long.
  */
 struct rst_call_stats
 {
   uint64_t answers[RST_CALL_OPERATION_COUNT][RST_CALL_STATUS_COUNT];
   struct rst_histogram answer_ms[RST_CALL_OPERATION_COUNT];
   uint64_t rejected_at_once;
+  uint64_t silent_links;
 };
 
 /**
--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -42,6 +42,10 @@
  */
 #define DEADLINE_CHECK_INTERVAL_MS 50
 
+/** Longest time between two evaluations of the planner's state, in
+    milliseconds; below RST_ENTRY_GAP_MAX_MS. */
+#define STATE_CHECK_INTERVAL_MS 100
+
 struct settings
 {
   char name[RST_NAME_SIZE];
@@ -192,6 +196,7 @@
   rst_ms now = rst_os_now ();
   enum rst_entry_action previous = jobd->action;
 
+  rst_entry_state_run (&jobd->entry_state, now);
   jobd->action = rst_entry_state_decide (&jobd->entry_state, now);
   /* While there is no planner the load balancer should send callers to other
      instances. */
@@ -202,6 +207,17 @@
     return;
   if (jobd->action == RST_ENTRY_SEND)
     rst_info (LOG_DOMAIN, "Planner is ready; serving callers.");
+  else if (jobd->action == RST_ENTRY_WAIT
+           && rst_entry_state_is_silent (&jobd->entry_state, now))
+    {
+      char silent_ms[24];
+
+      g_snprintf (silent_ms, sizeof silent_ms, "%lld",
+                  (long long)(now - jobd->entry_state.heard_at));
+      jobd->stats.silent_links++;
+      rst_info (LOG_DOMAIN, "Planner is silent; calls wait.", "silent_ms",
+                silent_ms);
+    }
   else if (jobd->action == RST_ENTRY_REJECT)
     {
       rst_info (LOG_DOMAIN, "No planner serves; calls are rejected at once.",
@@ -448,8 +464,14 @@
 static void
 on_heartbeat (void *userdata, const struct rst_heartbeat *heartbeat)
 {
-  (void)userdata;
-  (void)heartbeat;
+  struct jobd *jobd = userdata;
+
+  rst_entry_state_heartbeat (&jobd->entry_state, rst_os_now (),
+                             heartbeat->sent_at);
+  if (jobd->action == RST_ENTRY_SEND)
+    return;
+  update_action (jobd);
+  rst_jobd_calls_foreach (jobd->calls, forward_call, jobd);
 }
 
 static void
@@ -475,12 +497,14 @@
   rst_ms now = rst_os_now ();
   rst_ms wake = rst_planner_client_run (jobd->planner_client);
   rst_ms next_change;
+  rst_ms next_check = now + STATE_CHECK_INTERVAL_MS;
   bool has_pending_calls;
 
   update_action (jobd);
   next_change = rst_entry_state_next_change (&jobd->entry_state, now);
   if (next_change != 0)
-    wake = MIN (wake, next_change);
+    next_check = MIN (next_check, next_change);
+  wake = MIN (wake, next_check);
   has_pending_calls = rst_jobd_calls_count (jobd->calls) > 0;
   if (has_pending_calls && now >= jobd->next_deadline_check)
     {
