planner: stop serving while it is isolated with its zone

Cause: a planner whose zone is cut off keeps its links there.

Change: isolation (pure) decides at each heartbeat, from the age of the store's confirmation (above 1,000 ms) and from when agents were last heard (800 ms), whether all agents of other zones or most agents fell silent with the store. The planner then says WELCOME with serving 0 to entries, and rejects the jobs that no commit contains and new ones at once, with a retry after 1 s. Jobs in a commit stay open, and no 410 is given, as a successor may have accepted the job. Agents are not told: they go on holding instances and extending leases. It ends when the signs end, or with the term. Agents that were lost over 5 s before the last confirmation don't count, nor does time in which the process did not run.

Ruled out: the age of the confirmation alone, as every zone would become not ready in an outage of the store; the closing of links as the sign, as it comes 200 ms later and agents that stop as planned close theirs too.

--- a/src/cell/plan_calls.c
+++ b/src/cell/plan_calls.c
@@ -9,6 +9,10 @@
     seconds.  Any time will do: the next one is certainly sent later. */
 #define OUTDATED_RETRY_S 1
 
+/** When the caller of a job that an isolated planner rejects should retry, in
+    seconds. */
+#define ISOLATED_RETRY_S 1
+
 /** By how much the Unix clocks of two planners may differ, in milliseconds. */
 #define UNIX_CLOCK_DIFFERENCE_MS 100
 
@@ -56,10 +60,14 @@
 }
 
 /* Seconds after which the caller of a job that was never sent to the store
-   should retry; 0 if the job may wait. */
+   should retry; 0 if the job may wait.  The callers of an isolated planner are
+   served by entry instances of other zones, so theirs need not wait out the
+   cut. */
 static int
 get_retry_s (const struct rst_planner *planner, const char *id)
 {
+  if (planner->isolated)
+    return ISOLATED_RETRY_S;
   return rst_admission_compute_retry_s (planner->now - planner->confirmed_at,
                                         g_str_hash (id));
 }
@@ -71,11 +79,15 @@
   char retry[16];
 
   planner->stats.rejected++;
+  planner->stats.rejected_isolated += planner->isolated ? 1 : 0;
   g_snprintf (age, sizeof age, "%" PRId64,
               (int64_t)(planner->now - planner->confirmed_at));
   g_snprintf (retry, sizeof retry, "%d", retry_s);
-  rst_info (RST_PLAN_LOG, "Job rejected; the store does not answer.", "job",
-            id, "store_age_ms", age, "retry_s", retry);
+  rst_info (RST_PLAN_LOG,
+            planner->isolated
+                ? "Job rejected; this planner is isolated with its zone."
+                : "Job rejected; the store does not answer.",
+            "job", id, "store_age_ms", age, "retry_s", retry);
 }
 
 static void
@@ -227,7 +239,7 @@
 reply_no_job (struct rst_planner *planner, const struct rst_planner_call *call,
               const char *id)
 {
-  if (rst_plan_may_have_successor (planner))
+  if (planner->isolated || rst_plan_may_have_successor (planner))
     reply_rejected (planner, call->link, call->number,
                     MAX (get_retry_s (planner, id), 1));
   else
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -240,6 +240,7 @@
   out->jobs = g_hash_table_size (planner->jobs);
   out->notes = (uint64_t)planner->note_count;
   out->agents = planner->agents->len;
+  out->isolated = planner->isolated ? 1 : 0;
   out->waiting_steps = planner->waiting_steps->len;
   out->journal_bytes = planner->journal_bytes;
   out->journal_needed_bytes = planner->needed_bytes;
@@ -273,6 +274,16 @@
     }
 }
 
+void
+rst_planner_set_isolated (struct rst_planner *planner, bool isolated)
+{
+  planner->isolated = isolated;
+  if (!isolated)
+    return;
+  planner->stats.isolations++;
+  rst_plan_reject_unsent_jobs (planner);
+}
+
 bool
 rst_planner_is_ready (const struct rst_planner *planner)
 {
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -274,6 +274,15 @@
  */
 void rst_planner_set_confirmed (struct rst_planner *planner, rst_ms at);
 
+/**
+ * rst_planner_set_isolated() - Sets whether the planner is cut off from the
+ * others with its zone.
+ *
+ * While it is, new jobs are rejected at once, as those that wait for a commit
+ * are, and no job is denied that a successor may have accepted.
+ */
+void rst_planner_set_isolated (struct rst_planner *planner, bool isolated);
+
 /**
  * rst_planner_run() - Checks timeouts, places tasks and commits changes, as
  * far as they are due.
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -623,6 +623,9 @@
   GPtrArray *candidates;
   /* Counters; current sizes are filled in when they are read. */
   struct rst_planner_stats stats;
+  /* Partitioned zones: this planner is cut off from the others with its
+     zone. */
+  bool isolated;
 };
 
 #endif
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -20,6 +20,10 @@
  * @cancelled: Jobs that callers cancelled.
  * @rejected: Submitted jobs that were rejected because the store does not
  *   answer.
+ * @rejected_isolated: Those of them that were rejected while the planner was
+ *   isolated.
+ * @isolations: Times that the planner was isolated.
+ * @isolated: Whether it is.
  * @outdated: Submitted jobs that were rejected because their caller may have
  *   cancelled them since.
  * @notes: Cancelled ids that no job has, see plan_cancelled.c.
@@ -78,6 +82,9 @@
   uint64_t commits;
   struct rst_histogram commit_ms;
   struct rst_histogram advice_ms;
+  uint64_t rejected_isolated;
+  uint64_t isolations;
+  uint64_t isolated;
 };
 
 /**
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -109,6 +109,9 @@
                          (double)stats->instances_known);
   rst_metrics_add_gauge (page, "agents", "Agents linked.",
                          (double)stats->agents);
+  rst_metrics_add_gauge (page, "isolated",
+                         "Whether the planner is isolated with its zone.",
+                         (double)stats->isolated);
   rst_metrics_add_gauge (page, "waiting_steps",
                          "Steps with tasks that wait for a place.",
                          (double)stats->waiting_steps);
@@ -134,6 +137,12 @@
   rst_metrics_add_counter (page, "jobs_rejected_total",
                            "Jobs rejected while the store did not answer.",
                            stats->rejected);
+  rst_metrics_add_counter (page, "jobs_rejected_isolated_total",
+                           "Jobs rejected while isolated with the zone.",
+                           stats->rejected_isolated);
+  rst_metrics_add_counter (page, "isolations_total",
+                           "Times that the planner was isolated.",
+                           stats->isolations);
   rst_metrics_add_counter (page, "jobs_outdated_total",
                            "Jobs rejected that may have been cancelled since.",
                            stats->outdated);
--- a/src/daemon/cell_node.c
+++ b/src/daemon/cell_node.c
@@ -151,6 +151,7 @@
   config.timing = node->config.timing;
   config.name = node->config.name;
   config.address = node->config.address;
+  config.zone = node->config.zone;
   g_strlcpy (node->previous_planner, record->address,
              sizeof node->previous_planner);
   node->term = rst_term_create (&config, revision, record);
--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -20,6 +20,7 @@
 free_term (struct rst_term *term)
 {
   rst_planner_destroy (term->planner);
+  rst_isolation_destroy (term->isolation);
   g_hash_table_destroy (term->links);
   if (term->next_change.segment != NULL)
     g_byte_array_free (term->next_change.segment, TRUE);
@@ -346,7 +347,7 @@
   rst_pack_init (&pack, 4);
   rst_pack_int (&pack, RST_MSG_WELCOME);
   rst_pack_int (&pack, term->record.epoch);
-  rst_pack_int (&pack, term->serving ? 1 : 0);
+  rst_pack_int (&pack, term->serving && !term->isolated ? 1 : 0);
   rst_pack_int (&pack, term->config.now ());
   send_frame (term, link, pack.buffer.data, pack.buffer.size);
   rst_pack_clear (&pack);
@@ -388,23 +389,37 @@
   g_strlcpy (term->record.name, config->name, sizeof term->record.name);
   g_strlcpy (term->record.address, config->address,
              sizeof term->record.address);
+  term->isolation
+      = rst_isolation_create (config->zone != NULL ? config->zone : "");
   term->links
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   begin_commit (term);
   return term;
 }
 
+static void
+note_heard (struct rst_term *term, const struct link_peer *peer)
+{
+  if (peer->role == RST_ROLE_AGENT)
+    rst_isolation_note_heard (term->isolation, peer->name, peer->zone,
+                              peer->ping_arrived_at);
+}
+
 static void
 handle_hello (struct rst_term *term, uint64_t link, struct rst_reader *reader)
 {
   enum rst_role role = (enum rst_role)rst_reader_read_int (reader);
   char *name = rst_reader_read_text (reader);
   char *zone = rst_reader_read_text (reader);
-  struct link_peer *peer = g_new (struct link_peer, 1);
+  struct link_peer *peer = g_new0 (struct link_peer, 1);
 
   peer->link = link;
   peer->ping_clock = rst_reader_read_int (reader);
   peer->ping_arrived_at = term->config.now ();
+  peer->role = role;
+  g_strlcpy (peer->name, name, sizeof peer->name);
+  g_strlcpy (peer->zone, zone, sizeof peer->zone);
+  note_heard (term, peer);
   g_hash_table_replace (term->links, &peer->link, peer);
   send_welcome (term, link);
   send_heartbeat (term, peer, peer->ping_arrived_at - term->last_commit_at);
@@ -423,6 +438,7 @@
     return;
   peer->ping_clock = rst_reader_read_int (reader);
   peer->ping_arrived_at = term->config.now ();
+  note_heard (term, peer);
   rst_planner_set_link_heard (term->planner, link,
                               rst_reader_read_int (reader));
 }
@@ -521,6 +537,56 @@
     send_welcome (term, *(uint64_t *)key);
 }
 
+static void
+log_isolation (const struct rst_term *term,
+               const struct rst_isolation_signs *signs)
+{
+  char age[24];
+  char silent[16];
+  char agents[16];
+  char silent_others[16];
+  char others[16];
+
+  g_snprintf (age, sizeof age, "%lld", (long long)signs->confirm_age_ms);
+  g_snprintf (silent, sizeof silent, "%u", signs->silent_agents);
+  g_snprintf (agents, sizeof agents, "%u", signs->agents);
+  g_snprintf (silent_others, sizeof silent_others, "%u",
+              signs->silent_other_agents);
+  g_snprintf (others, sizeof others, "%u", signs->other_agents);
+  rst_info (RST_TERM_LOG_DOMAIN,
+            term->isolated
+                ? "Planner is isolated with its zone; it stops serving."
+                : "Planner is no longer isolated; it serves again.",
+            "store_age_ms", age, "silent", silent, "agents", agents,
+            "silent_of_other_zones", silent_others, "of_other_zones", others);
+}
+
+/* Decides anew whether this planner is isolated.  Agents are not told: they go
+   on holding instances and extending leases. */
+static void
+check_isolation (struct rst_term *term, rst_ms now)
+{
+  struct rst_isolation_signs signs;
+  bool isolated = rst_isolation_evaluate (term->isolation, now,
+                                          term->confirmed_at, &signs);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (isolated == term->isolated)
+    return;
+  term->isolated = isolated;
+  log_isolation (term, &signs);
+  g_hash_table_iter_init (&iter, term->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct link_peer *peer = value;
+
+      if (peer->role == RST_ROLE_ENTRY)
+        send_welcome (term, peer->link);
+    }
+  rst_planner_set_isolated (term->planner, isolated);
+}
+
 static rst_ms
 run_watches (struct rst_term *term)
 {
@@ -556,6 +622,7 @@
   if (now >= term->next_heartbeat_at)
     {
       term->next_heartbeat_at = now + HEARTBEAT_INTERVAL_MS;
+      check_isolation (term, now);
       send_heartbeats (term, now - term->last_commit_at);
     }
   wake = MIN (wake, rst_planner_run (term->planner));
--- a/src/daemon/term.h
+++ b/src/daemon/term.h
@@ -32,6 +32,7 @@
  * @timing: Times of the planner.
  * @name: Name of this process; must outlive rst_term_create().
  * @address: Address on which it listens for links; likewise.
+ * @zone: Availability zone of this process; likewise.
  */
 struct rst_term_config
 {
@@ -47,6 +48,7 @@
   struct rst_planner_timing timing;
   const char *name;
   const char *address;
+  const char *zone;
 };
 
 /**
--- a/src/daemon/term_private.h
+++ b/src/daemon/term_private.h
@@ -8,6 +8,7 @@
 #ifndef RST_TERM_PRIVATE_H
 #define RST_TERM_PRIVATE_H
 
+#include "cell/isolation.h"
 #include "daemon/prefix_watch.h"
 #include "daemon/term.h"
 #include "util/log.h"
@@ -50,6 +51,9 @@
   /* The clock in its last ping, and when that arrived. */
   int64_t ping_clock;
   rst_ms ping_arrived_at;
+  enum rst_role role;
+  char name[RST_ID_SIZE];
+  char zone[RST_ID_SIZE];
 };
 
 struct rst_term
@@ -99,6 +103,10 @@
   struct journal_change next_change;
   struct journal_change current_change;
   rst_ms next_heartbeat_at;
+  /* Partitioned zones: whether this planner is cut off with its zone, so that
+     it tells entry instances that it doesn't serve. */
+  struct rst_isolation *isolation;
+  bool isolated;
 };
 
 /**
--- a/test/unit/term_test.cc
+++ b/test/unit/term_test.cc
@@ -68,6 +68,7 @@
     config.timing = { 5000, 6000, 120000, 250, link_bytes_per_ms };
     config.name = "n";
     config.address = "a:1";
+    config.zone = "z";
     term = rst_term_create (&config, 0, &record);
   }
 
@@ -119,29 +120,34 @@
   }
 
   void
-  receive_hello (int64_t clock)
+  receive_hello (int64_t clock, uint64_t link = 7,
+                 rst_role role = RST_ROLE_ENTRY, const char *zone = "z")
   {
     rst_pack pack;
 
     rst_pack_init (&pack, 5);
     rst_pack_int (&pack, RST_MSG_HELLO);
-    rst_pack_int (&pack, RST_ROLE_ENTRY);
+    rst_pack_int (&pack, role);
     rst_pack_text (&pack, "n");
-    rst_pack_text (&pack, "z");
+    rst_pack_text (&pack, zone);
     rst_pack_int (&pack, clock);
-    rst_term_handle_frame (term, 7, pack.buffer.data, pack.buffer.size);
+    rst_term_handle_frame (term, link, pack.buffer.data, pack.buffer.size);
     rst_pack_clear (&pack);
   }
 
   static void
-  on_send (void *userdata, uint64_t, const void *data, size_t length)
+  on_send (void *userdata, uint64_t link, const void *data, size_t length)
   {
     msgpack_unpacked unpacked;
     rst_reader reader;
     SentHeartbeat heartbeat = {};
 
     rst_reader_open (&reader, &unpacked, data, length);
-    if (rst_reader_read_int (&reader) == RST_MSG_HEARTBEAT)
+    int64_t kind = rst_reader_read_int (&reader);
+
+    if (kind == RST_MSG_WELCOME)
+      static_cast<Term *> (userdata)->welcomes.push_back (link);
+    if (kind == RST_MSG_HEARTBEAT)
       {
         rst_reader_read_int (&reader);
         heartbeat.ping_clock = rst_reader_read_int (&reader);
@@ -162,8 +168,35 @@
   // Prefix of each page that was requested.
   std::vector<std::string> prefixes;
   std::vector<SentHeartbeat> heartbeats;
+  // Link of each welcome that was sent.
+  std::vector<uint64_t> welcomes;
 };
 
+// Fails if entry instances are not told that their planner is isolated with
+// its zone, or that it is so no longer, or if agents are disturbed by it.
+TEST_F (Term, TellsEntriesOnlyThatItIsIsolated)
+{
+  answer_commit ();
+  receive_hello (77);
+  receive_hello (77, 8, RST_ROLE_AGENT, "other");
+  welcomes.clear ();
+  for (int i = 0; i < 5; i++)
+    {
+      EXPECT_TRUE (welcomes.empty ());
+      term_now += 250;
+      rst_term_run (term);
+    }
+  EXPECT_EQ (welcomes, std::vector<uint64_t>{ 7 });
+  /* The first commit was sent too long ago to confirm this planner. */
+  for (int i = 0; i < 2; i++)
+    {
+      answer_commit ();
+      term_now += 250;
+      rst_term_run (term);
+    }
+  EXPECT_EQ (welcomes, (std::vector<uint64_t>{ 7, 7 }));
+}
+
 TEST_F (Term, TellsAnAgentThatConnectsHowOldItsConfirmationIs)
 {
   answer_commit ();
