--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -653,7 +653,8 @@
       || !start_servers (&jobd))
     return EXIT_FAILURE;
   rst_info (LOG_DOMAIN, "Started.", "name", jobd.settings.name, "listen",
-            rst_http_server_address (jobd.caller_server));
+            rst_http_server_address (jobd.caller_server), "readiness",
+            rst_http_server_address (jobd.readiness_server));
   rst_cell_loop_watch_stop_signals (jobd.loop, begin_stop, &jobd);
   rst_cell_loop_run (jobd.loop);
   rst_http_server_destroy (jobd.caller_server);
--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -112,12 +112,15 @@
   rst_pack_clear (&pack);
 }
 
+static void check_isolation (struct rst_term *term);
+
 static void
 send_heartbeats (struct rst_term *term, rst_ms store_age_ms)
 {
   GHashTableIter iter;
   gpointer value;
 
+  check_isolation (term);
   g_hash_table_iter_init (&iter, term->links);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     send_heartbeat (term, value, store_age_ms);
@@ -564,10 +567,10 @@
 /* Decides anew whether this planner is isolated.  Agents are not told: they go
    on holding instances and extending leases. */
 static void
-check_isolation (struct rst_term *term, rst_ms now)
+check_isolation (struct rst_term *term)
 {
   struct rst_isolation_signs signs;
-  bool isolated = rst_isolation_evaluate (term->isolation, now,
+  bool isolated = rst_isolation_evaluate (term->isolation, term->config.now (),
                                           term->confirmed_at, &signs);
   GHashTableIter iter;
   gpointer value;
@@ -584,6 +587,7 @@
       if (peer->role == RST_ROLE_ENTRY)
         send_welcome (term, peer->link);
     }
+  rst_term_update_planner_time (term);
   rst_planner_set_isolated (term->planner, isolated);
 }
 
@@ -622,7 +626,6 @@
   if (now >= term->next_heartbeat_at)
     {
       term->next_heartbeat_at = now + HEARTBEAT_INTERVAL_MS;
-      check_isolation (term, now);
       send_heartbeats (term, now - term->last_commit_at);
     }
   wake = MIN (wake, rst_planner_run (term->planner));
