--- a/tools/lib/cluster.sh
+++ b/tools/lib/cluster.sh
@@ -4,8 +4,9 @@
 # chooses every port.
 
 # Process id, HTTP address and address of the frame listener of each started
-# program, by the name that it was started under.
-declare -A pid_of frame_address_of http_address_of
+# program, by the name that it was started under; of jobds also the address of
+# the readiness probe.
+declare -A pid_of frame_address_of http_address_of readiness_address_of
 log_level=${log_level:-warning}
 
 # wait_for_start NAME PATTERN FILE - waits until FILE has a line that matches
@@ -114,19 +115,28 @@
       "relay=$advertise&target=${http_address_of[celld-$1]}" >/dev/null
 }
 
-# start_jobd NAME - starts an entry daemon of the users' platform.
+# start_jobd NAME [ZONE] - starts an entry daemon of the users' platform.  With
+# ZONE, it reaches the store and other zones through relays that can be cut.
 start_jobd ()
 {
+  local store=${http_address_of[platform]}
+
+  [ $# -le 1 ] \
+    || store=$(change_network relay "target=$store" | jq -r .address)
   cat >"$run_dir/jobd-$1.json" <<EOF
 {
   "name": "$1",
-  "availability_zone": "z1",
+  "availability_zone": "${2:-z1}",
   "listen": "127.0.0.1:0",
   "readiness": "127.0.0.1:0",
-  "store": "${http_address_of[platform]}"
+  "store": "$store"
 }
 EOF
-  start_platform_daemon "jobd-$1" rosemarystile-jobd "$run_dir/jobd-$1.json"
+  start_platform_daemon "jobd-$1" rosemarystile-jobd "$run_dir/jobd-$1.json" \
+    || return 1
+  readiness_address_of[jobd-$1]=$(get_start_field readiness)
+  [ $# -gt 1 ] || return 0
+  change_network process "pid=${pid_of[jobd-$1]}&zone=$2" >/dev/null
 }
 
 # stop_process NAME - stops a process by SIGTERM and returns its exit status.
