--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -659,6 +659,9 @@
   /* Number of commits that the store has refused since it last confirmed this
      planner or a commit had an unknown result. */
   int store_refusals;
+  /* Partitioned zones: this planner is cut off from the others with its
+     zone. */
+  bool isolated;
 };
 
 #endif
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -20,6 +20,10 @@
  * @cancelled: Jobs that callers cancelled.
  * @rejected: Submitted jobs that were rejected because the store does not
  *   answer.
+ * @rejected_isolated: Those of them that were rejected while the planner was
+ *   isolated.
+ * @isolations: Times that the planner was isolated.
+ * @isolated: Whether it is.
  * @outdated: Submitted jobs that were rejected because their caller may have
  *   cancelled them since.
  * @notes: Cancelled ids that no job has, see plan_cancelled.c.
@@ -90,6 +94,9 @@
   uint64_t rejected_refused;
   uint64_t returned;
   uint64_t rejected_ids;
+  uint64_t rejected_isolated;
+  uint64_t isolations;
+  uint64_t isolated;
 };
 
 /**
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -54,6 +54,12 @@
                          ready);
   rst_metrics_add_gauge (page, "calls_waiting",
                          "Calls without an answer so far.", pending_calls);
+  rst_metrics_add_counter (page, "calls_rejected_at_once_total",
+                           "Calls rejected on arrival as no planner serves.",
+                           stats->rejected_at_once);
+  rst_metrics_add_counter (page, "planner_silences_total",
+                           "Times that no heartbeat came for too long.",
+                           stats->silent_links);
   rst_metrics_begin_family (
       page, "answers_total", "counter",
       "Answers by operation and status; 0 is any other.");
@@ -107,6 +113,9 @@
                          (double)stats->instances_known);
   rst_metrics_add_gauge (page, "agents", "Agents linked.",
                          (double)stats->agents);
+  rst_metrics_add_gauge (page, "isolated",
+                         "Whether the planner is isolated with its zone.",
+                         (double)stats->isolated);
   rst_metrics_add_gauge (page, "waiting_steps",
                          "Steps with tasks that wait for a place.",
                          (double)stats->waiting_steps);
@@ -141,6 +150,12 @@
   rst_metrics_add_counter (page, "jobs_returned_total",
                            "Jobs accepted after a rejection.",
                            stats->returned);
+  rst_metrics_add_counter (page, "jobs_rejected_isolated_total",
+                           "Jobs rejected while isolated with the zone.",
+                           stats->rejected_isolated);
+  rst_metrics_add_counter (page, "isolations_total",
+                           "Times that the planner was isolated.",
+                           stats->isolations);
   rst_metrics_add_counter (page, "jobs_outdated_total",
                            "Jobs rejected that may have been cancelled since.",
                            stats->outdated);
--- a/src/daemon/cell_metrics.h
+++ b/src/daemon/cell_metrics.h
@@ -21,12 +21,17 @@
  *   rst_call_stats_record().
  * @answer_ms: Time until the answer, by operation.
  * @limits: What was rejected and closed to stay within the limits.
+ * @rejected_at_once: Calls rejected on arrival because no planner has served
+ *   for longer than a succession takes.
+ * @silent_links: Times that no heartbeat came for too long.
  */
 struct rst_call_stats
 {
   uint64_t answers[RST_CALL_OPERATION_COUNT][RST_CALL_STATUS_COUNT];
   struct rst_histogram answer_ms[RST_CALL_OPERATION_COUNT];
   struct rst_body_stats limits;
+  uint64_t rejected_at_once;
+  uint64_t silent_links;
 };
 
 /**
