Let steps wait for room in the rack of their data

Cause: a step whose rack is full started elsewhere at once, also if room in the rack was about to become free and its tasks take remote_penalty times as long elsewhere. Advice requests did not look at racks.

Change: plan_locality.c plans one wait per step in each pass. The first tasks wait as long as each of them gains by it; the others start elsewhere. Steps placed earlier in a pass claim the rack's next slots. rst_planner_run() names the time at which a wait is decided again, so that it depends on no event. Advice requests name the rack's instances first, and no others while all tasks of the step wait. While inherited instances have not reported, nothing waits. A run outside its rack counts in the queue's mean run time as the run in the rack that it would have been.

Without a penalty above 1 nothing changes; nothing sets one yet.

Ruled out: a wait without a limit while the estimate says so (wrong estimates add up); to keep the state of a wait in the store (it is worth less than the time a successor takes).

--- a/src/cell/plan_advice.c
+++ b/src/cell/plan_advice.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cell/plan_locality.h"
 #include "cell/planner_private.h"
 
 /** Requests expected to take longer than this leave some agents free for
@@ -190,7 +191,8 @@
         continue;
       approval = rst_plan_find_approval (step, instance);
       if ((approval != NULL && approval->rejected)
-          || !rst_plan_instance_is_eligible (instance, step))
+          || !rst_plan_instance_is_eligible (instance, step)
+          || !rst_plan_may_use_rack (step, instance))
         continue;
       if (approval != NULL)
         candidate.chance = 1.0;
@@ -203,6 +205,9 @@
       /* Instances where runs failed lately come later.  For a single task, a
          failure counts as much as four free cores. */
       candidate.score += 4000.0 * MIN (instance->failures, 4);
+      /* The step's rack comes first, before all that counts above. */
+      if (rst_plan_is_outside_rack (step, instance))
+        candidate.score += 1e6;
       g_array_append_val (found, candidate);
     }
   g_array_sort (found, compare_scores);
--- /dev/null
+++ b/src/cell/plan_locality.h
@@ -0,0 +1,61 @@
+/**
+ * DOC: plan_locality - racks of steps, and waits for room there
+ */
+#ifndef RST_PLAN_LOCALITY_H
+#define RST_PLAN_LOCALITY_H
+
+#include "cell/planner_private.h"
+
+void rst_plan_create_rack_state (struct rst_planner *planner);
+void rst_plan_destroy_rack_state (struct rst_planner *planner);
+
+/** rst_plan_begin_rack_pass() - Forgets the waits of the last pass. */
+void rst_plan_begin_rack_pass (struct rst_planner *planner);
+
+/** rst_plan_begin_rack_step() - Sets the rack that a step is to run in, before
+    it is placed. */
+void rst_plan_begin_rack_step (struct rst_planner *planner, struct step *step);
+
+/** rst_plan_end_rack_step() - Ends the wait of a step whose tasks have all
+    been placed. */
+void rst_plan_end_rack_step (struct rst_planner *planner, struct step *step);
+
+/** rst_plan_is_outside_rack() - Whether an instance is not in the rack that a
+    step is to run in in this pass. */
+bool rst_plan_is_outside_rack (const struct step *step,
+                               const struct instance *instance);
+
+/** rst_plan_score_rack() - Term of an instance's score; lower is better. */
+double rst_plan_score_rack (const struct step *step,
+                            const struct instance *instance);
+
+/**
+ * rst_plan_task_waits() - Whether a step's next task waits for its rack.
+ * @instance: The best instance with room for it.
+ */
+bool rst_plan_task_waits (struct rst_planner *planner, struct step *step,
+                          const struct instance *instance);
+
+/**
+ * rst_plan_limit_request() - Decides whether a step's advice request may name
+ * instances outside its rack.
+ * @tasks: Number of tasks that could not be placed.
+ */
+void rst_plan_limit_request (struct rst_planner *planner, struct step *step,
+                             int tasks);
+
+/** rst_plan_may_use_rack() - Whether a step may use an instance in this pass
+    or name it in a request. */
+bool rst_plan_may_use_rack (const struct step *step,
+                            const struct instance *instance);
+
+/** rst_plan_get_run_factor() - How many times as long as in its rack a run is
+    expected to take. */
+double rst_plan_get_run_factor (const struct rst_planner *planner,
+                                const struct run *run);
+
+/** rst_plan_get_rack_wake() - When a wait has to be decided again; INT64_MAX
+    for none. */
+rst_ms rst_plan_get_rack_wake (const struct rst_planner *planner);
+
+#endif
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cell/plan_locality.h"
 #include "cell/planner_private.h"
 
 /** Number of gangs that may reserve room in one pass: the minimum, and how
@@ -106,10 +107,7 @@
   if (task != NULL && task->avoided_instance == instance)
     total += 4.0;
   total += 0.5 * MIN (instance->failures, 4);
-  if (step->spec->rack[0] != '\0'
-      && strcmp (step->spec->rack, instance->entry.rack) != 0)
-    total += 3.0;
-  return total;
+  return total + rst_plan_score_rack (step, instance);
 }
 
 static double
@@ -214,6 +212,7 @@
 place_tasks (struct rst_planner *planner, struct step *step)
 {
   const GPtrArray *candidates = find_candidates (planner, step, true);
+  bool has_room = true;
   int unplaced = 0;
 
   for (int i = 0; i < step->spec->count; i++)
@@ -226,10 +225,10 @@
         continue;
       if (!rst_plan_is_below_limit (step, 1))
         return 0;
-      instance = unplaced == 0
-                     ? choose_instance (planner, candidates, step, task)
-                     : NULL;
-      if (instance == NULL)
+      instance = has_room ? choose_instance (planner, candidates, step, task)
+                          : NULL;
+      has_room = instance != NULL;
+      if (instance == NULL || rst_plan_task_waits (planner, step, instance))
         unplaced++;
       else
         rst_plan_start_task (planner, task, instance, task->attempt + 1,
@@ -465,6 +464,7 @@
     return;
   if (!is_first_gang_request && !has_room_for_step (planner, step))
     return;
+  rst_plan_begin_rack_step (planner, step);
   /* A successor waits only for the runs of occurrences in the journal, so
      nothing of another one starts; but advice may already be requested. */
   if (!is_stored)
@@ -474,8 +474,10 @@
   else
     unplaced = place_tasks (planner, step);
   rst_plan_send_starts (planner, step);
+  rst_plan_end_rack_step (planner, step);
   if (unplaced == 0)
     return;
+  rst_plan_limit_request (planner, step, unplaced);
   if (job->queue->settings.needs_approval
       && !CK_LIST_EMPTY (&step->advice_requests))
     rst_plan_reserve_requested (planner, step, unplaced);
@@ -507,6 +509,7 @@
     }
   g_ptr_array_sort (planner->waiting_steps, compare_ranks);
   begin_pass (planner);
+  rst_plan_begin_rack_pass (planner);
   rst_plan_count_in_doubt (planner);
   rst_plan_place_trials (planner);
   for (guint i = 0; i < planner->waiting_steps->len; i++)
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "cell/pace.h"
+#include "cell/plan_locality.h"
 #include "cell/planner_private.h"
 
 /** Time after which an unanswered stop order is repeated. */
@@ -454,7 +455,8 @@
 update_mean_run_time (const struct rst_planner *planner, const struct run *run)
 {
   struct queue *queue = run->task->step->occurrence->job->queue;
-  double took_ms = (double)(planner->now - run->start_sent_at);
+  double took_ms = (double)(planner->now - run->start_sent_at)
+                   / rst_plan_get_run_factor (planner, run);
 
   if (queue->mean_run_ms <= 0.0)
     queue->mean_run_ms = took_ms;
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "cell/plan_locality.h"
 #include "cell/planner_private.h"
 
 /** Bits of a request's handle below the planner's epoch. */
@@ -78,6 +79,7 @@
   planner->start_batches = g_ptr_array_new_with_free_func (g_free);
   planner->unmet_needs
       = g_array_new (FALSE, FALSE, sizeof (struct rst_resources));
+  rst_plan_create_rack_state (planner);
   return planner;
 }
 
@@ -115,6 +117,7 @@
   g_ptr_array_free (planner->trial_instances, TRUE);
   g_ptr_array_free (planner->start_batches, TRUE);
   g_array_free (planner->unmet_needs, TRUE);
+  rst_plan_destroy_rack_state (planner);
   rst_cellconfig_destroy (planner->config);
   g_free (planner);
 }
@@ -296,6 +299,8 @@
       planner->pass_wanted = true;
     }
   wake = planner->next_check_at;
+  if (planner->now >= rst_plan_get_rack_wake (planner))
+    planner->pass_wanted = true;
   if (planner->pass_wanted && planner->now >= planner->next_pass_at)
     {
       planner->pass_wanted = false;
@@ -306,6 +311,8 @@
     }
   else if (planner->pass_wanted)
     wake = MIN (wake, planner->next_pass_at);
+  wake = MIN (wake,
+              MAX (rst_plan_get_rack_wake (planner), planner->next_pass_at));
   rst_plan_commit (planner);
   if (planner->dirty_jobs->len > 0 && !planner->commit_busy)
     wake = MIN (wake, planner->now + PASS_INTERVAL_MS);
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -66,6 +66,8 @@
  *   may start; the planner does not use it.
  * @link_bytes_per_ms: Bandwidth of this machine's link to the store; 0 if it
  *   is not known.
+ * @remote_penalty: How many times as long tasks take outside their rack; up to
+ *   1 if racks make no difference.
  */
 struct rst_planner_timing
 {
@@ -74,6 +76,8 @@
   rst_ms status_ms;
   rst_ms early_ms;
   int64_t link_bytes_per_ms;
+  /* Data locality. */
+  double remote_penalty;
 };
 
 /**
@@ -122,6 +126,24 @@
 void rst_planner_set_policy (struct rst_planner *planner,
                              enum rst_step_order order, enum rst_fit fit);
 
+/**
+ * enum rst_rack_policy - Whether steps wait for room in their rack.
+ * @RST_RACK_WAIT_PLANNED: While they gain by it; see locality.h.
+ * @RST_RACK_WAIT_NEVER: Never.
+ * @RST_RACK_WAIT_ALWAYS: Until there is room, whatever the objective.
+ */
+enum rst_rack_policy
+{
+  RST_RACK_WAIT_PLANNED,
+  RST_RACK_WAIT_NEVER,
+  RST_RACK_WAIT_ALWAYS,
+};
+
+/** rst_planner_set_rack_policy() - Sets whether steps wait for their rack; a
+    new planner uses RST_RACK_WAIT_PLANNED.  Used to compare policies. */
+void rst_planner_set_rack_policy (struct rst_planner *planner,
+                                  enum rst_rack_policy policy);
+
 /** rst_planner_destroy() - Frees a planner; does nothing for NULL. */
 void rst_planner_destroy (struct rst_planner *planner);
 
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -9,7 +9,8 @@
  * attributed to.  plan_trial.c: trials of suspects.  plan_rank.c: the order
  * of waiting steps.  plan_place.c: placement of waiting tasks.  plan_limit.c:
  * upper limits of customers.  plan_pace.c: the pace of best-effort tasks.
- * plan_advice.c: requests to the advice service.  plan_journal.c: which
+ * plan_advice.c: requests to the advice service.  plan_locality.c: racks of
+ * steps, and waits for them.  plan_journal.c: which
  * records are committed when; plan_record.c writes records, plan_restore.c
  * reads them.
  */
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -11,6 +11,7 @@
 #include <ck_queue.h>
 
 #include "cell/fault_private.h"
+#include "cell/locality_state_private.h"
 #include "cell/planner.h"
 #include "util/log.h"
 
@@ -386,6 +387,8 @@
      NULL; and since when the trial waits, or 0. */
   GArray *held_instances;
   rst_ms trial_wanted_at;
+  /* Data locality. */
+  struct step_locality locality;
 };
 
 /** struct occurrence - One execution of all steps of a job. */
@@ -623,6 +626,8 @@
   GPtrArray *candidates;
   /* Counters; current sizes are filled in when they are read. */
   struct rst_planner_stats stats;
+  /* Data locality. */
+  struct planner_locality locality;
 };
 
 #endif
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -6,6 +6,7 @@
 
 #include <stdint.h>
 
+#include "cell/locality.h"
 #include "util/histogram.h"
 
 /** Number of ways in which a run can end; see enum rst_end. */
@@ -46,6 +47,9 @@
  * @commits: Segments appended to the journal.
  * @commit_ms: Time from a commit to its confirmation by the store.
  * @advice_ms: Time from an advice request to its answer.
+ * @rack_waits: Waits of steps for room in their rack.
+ * @rack_wait_ends: Waits that ended, by why the step starts elsewhere;
+ *   RST_LOCALITY_WAIT counts those that ended with room.
  */
 struct rst_planner_stats
 {
@@ -78,6 +82,9 @@
   uint64_t commits;
   struct rst_histogram commit_ms;
   struct rst_histogram advice_ms;
+  /* Data locality. */
+  uint64_t rack_waits;
+  uint64_t rack_wait_ends[RST_LOCALITY_REASONS];
 };
 
 /**
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -47,11 +47,12 @@
 class Planner
 {
 public:
-  explicit Planner (int64_t epoch = 1, int64_t link_bytes_per_ms = 0)
+  explicit Planner (int64_t epoch = 1, int64_t link_bytes_per_ms = 0,
+                    double remote_penalty = 0)
   {
     rst_planner_ops ops = { on_send, on_reply, on_commit, this };
     rst_planner_timing timing
-        = { 14000, 6000, 120000, 250, link_bytes_per_ms };
+        = { 14000, 6000, 120000, 250, link_bytes_per_ms, remote_penalty };
 
     planner = rst_planner_create (&ops, &timing, epoch);
     set_time (1000);
@@ -142,7 +143,7 @@
   void
   add_instance (const std::string &id, bool draining = false,
                 const char *zone = "a", int64_t incarnation = 1,
-                int64_t cpu = 4000)
+                int64_t cpu = 4000, const char *rack = "")
   {
     rst_instance_entry entry = {};
 
@@ -150,6 +151,7 @@
     g_strlcpy (entry.address, "10.0.0.1:80", sizeof entry.address);
     g_strlcpy (entry.zone, zone, sizeof entry.zone);
     g_strlcpy (entry.pool, "pool", sizeof entry.pool);
+    g_strlcpy (entry.rack, rack, sizeof entry.rack);
     g_strlcpy (entry.labels, ",a,r1,", sizeof entry.labels);
     entry.capacity = { cpu, 4000, 0 };
     entry.draining = draining;
