celld: setting remote_penalty

Cause: steps wait for their rack only with a known penalty for tasks elsewhere, which nothing set.

Change: the setting remote_penalty, a decimal number from 1 to 100 as text. Absent, empty or 1, placement is as before. An invalid one ends the start with one error that names the field; celld reads its settings only at its start.

Ruled out: strtod alone, as machine.cpu_share has it, which takes "2x" for 2 and "nan" for a number.

--- a/src/cell/locality.c
+++ b/src/cell/locality.c
@@ -1,5 +1,7 @@
 #include "cell/locality.h"
 
+#include <string.h>
+
 /** Longest wait of a task while nothing of its job runs.  Such a job must not
     be left waiting for 3 s while there is room for it; the order and its
     confirmation take the rest. */
@@ -18,6 +20,28 @@
     seven times as long as others. */
 #define STRAGGLER_FACTOR 1.5
 
+/** Largest penalty that the setting takes. */
+#define PENALTY_MAX 100.0
+
+bool
+rst_locality_parse_penalty (const char *text, double *penalty)
+{
+  char *end;
+  double value;
+
+  *penalty = 1.0;
+  if (text[0] == '\0')
+    return true;
+  /* No signs, spaces, exponents, hexadecimal numbers or names of numbers. */
+  if (strspn (text, "0123456789.") != strlen (text))
+    return false;
+  value = g_ascii_strtod (text, &end);
+  if (*end != '\0' || value < 1.0 || value > PENALTY_MAX)
+    return false;
+  *penalty = value;
+  return true;
+}
+
 enum rst_locality_reason
 rst_locality_decide (const struct rst_locality_case *task, double *wait_ms)
 {
--- a/src/cell/locality.h
+++ b/src/cell/locality.h
@@ -58,6 +58,16 @@
   bool job_runs;
 };
 
+/**
+ * rst_locality_parse_penalty() - Reads the setting of how many times as long
+ * tasks take outside their rack.
+ * @text: Decimal number from 1 to 100; "" stands for 1.
+ * @penalty: Set to the number, or to 1 if the text is invalid.
+ *
+ * Return: Whether the text is valid.
+ */
+bool rst_locality_parse_penalty (const char *text, double *penalty);
+
 /**
  * rst_locality_decide() - Decides whether a task waits for its rack.
  * @wait_ms: Set to how much longer it waits at most; 0 if it does not wait.
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -62,6 +62,8 @@
   char cpu_share[16];
   char link_mbps[16];
   char log_level[16];
+  /* Data locality. */
+  char remote_penalty[32];
 };
 
 static const char *const log_levels[]
@@ -87,6 +89,7 @@
   TEXT ("machine.link_mbps", RST_CONF_STRING, false, link_mbps),
   { "log.level", RST_CONF_CHOICE, false, offsetof (struct settings, log_level),
     16, 0, 0, log_levels },
+  TEXT ("remote_penalty", RST_CONF_STRING, false, remote_penalty),
 };
 
 struct celld
@@ -185,15 +188,30 @@
   config.timing.link_bytes_per_ms
       = (int64_t)(g_ascii_strtod (settings->link_mbps, NULL)
                   * BYTES_PER_MS_AND_MBPS);
+  rst_locality_parse_penalty (settings->remote_penalty,
+                              &config.timing.remote_penalty);
   config.jitter_ms = (rst_ms)(rst_os_random () % TAKEOVER_JITTER_MS);
   config.standby_delay_ms = get_standby_delay_ms (settings);
   celld->node = rst_cell_node_create (&config);
 }
 
+static bool
+check_settings (const void *data, GString *problems)
+{
+  const struct settings *settings = data;
+  double penalty;
+
+  if (rst_locality_parse_penalty (settings->remote_penalty, &penalty))
+    return true;
+  g_string_append (problems, "remote_penalty: must be a decimal number from 1 "
+                             "to 100, as text\n");
+  return false;
+}
+
 static const struct rst_program program
     = { "rosemarystile-celld",
         "plans a cell and holds leases on its instances", fields,
-        G_N_ELEMENTS (fields), NULL };
+        G_N_ELEMENTS (fields), check_settings };
 
 int
 main (int argc, char **argv)
--- a/test/unit/locality_test.cc
+++ b/test/unit/locality_test.cc
@@ -81,6 +81,24 @@
   EXPECT_EQ (rst_locality_get_remaining_ms (1000, 1600, 0, 0), 1600);
 }
 
+// A penalty that is misread makes tasks wait, or hides an error in the
+// settings.
+TEST (Locality, ReadsThePenaltyAsADecimalNumber)
+{
+  double penalty;
+
+  EXPECT_TRUE (rst_locality_parse_penalty ("2.25", &penalty));
+  EXPECT_EQ (penalty, 2.25);
+  EXPECT_TRUE (rst_locality_parse_penalty ("", &penalty));
+  EXPECT_EQ (penalty, 1);
+  for (const char *text : { "0.99", "100.1", "-2", " 2", "2x", "1e1", "0x2",
+                            "nan", "inf", "2.1.1", "." })
+    {
+      EXPECT_FALSE (rst_locality_parse_penalty (text, &penalty)) << text;
+      EXPECT_EQ (penalty, 1);
+    }
+}
+
 class LocalitySlots : public ::testing::Test
 {
 protected:
