Place steps that prefer one rack, and gangs near data, in one rack

Cause: prefers_one_rack was read and stored, but no placement used it; a gang near data was placed by room alone.

If only several racks together have room, the step waits in the same way as one near data, for the room of its last task, and is spread otherwise. Gangs near data are confined to the rack of the data in the same way. A waiting gang reserves room in its rack only.

Without a penalty above 1 nothing changes.

Ruled out: a further term of the score of each instance (the tasks of a step are scored one after the other, so the first one would choose a rack that has no room for the last); to choose by expected room in every pass (it looks at all runs of the fleet; at most every 50 ms for a step).

--- a/src/cell/locality_state_private.h
+++ b/src/cell/locality_state_private.h
@@ -22,6 +22,10 @@
  * @is_waiting: Whether it waits.
  * @waited_since: When it first waited, or 0.
  * @delay_ms: The delay that was expected when its last wait began.
+ * @home: The rack that was last chosen for all its tasks, or "".
+ * @next_choice_at: When a rack is next chosen by expected room.
+ * @is_spread: Whether its tasks run on several racks although they run faster
+ *   on one, or a gang near data not in the rack of the data.
  */
 struct step_locality
 {
@@ -34,6 +38,9 @@
   bool is_waiting;
   rst_ms waited_since;
   double delay_ms;
+  char home[RST_ID_SIZE];
+  rst_ms next_choice_at;
+  bool is_spread;
 };
 
 /**
--- a/src/cell/plan_locality.c
+++ b/src/cell/plan_locality.c
@@ -74,14 +74,17 @@
 
   if (!has_penalty (planner))
     return 1.0;
-  if (step->spec->rack[0] != '\0'
+  if (step->locality.is_spread)
+    return planner->timing.remote_penalty;
+  if (!step->spec->gang && step->spec->rack[0] != '\0'
       && !is_in_rack (run->instance, step->spec->rack))
     return planner->timing.remote_penalty;
   return 1.0;
 }
 
-static bool
-is_usable (const struct step *step, const struct instance *instance)
+bool
+rst_plan_may_be_approved (const struct step *step,
+                          const struct instance *instance)
 {
   const struct approval *approval = rst_plan_find_approval (step, instance);
 
@@ -163,23 +166,6 @@
     }
 }
 
-/* Estimates when a rack has room for the tasks of a step, up to @max. */
-static void
-estimate_slots (struct rst_planner *planner, const struct step *step,
-                const char *rack, int max)
-{
-  g_array_set_size (planner->locality.slots, 0);
-  for (guint i = 0; i < planner->schedulable_instances->len; i++)
-    {
-      const struct instance *instance
-          = g_ptr_array_index (planner->schedulable_instances, i);
-
-      if (is_in_rack (instance, rack) && is_usable (step, instance))
-        add_instance_slots (planner, step, instance, max);
-    }
-  rst_locality_sort_slots (planner->locality.slots);
-}
-
 static struct rack_claim *
 find_claim (struct rst_planner *planner, const char *rack)
 {
@@ -210,6 +196,37 @@
   return (int)MIN ((claimed + need - 1) / need, RST_TASKS_MAX);
 }
 
+/* Estimates when a rack has room for up to @tasks tasks of a step.  Returns
+   the number of slots that others wait for. */
+static int
+estimate_slots (struct rst_planner *planner, const struct step *step,
+                const char *rack, int tasks)
+{
+  int ahead = count_slots_ahead (planner, step, rack);
+
+  g_array_set_size (planner->locality.slots, 0);
+  for (guint i = 0; i < planner->schedulable_instances->len; i++)
+    {
+      const struct instance *instance
+          = g_ptr_array_index (planner->schedulable_instances, i);
+
+      if (is_in_rack (instance, rack)
+          && rst_plan_may_be_approved (step, instance))
+        add_instance_slots (planner, step, instance, ahead + tasks);
+    }
+  rst_locality_sort_slots (planner->locality.slots);
+  return ahead;
+}
+
+double
+rst_plan_get_rack_delay_ms (struct rst_planner *planner,
+                            const struct step *step, const char *rack, int nth)
+{
+  int ahead = estimate_slots (planner, step, rack, nth);
+
+  return rst_locality_get_delay_ms (planner->locality.slots, ahead, nth);
+}
+
 static double
 get_gain_ms (const struct rst_planner *planner, const struct step *step)
 {
@@ -337,6 +354,7 @@
   double first_delay_ms = 0.0;
   double first_wait_ms = 0.0;
   int tasks = step->tasks_waiting;
+  bool whole = step->spec->gang || step->locality.rack_is_chosen;
   int ahead;
   int waiting = 0;
 
@@ -346,12 +364,11 @@
       end_wait (planner, step, RST_LOCALITY_NO_GAIN);
       return;
     }
-  ahead = count_slots_ahead (planner, step, step->locality.rack);
-  estimate_slots (planner, step, step->locality.rack, ahead + tasks);
+  ahead = estimate_slots (planner, step, step->locality.rack, tasks);
   while (waiting < tasks)
     {
-      /* All tasks of a step that is to run in one rack wait, or none. */
-      int nth = step->locality.rack_is_chosen ? tasks : waiting + 1;
+      /* If a single task elsewhere slows down all, all wait or none. */
+      int nth = whole ? tasks : waiting + 1;
       double wait_ms;
       double delay_ms
           = rst_locality_get_delay_ms (planner->locality.slots, ahead, nth);
@@ -364,7 +381,7 @@
           first_delay_ms = delay_ms;
           first_wait_ms = wait_ms;
         }
-      waiting = step->locality.rack_is_chosen ? tasks : waiting + 1;
+      waiting = nth;
     }
   if (waiting == 0)
     end_wait (planner, step, reason);
@@ -412,7 +429,10 @@
   /* No instance has a longer one. */
   if (strlen (spec->rack) >= sizeof step->locality.rack)
     return;
-  g_strlcpy (step->locality.rack, spec->rack, sizeof step->locality.rack);
+  if (spec->rack[0] != '\0')
+    g_strlcpy (step->locality.rack, spec->rack, sizeof step->locality.rack);
+  else if (spec->prefers_one_rack && spec->count > 1)
+    rst_plan_choose_rack (planner, step);
 }
 
 bool
@@ -424,7 +444,12 @@
   if (!step->locality.is_planned)
     plan_step (planner, step);
   if (step->locality.waits == 0)
-    return false;
+    {
+      /* It starts elsewhere, which slows down all tasks. */
+      if (step->locality.rack_is_chosen)
+        step->locality.is_spread = true;
+      return false;
+    }
   step->locality.waits--;
   step->locality.held++;
   return true;
@@ -442,7 +467,8 @@
       const struct instance *instance
           = g_ptr_array_index (planner->schedulable_instances, i);
 
-      if (!rst_plan_task_fits (instance, step) || !is_usable (step, instance))
+      if (!rst_plan_task_fits (instance, step)
+          || !rst_plan_may_be_approved (step, instance))
         continue;
       if (!rst_plan_is_outside_rack (step, instance))
         return false;
@@ -478,6 +504,36 @@
          || !rst_plan_is_outside_rack (step, instance);
 }
 
+bool
+rst_plan_confine_gang (struct step *step)
+{
+  step->locality.rack_only = step->locality.rack[0] != '\0';
+  return step->locality.rack_only;
+}
+
+void
+rst_plan_release_gang (struct step *step)
+{
+  step->locality.rack_only = false;
+}
+
+bool
+rst_plan_gang_waits (struct rst_planner *planner, struct step *step)
+{
+  plan_step (planner, step);
+  step->locality.rack_only = step->locality.waits > 0;
+  return step->locality.rack_only;
+}
+
+void
+rst_plan_note_gang_start (struct step *step)
+{
+  step->locality.is_spread
+      = !step->locality.rack_only
+        && (step->spec->rack[0] != '\0'
+            || (step->spec->prefers_one_rack && step->spec->count > 1));
+}
+
 void
 rst_plan_end_rack_step (struct rst_planner *planner, struct step *step)
 {
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -269,7 +269,8 @@
 
       candidate.slots = rst_plan_count_slots (candidate.instance, step);
       if (candidate.slots == 0
-          || !rst_plan_instance_is_eligible (candidate.instance, step))
+          || !rst_plan_instance_is_eligible (candidate.instance, step)
+          || !rst_plan_may_use_rack (step, candidate.instance))
         continue;
       *total += candidate.slots;
       g_array_append_val (gang_slots, candidate);
@@ -374,13 +375,26 @@
   GArray *gang_slots;
   int total;
   int unplaced = 0;
+  bool confined;
 
   if (!rst_plan_gang_may_start (planner, step)
       || !rst_plan_is_below_limit (step, step->spec->count))
     return 0;
+  confined = rst_plan_confine_gang (step);
   gang_slots = find_gang_slots (planner, step, true, &total);
+  if (confined && total < step->spec->count)
+    {
+      g_array_free (gang_slots, TRUE);
+      rst_plan_release_gang (step);
+      gang_slots = find_gang_slots (planner, step, true, &total);
+      if (total >= step->spec->count && rst_plan_gang_waits (planner, step))
+        total = 0;
+    }
   if (total >= step->spec->count)
-    start_gang (planner, step, gang_slots);
+    {
+      rst_plan_note_gang_start (step);
+      start_gang (planner, step, gang_slots);
+    }
   else
     unplaced = step->spec->count;
   g_array_free (gang_slots, TRUE);
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -10,7 +10,8 @@
  * of waiting steps.  plan_place.c: placement of waiting tasks.  plan_limit.c:
  * upper limits of customers.  plan_pace.c: the pace of best-effort tasks.
  * plan_advice.c: requests to the advice service.  plan_locality.c: racks of
- * steps, and waits for them.  plan_journal.c: which
+ * steps, and waits for them.  plan_rack_choice.c: one rack for all tasks of a
+ * step.  plan_journal.c: which
  * records are committed when; plan_record.c writes records, plan_restore.c
  * reads them.
  */
