--- a/src/cell/locality.c
+++ b/src/cell/locality.c
@@ -69,7 +69,7 @@
 rst_locality_reason_name (enum rst_locality_reason reason)
 {
   static const char *const names[RST_LOCALITY_REASONS]
-      = { "wait", "no gain", "waited", "objective", "idle job" };
+      = { "room", "no gain", "waited", "objective", "idle job", "job ended" };
 
   return names[reason];
 }
--- a/src/cell/locality.h
+++ b/src/cell/locality.h
@@ -27,6 +27,7 @@
  * @RST_LOCALITY_OBJECTIVE: Its job would miss its objective by a wait.
  * @RST_LOCALITY_IDLE_JOB: Nothing of its job runs, and the wait would be
  * longer than such a job may wait.
+ * @RST_LOCALITY_JOB_ENDED: Its job has ended; never the result of a decision.
  */
 enum rst_locality_reason
 {
@@ -35,10 +36,11 @@
   RST_LOCALITY_WAITED,
   RST_LOCALITY_OBJECTIVE,
   RST_LOCALITY_IDLE_JOB,
+  RST_LOCALITY_JOB_ENDED,
 };
 
 /** Number of values of enum rst_locality_reason. */
-#define RST_LOCALITY_REASONS 5
+#define RST_LOCALITY_REASONS 6
 
 /**
  * struct rst_locality_case - A task that has room elsewhere, not in its rack.
@@ -80,7 +82,8 @@
 enum rst_locality_reason
 rst_locality_decide (const struct rst_locality_case *task, double *wait_ms);
 
-/** rst_locality_reason_name() - Name of a reason, for logs and counters. */
+/** rst_locality_reason_name() - How a wait ended, for logs and counters;
+    RST_LOCALITY_WAIT stands for one that ended with room. */
 const char *rst_locality_reason_name (enum rst_locality_reason reason);
 
 /**
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cell/plan_locality.h"
 #include "cell/planner_private.h"
 
 /** How long before it is due an occurrence of a repeating job begins, in
@@ -285,6 +286,7 @@
           if (step->enqueued)
             g_ptr_array_remove_fast (planner->waiting_steps, step);
           step->enqueued = false;
+          rst_plan_end_rack_step (planner, step);
           for (int t = 0; t < step->spec->count; t++)
             if (step->tasks[t].run != NULL)
               rst_plan_stop_run (planner, step->tasks[t].run);
--- a/src/cell/plan_locality.c
+++ b/src/cell/plan_locality.c
@@ -296,9 +296,7 @@
   step->locality.is_waiting = false;
   planner->stats.rack_wait_ends[reason]++;
   log_wait (planner, step, "Step no longer waits for room in its rack.",
-            reason == RST_LOCALITY_WAIT ? "room"
-                                        : rst_locality_reason_name (reason),
-            step->locality.delay_ms);
+            rst_locality_reason_name (reason), step->locality.delay_ms);
 }
 
 static enum rst_locality_reason
@@ -537,7 +535,9 @@
 void
 rst_plan_end_rack_step (struct rst_planner *planner, struct step *step)
 {
-  if (step->tasks_waiting == 0)
+  if (rst_plan_job_has_ended (step->occurrence->job))
+    end_wait (planner, step, RST_LOCALITY_JOB_ENDED);
+  else if (step->tasks_waiting == 0)
     end_wait (planner, step, RST_LOCALITY_WAIT);
 }
 
--- a/src/cell/plan_locality.h
+++ b/src/cell/plan_locality.h
@@ -17,7 +17,7 @@
 void rst_plan_begin_rack_step (struct rst_planner *planner, struct step *step);
 
 /** rst_plan_end_rack_step() - Ends the wait of a step whose tasks have all
-    been placed. */
+    been placed, or whose job has ended. */
 void rst_plan_end_rack_step (struct rst_planner *planner, struct step *step);
 
 /** rst_plan_is_outside_rack() - Whether an instance is not in the rack that a
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -89,6 +89,24 @@
     }
 }
 
+static void
+add_rack_waits (GString *page, const struct rst_planner_stats *stats)
+{
+  rst_metrics_add_counter (page, "rack_waits_total",
+                           "Waits of steps for room in their rack.",
+                           stats->rack_waits);
+  rst_metrics_begin_family (page, "rack_wait_ends_total", "counter",
+                            "Waits for a rack that ended, by how.");
+  for (int i = 0; i < RST_LOCALITY_REASONS; i++)
+    {
+      struct rst_metrics_label label
+          = { "how", rst_locality_reason_name ((enum rst_locality_reason)i) };
+
+      rst_metrics_add_sample (page, "rack_wait_ends_total", label,
+                              (double)stats->rack_wait_ends[i]);
+    }
+}
+
 static void
 add_sizes (GString *page, const struct rst_planner_stats *stats)
 {
@@ -237,6 +255,7 @@
       add_sizes (page, &stats);
       add_counters (page, &stats);
       add_ends (page, &stats);
+      add_rack_waits (page, &stats);
       add_latencies (page, &stats);
       add_queues (page, planner);
     }
--- a/test/unit/plan_locality_test.cc
+++ b/test/unit/plan_locality_test.cc
@@ -230,3 +230,15 @@
   successor.settle ();
   EXPECT_EQ (successor.sent_of_kind (RST_MSG_START).size (), 1u);
 }
+
+// A wait that is never counted as ended looks like a step that waits for ever.
+TEST (PlanLocality, CountsTheEndOfAWaitWithItsJob)
+{
+  Racks racks (2.0);
+
+  racks.fill_rack (400);
+  racks.submit ("0000000000000002", 1);
+  racks.cancel ("0000000000000002");
+  EXPECT_EQ (racks.stats ().rack_waits, 1u);
+  EXPECT_EQ (racks.stats ().rack_wait_ends[RST_LOCALITY_JOB_ENDED], 1u);
+}
