Gangs reserve room in their rack; the 2 s rule needs ample room

The bound of 2 s on waits of a job of which nothing runs applied always, though the rule is about room for the task twice over. A gang that fitted nowhere reserved room over the whole fleet, which is spread when it is complete.

Change: the bound of 2 s applies only while there is room for the task, or for the whole gang, twice over; room on instances that the advice service has rejected counts too. A gang reserves room in its rack only, if it would wait for it.

--- a/src/cell/locality.c
+++ b/src/cell/locality.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-/** Longest wait of a task while nothing of its job runs.  Such a job must not
-    be left waiting for 3 s while there is room for it; the order and its
+/** Longest wait of a task while nothing of its job runs and there is ample
+    room.  Such a job must not be left waiting for 3 s; the order and its
     confirmation take the rest. */
 #define IDLE_JOB_WAIT_MAX_MS 2000.0
 
@@ -46,6 +46,7 @@
 rst_locality_decide (const struct rst_locality_case *task, double *wait_ms)
 {
   double limit_ms = task->gain_ms - task->waited_ms;
+  bool is_idle = !task->job_runs && task->has_ample_room;
 
   *wait_ms = 0.0;
   if (task->delay_ms >= task->gain_ms)
@@ -54,12 +55,11 @@
     return RST_LOCALITY_WAITED;
   if (task->spare_ms >= 0.0 && task->delay_ms >= task->spare_ms)
     return RST_LOCALITY_OBJECTIVE;
-  if (!task->job_runs
-      && task->delay_ms >= IDLE_JOB_WAIT_MAX_MS - task->waited_ms)
+  if (is_idle && task->delay_ms >= IDLE_JOB_WAIT_MAX_MS - task->waited_ms)
     return RST_LOCALITY_IDLE_JOB;
   if (task->spare_ms >= 0.0)
     limit_ms = MIN (limit_ms, task->spare_ms);
-  if (!task->job_runs)
+  if (is_idle)
     limit_ms = MIN (limit_ms, IDLE_JOB_WAIT_MAX_MS - task->waited_ms);
   *wait_ms = limit_ms;
   return RST_LOCALITY_WAIT;
--- a/src/cell/locality.h
+++ b/src/cell/locality.h
@@ -25,8 +25,8 @@
  * @RST_LOCALITY_WAITED: It has waited, and would wait in all for longer than
  *   it gains.
  * @RST_LOCALITY_OBJECTIVE: Its job would miss its objective by a wait.
- * @RST_LOCALITY_IDLE_JOB: Nothing of its job runs, and the wait would be
- * longer than such a job may wait.
+ * @RST_LOCALITY_IDLE_JOB: Nothing of its job runs although there is ample
+ *   room, and the wait would be longer than such a job may wait.
  * @RST_LOCALITY_JOB_ENDED: Its job has ended; never the result of a decision.
  */
 enum rst_locality_reason
@@ -50,6 +50,7 @@
  * @spare_ms: Time until it has to be ordered elsewhere at the latest for its
  *   job to meet its objective; negative if a start elsewhere can't meet it.
  * @job_runs: Whether any task of its job runs.
+ * @has_ample_room: Whether there is room for it twice over, anywhere.
  */
 struct rst_locality_case
 {
@@ -58,6 +59,7 @@
   double waited_ms;
   double spare_ms;
   bool job_runs;
+  bool has_ample_room;
 };
 
 /**
--- a/src/cell/plan_locality.c
+++ b/src/cell/plan_locality.c
@@ -299,6 +299,25 @@
             rst_locality_reason_name (reason), step->locality.delay_ms);
 }
 
+/* Whether there is room for a step's next task, or the whole gang, twice over.
+   Instances that the advice service has rejected count too: whoever measures
+   the wait does not know of that. */
+static bool
+has_ample_room (const struct rst_planner *planner, const struct step *step)
+{
+  int wanted = 2 * (step->spec->gang ? step->spec->count : 1);
+
+  for (guint i = 0; wanted > 0 && i < planner->schedulable_instances->len; i++)
+    {
+      const struct instance *instance
+          = g_ptr_array_index (planner->schedulable_instances, i);
+
+      if (rst_plan_instance_is_eligible (instance, step))
+        wanted -= rst_plan_count_slots (instance, step);
+    }
+  return wanted <= 0;
+}
+
 static enum rst_locality_reason
 decide (struct rst_planner *planner, const struct step *step, double delay_ms,
         double *wait_ms)
@@ -317,6 +336,7 @@
                        : (double)(planner->now - step->locality.waited_since);
   task.spare_ms = get_spare_ms (planner, step);
   task.job_runs = rst_plan_job_has_runs (step->occurrence->job);
+  task.has_ample_room = has_ample_room (planner, step);
   return rst_locality_decide (&task, wait_ms);
 }
 
@@ -523,6 +543,22 @@
   return step->locality.rack_only;
 }
 
+void
+rst_plan_confine_reservation (struct rst_planner *planner, struct step *step)
+{
+  double wait_ms;
+
+  if (step->locality.rack[0] == '\0' || step->locality.rack_only
+      || is_wait_excluded (planner))
+    return;
+  step->locality.rack_only
+      = decide (planner, step,
+                rst_plan_get_rack_delay_ms (planner, step, step->locality.rack,
+                                            step->spec->count),
+                &wait_ms)
+        == RST_LOCALITY_WAIT;
+}
+
 void
 rst_plan_note_gang_start (struct step *step)
 {
--- a/src/cell/plan_locality.h
+++ b/src/cell/plan_locality.h
@@ -62,6 +62,11 @@
  */
 bool rst_plan_gang_waits (struct rst_planner *planner, struct step *step);
 
+/** rst_plan_confine_reservation() - Confines the room that is reserved for a
+    gang to its rack, if it would wait for room there. */
+void rst_plan_confine_reservation (struct rst_planner *planner,
+                                   struct step *step);
+
 /** rst_plan_release_gang() - Lets a gang use all racks in this pass. */
 void rst_plan_release_gang (struct step *step);
 
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -340,11 +340,14 @@
    approval, on its approved instances.  All gangs reserve in one order of the
    instances, so that the room kept for them lies on few. */
 static void
-reserve_for_gang (struct rst_planner *planner, const struct step *step)
+reserve_for_gang (struct rst_planner *planner, struct step *step)
 {
   int wanted = step->spec->count;
   int total;
-  GArray *gang_slots = find_gang_slots (planner, step, false, &total);
+  GArray *gang_slots;
+
+  rst_plan_confine_reservation (planner, step);
+  gang_slots = find_gang_slots (planner, step, false, &total);
 
   g_array_sort (gang_slots, compare_positions);
   for (guint i = 0; wanted > 0 && i < gang_slots->len; i++)
