replay: loads with steps near data on racks

Cause: no load names a rack, so nothing shows whether waits for racks pay.

Ruled out: to require that it is as good as always waiting.

--- a/test/replay/model.cc
+++ b/test/replay/model.cc
@@ -1,9 +1,8 @@
 #include "replay/model.h"
 
 #include <algorithm>
-#include <fstream>
 #include <functional>
-#include <sstream>
+#include <set>
 
 namespace replay
 {
@@ -16,111 +15,6 @@
 static const rst_ms time_step_ms = 2;
 static const rst_ms poll_wait_ms = 2000;
 
-std::string
-read_load (const char *path, Load *out)
-{
-  std::ifstream file (path);
-  std::string line;
-  int number = 0;
-
-  if (!file)
-    return std::string (path) + ": can't be read";
-  while (std::getline (file, line))
-    {
-      std::istringstream words (line);
-      std::string word;
-
-      number++;
-      if (!(words >> word) || word[0] == '#')
-        continue;
-      if (word == "seed")
-        words >> out->seed;
-      else if (word == "seconds")
-        words >> out->seconds;
-      else if (word == "instances")
-        words >> out->instances >> out->instance_cpu_milli
-            >> out->instance_memory_mb;
-      else if (word == "links")
-        words >> out->agents;
-      else if (word == "customers")
-        words >> out->customers;
-      else if (word == "kind")
-        {
-          JobKind kind;
-
-          words >> kind.name >> kind.rate_per_s >> kind.mean_tasks
-              >> kind.cpu_milli >> kind.memory_mb >> kind.mean_run_ms
-              >> kind.priority >> kind.slack_factor >> kind.target_ms
-              >> kind.gang_fraction >> kind.approval_fraction >> kind.advice_ms
-              >> kind.advice_per_instance_us;
-          out->kinds.push_back (kind);
-        }
-      else if (word == "spread")
-        {
-          std::string name;
-          double spread = 0.0;
-
-          words >> name >> spread;
-          for (JobKind &kind : out->kinds)
-            if (kind.name == name)
-              kind.tasks_spread = spread;
-        }
-      else if (word == "expect")
-        {
-          Bound bound;
-
-          words >> bound.kind >> bound.measure >> bound.value;
-          out->bounds.push_back (bound);
-        }
-      else if (word == "burst" || word == "hot")
-        {
-          Surge surge;
-
-          words >> surge.target >> surge.rate_factor >> surge.from_s
-              >> surge.to_s;
-          (word == "burst" ? out->kind_surges : out->customer_surges)
-              .push_back (surge);
-        }
-      else
-        words.setstate (std::ios::failbit);
-      if (words.fail ())
-        return std::string (path) + ": line " + std::to_string (number) + ": "
-               + word;
-    }
-  return "";
-}
-
-rst_ms
-quantile (std::vector<rst_ms> values, double fraction)
-{
-  if (values.empty ())
-    return 0;
-  std::sort (values.begin (), values.end ());
-  return values[std::min (values.size () - 1,
-                          (size_t)(fraction * (double)values.size ()))];
-}
-
-double
-read_measure (const Result &result, const Bound &bound)
-{
-  const KindResult &kind = result.kinds.at (bound.kind);
-
-  if (bound.measure == "on_time")
-    return (double)kind.jobs_on_time / kind.jobs;
-  if (bound.measure == "work_on_time")
-    return kind.core_seconds_on_time / kind.core_seconds;
-  return (double)quantile (kind.first_start_delays_ms, 0.99);
-}
-
-bool
-is_kept (const Result &result, const Bound &bound)
-{
-  double measured = read_measure (result, bound);
-
-  return bound.measure == "first_start_p99_ms" ? measured <= bound.value
-                                               : measured >= bound.value;
-}
-
 namespace
 {
 
@@ -137,6 +31,11 @@
   // Number of runs that have yet to complete; a gang counts as one.
   int remaining_ends;
   bool has_started = false;
+  // Rack of its data, and whether its tasks run faster in one rack.
+  std::string data_rack;
+  bool prefers_one_rack = false;
+  // Racks in which tasks of it have started.
+  std::set<std::string> racks;
 };
 
 struct Run
@@ -158,9 +57,10 @@
 {
 public:
   Model (const Load &load, const Policy &policy)
-      : load_ (load), random_ (load.seed)
+      : load_ (load), random_ (load.seed), planner_ (1, 0, load.remote_penalty)
   {
     rst_planner_set_policy (planner_.planner, policy.order, policy.fit);
+    rst_planner_set_rack_policy (planner_.planner, policy.rack_policy);
     configure ();
     for (int i = 0; i < load.agents; i++)
       planner_.add_agent ((uint64_t)i + 1);
@@ -199,6 +99,11 @@
         handle_commits ();
         sample_utilization (end);
       }
+    rst_planner_stats stats;
+    rst_planner_read_stats (planner_.planner, &stats);
+    result_.rack_waits = stats.rack_waits;
+    std::copy (std::begin (stats.rack_wait_ends),
+               std::end (stats.rack_wait_ends), result_.rack_wait_ends);
     result_.cpu_utilization /= std::max (samples_, 1.0);
     result_.cpu_utilization_under_backlog /= std::max (backlog_samples_, 1.0);
     return result_;
@@ -234,6 +139,17 @@
     return "i-" + std::to_string (index);
   }
 
+  // Returns the rack of an instance; "" if there are none.
+  std::string
+  find_rack (const std::string &id) const
+  {
+    if (load_.racks == 0)
+      return "";
+    return "r-"
+           + std::to_string (std::stoi (id.substr (2)) * load_.racks
+                             / load_.instances);
+  }
+
   void
   configure ()
   {
@@ -280,6 +196,7 @@
     g_strlcpy (entry.address, "10.0.0.1:80", sizeof entry.address);
     g_strlcpy (entry.zone, "a", sizeof entry.zone);
     g_strlcpy (entry.pool, "pool", sizeof entry.pool);
+    g_strlcpy (entry.rack, find_rack (entry.id).c_str (), sizeof entry.rack);
     entry.capacity = { load_.instance_cpu_milli, load_.instance_memory_mb, 0 };
     // The one that the harness reports.
     entry.incarnation = 1;
@@ -323,6 +240,7 @@
   {
     std::vector<double> weights;
 
+    weights.reserve ((size_t)load_.customers);
     for (int i = 0; i < load_.customers; i++)
       weights.push_back (compute_surge_factor (load_.customer_surges,
                                                std::to_string (i), time_s));
@@ -343,6 +261,38 @@
                        1, kind.mean_tasks * 6);
   }
 
+  // Loads without racks draw nothing, so that they stay as they are.
+  void
+  draw_rack (const JobKind &kind, Job *job)
+  {
+    if (kind.near_fraction > 0.0
+        && std::bernoulli_distribution (kind.near_fraction) (random_))
+      job->data_rack = "r-"
+                       + std::to_string (std::uniform_int_distribution<> (
+                           0, kind.data_racks - 1) (random_));
+    else if (kind.one_rack_fraction > 0.0)
+      job->prefers_one_rack
+          = std::bernoulli_distribution (kind.one_rack_fraction) (random_);
+  }
+
+  // Returns how long a run takes where it is.  A gang runs at the speed of its
+  // slowest task.
+  int64_t
+  get_length_ms (const Job &job, const std::string &id, const Run &run) const
+  {
+    bool inside = true;
+
+    if (!job.data_rack.empty ())
+      inside = job.is_gang
+                   ? job.racks == std::set<std::string>{ job.data_rack }
+                   : find_rack (id) == job.data_rack;
+    else if (job.prefers_one_rack)
+      inside = job.racks.size () == 1;
+    return inside ? run.run_ms
+                  : (int64_t)((double)run.run_ms
+                              * std::max (load_.remote_penalty, 1.0));
+  }
+
   void
   submit (const JobKind &kind, double time_s)
   {
@@ -352,6 +302,7 @@
     std::string customer = "c" + std::to_string (draw_customer (time_s));
 
     g_snprintf (id, sizeof id, "%016x", ++next_job_);
+    draw_rack (kind, &job);
     job.kind = &kind;
     job.submitted_at = now_;
     job.is_gang = draw < kind.gang_fraction;
@@ -376,6 +327,9 @@
 
     desc->steps[0].need.memory = kind.memory_mb;
     desc->steps[0].estimate_ms = kind.mean_run_ms;
+    g_free (desc->steps[0].rack);
+    desc->steps[0].rack = g_strdup (job.data_rack.c_str ());
+    desc->steps[0].prefers_one_rack = job.prefers_one_rack;
     jobs_[id] = job;
     planner_.send_call (next_job_, RST_OPERATION_SUBMIT, id, desc,
                         customer.c_str (), ("/" + kind.name + "/").c_str ());
@@ -425,13 +379,33 @@
       result_.kinds[job.kind->name].first_start_delays_ms.push_back (
           now_ - job.submitted_at);
     job.has_started = true;
+    job.racks.insert (find_rack (message.id));
     instances_[message.id].runs[message.task]
         = Run{ message.attempt, now_, job.run_ms[index] };
     busy_cpu_ += job.kind->cpu_milli;
     planner_.answer_order (message.link, RST_MSG_STARTED, message.id,
                            message.task, message.attempt, RST_RESULT_OK);
     schedule (now_ + job.run_ms[index],
-              [this, message] { end_run (message, RST_END_DONE); });
+              [this, message] { finish_run (message); });
+  }
+
+  // Ends a run, or goes on if it takes longer where it is.
+  void
+  finish_run (const Sent &message)
+  {
+    auto found = instances_[message.id].runs.find (message.task);
+    rst_ms ends_at;
+
+    if (found == instances_[message.id].runs.end ()
+        || found->second.attempt != message.attempt)
+      return;
+    ends_at = found->second.started_at
+              + get_length_ms (jobs_[message.task.substr (0, 16)], message.id,
+                               found->second);
+    if (now_ < ends_at)
+      schedule (ends_at, [this, message] { finish_run (message); });
+    else
+      end_run (message, RST_END_DONE);
   }
 
   void
@@ -467,6 +441,17 @@
   {
     KindResult &kind = result_.kinds[job.kind->name];
 
+    kind.jobs_ended++;
+    kind.job_ms += (double)(now_ - job.submitted_at);
+    if (!job.data_rack.empty () || job.prefers_one_rack)
+      {
+        kind.racked_jobs_ended++;
+        kind.racked_job_ms += (double)(now_ - job.submitted_at);
+        kind.racked_jobs_inside
+            += job.data_rack.empty ()
+                   ? job.racks.size () == 1
+                   : job.racks == std::set<std::string>{ job.data_rack };
+      }
     if (now_ - job.submitted_at > job.objective_ms)
       return;
     kind.jobs_on_time++;
@@ -484,7 +469,9 @@
 
         runs.push_back (Planner::make_running_run (entry.first, run.attempt));
         runs.back ().progress_percent
-            = (int)((now_ - run.started_at) * 100 / run.run_ms);
+            = (int)((now_ - run.started_at) * 100
+                    / get_length_ms (jobs_[entry.first.substr (0, 16)], id,
+                                     run));
       }
     for (const rst_run &end : instances_[id].ends)
       runs.push_back (end);
--- a/test/replay/model.h
+++ b/test/replay/model.h
@@ -37,6 +37,11 @@
   // Standard deviation of a job's tasks as a fraction of their mean; 0 for a
   // Poisson distribution.
   double tasks_spread = 0.0;
+  // Fraction of the jobs that have their data in one of the first data_racks
+  // racks, and of those whose tasks run faster in one rack, whichever it is.
+  double near_fraction = 0.0;
+  int data_racks = 1;
+  double one_rack_fraction = 0.0;
 };
 
 // A temporary increase of the load.
@@ -52,8 +57,16 @@
 struct Bound
 {
   std::string kind;
-  std::string measure; // on_time, work_on_time or first_start_p99_ms
-  double value;        // a minimum; of first_start_p99_ms, a maximum
+  // on_time, work_on_time, first_start_p99_ms, mean_job_ms or mean_racked_ms
+  std::string measure;
+  double value; // a minimum; of times, a maximum
+};
+
+// A bound on a measure relative to that under another policy for racks.
+struct Comparison
+{
+  Bound bound; // its value is the factor
+  bool with_never;
 };
 
 struct Load
@@ -65,12 +78,18 @@
   int64_t instance_memory_mb = 1000;
   int agents = 1;
   int customers = 1;
+  // Racks with the same number of instances each; 0 for none.
+  int racks = 0;
+  // Tasks outside their rack take this many times as long.
+  double remote_penalty = 0.0;
   std::vector<JobKind> kinds;
   // Each raises the rate of a kind of job.
   std::vector<Surge> kind_surges;
   // Each raises the weight of a customer in the draw of who submits a job.
   std::vector<Surge> customer_surges;
   std::vector<Bound> bounds;
+  // Compare waiting for racks as planned with other policies.
+  std::vector<Comparison> comparisons;
 };
 
 // Reads a load file.  Returns an error message, "" on success.
@@ -82,6 +101,7 @@
   const char *name;
   rst_step_order order;
   rst_fit fit;
+  rst_rack_policy rack_policy = RST_RACK_WAIT_PLANNED;
 };
 
 // Results of the jobs of one kind.  A job is on time if it ends within its
@@ -93,6 +113,13 @@
   int jobs_on_time = 0;
   double core_seconds = 0; // of all jobs
   double core_seconds_on_time = 0;
+  int jobs_ended = 0;
+  double job_ms = 0; // of all jobs that ended
+  // The same for jobs that run faster in a rack, and how many of them had all
+  // their tasks there.
+  int racked_jobs_ended = 0;
+  double racked_job_ms = 0;
+  int racked_jobs_inside = 0;
 };
 
 struct Result
@@ -105,6 +132,9 @@
   double cpu_utilization_under_backlog = 0;
   int64_t advice_requests = 0;
   double advice_seconds = 0;
+  uint64_t rack_waits = 0;
+  // By enum rst_locality_reason.
+  uint64_t rack_wait_ends[RST_LOCALITY_REASONS] = {};
 };
 
 // Simulates a load under a policy.
@@ -113,6 +143,10 @@
 // Returns the measured value that a bound is about.
 double read_measure (const Result &result, const Bound &bound);
 
+// Whether a result keeps a bound that is relative to another result.
+bool is_kept (const Result &result, const Result &other,
+              const Comparison &comparison);
+
 // Whether the results keep a bound.
 bool is_kept (const Result &result, const Bound &bound);
 
--- a/test/replay/replay.cc
+++ b/test/replay/replay.cc
@@ -10,6 +10,14 @@
         { "ranked, random", RST_STEP_ORDER_RANKED, RST_FIT_RANDOM },
         { "fifo, first fit", RST_STEP_ORDER_FIFO, RST_FIT_FIRST } };
 
+// For loads with racks.
+static const replay::Policy rack_policies[] = {
+  { "waits as planned", RST_STEP_ORDER_RANKED, RST_FIT_BEST,
+    RST_RACK_WAIT_PLANNED },
+  { "never waits", RST_STEP_ORDER_RANKED, RST_FIT_BEST, RST_RACK_WAIT_NEVER },
+  { "always waits", RST_STEP_ORDER_RANKED, RST_FIT_BEST, RST_RACK_WAIT_ALWAYS }
+};
+
 static void
 print_kind (const std::string &name, const replay::KindResult &kind)
 {
@@ -19,6 +27,34 @@
           100.0 * kind.core_seconds_on_time / kind.core_seconds,
           (long long)replay::quantile (kind.first_start_delays_ms, 0.5),
           (long long)replay::quantile (kind.first_start_delays_ms, 0.99));
+  if (kind.racked_jobs_ended > 0)
+    printf ("  %-8s with a rack: jobs %5d  all in it %5.1f %%  mean time "
+            "%6.0f ms\n",
+            "", kind.racked_jobs_ended,
+            100.0 * kind.racked_jobs_inside / kind.racked_jobs_ended,
+            kind.racked_job_ms / kind.racked_jobs_ended);
+}
+
+static void
+print_result (const replay::Policy &policy, const replay::Result &result)
+{
+  printf ("%s: processors in use %.1f %%, while work waits %.1f %%; "
+          "advice %lld calls, %.0f s\n",
+          policy.name, 100.0 * result.cpu_utilization,
+          100.0 * result.cpu_utilization_under_backlog,
+          (long long)result.advice_requests, result.advice_seconds);
+  if (result.rack_waits > 0)
+    {
+      printf ("  waits for racks: %llu, ended by",
+              (unsigned long long)result.rack_waits);
+      for (int i = 0; i < RST_LOCALITY_REASONS; i++)
+        printf ("%s %s %llu", i > 0 ? "," : "",
+                rst_locality_reason_name ((rst_locality_reason)i),
+                (unsigned long long)result.rack_wait_ends[i]);
+      printf ("\n");
+    }
+  for (auto &kind : result.kinds)
+    print_kind (kind.first, kind.second);
 }
 
 // Simulates the load under the planner's own policy and checks the bounds of
@@ -27,7 +63,7 @@
 check_bounds (const replay::Load &load)
 {
   replay::Result result = replay::run_load (load, policies[0]);
-  int status = load.bounds.empty () ? 1 : 0;
+  int status = load.bounds.empty () && load.comparisons.empty () ? 1 : 0;
 
   for (const replay::Bound &bound : load.bounds)
     {
@@ -39,6 +75,26 @@
       if (!kept)
         status = 1;
     }
+  if (load.comparisons.empty ())
+    return status;
+  replay::Result never = replay::run_load (load, rack_policies[1]);
+  replay::Result always = replay::run_load (load, rack_policies[2]);
+
+  for (const replay::Comparison &comparison : load.comparisons)
+    {
+      const replay::Result &other = comparison.with_never ? never : always;
+      bool kept = replay::is_kept (result, other, comparison);
+
+      printf ("%s: %s %s: %.3f, %s: %.3f, bound %.1f times that\n",
+              kept ? "kept" : "MISSED", comparison.bound.kind.c_str (),
+              comparison.bound.measure.c_str (),
+              replay::read_measure (result, comparison.bound),
+              rack_policies[comparison.with_never ? 1 : 2].name,
+              replay::read_measure (other, comparison.bound),
+              comparison.bound.value);
+      if (!kept)
+        status = 1;
+    }
   return status;
 }
 
@@ -65,17 +121,11 @@
     }
   if (is_check)
     return check_bounds (load);
-  for (const replay::Policy &policy : policies)
-    {
-      replay::Result result = replay::run_load (load, policy);
-
-      printf ("%s: processors in use %.1f %%, while work waits %.1f %%; "
-              "advice %lld calls, %.0f s\n",
-              policy.name, 100.0 * result.cpu_utilization,
-              100.0 * result.cpu_utilization_under_backlog,
-              (long long)result.advice_requests, result.advice_seconds);
-      for (auto &kind : result.kinds)
-        print_kind (kind.first, kind.second);
-    }
+  if (load.racks > 0)
+    for (const replay::Policy &policy : rack_policies)
+      print_result (policy, replay::run_load (load, policy));
+  else
+    for (const replay::Policy &policy : policies)
+      print_result (policy, replay::run_load (load, policy));
   return 0;
 }
