--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -4,7 +4,7 @@
 //   cell-fuzz --seed N [--seconds N] [--seeds COUNT] [--log info] [--fault N]
 //             [--outlive 1] [--partitions 1] [--repeating 1] [--sequences 1]
 //             [--listed-ends N] [--clock-steps 1] [--crashing 1]
-//             [--resizing 1]
+//             [--resizing 1] [--racks 1]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
 // --fault selects a deliberate fault; see cell/fault_private.h.  It has an
@@ -20,6 +20,8 @@
 // --crashing draws jobs with a task that crashes each instance that starts it;
 // an instance that has crashed mostly comes back under another id.
 // --resizing changes the capacity of instances while they run.
+// --racks puts instances in three racks and draws steps that run faster in
+// one, so that they wait for room there.
 // --sequences draws faults as sequences in the order of events, in a network
 // that can be cut, and freezes processes in pieces; see sequences.h.
 #include "partitions.h"
@@ -51,6 +53,7 @@
   bool has_instance_clock_steps = false;
   bool has_crashing_tasks = false;
   bool has_resizing = false;
+  bool has_racks = false;
   bool has_late_calls = false;
   bool reads_pending = false;
 };
@@ -113,6 +116,14 @@
       desc->spec = g_strdup_printf (
           "crash %d.%d", step, world.draw_below (desc->steps[step].count));
     }
+  for (int i = 0; world.has_racks && i < steps; i++)
+    if (world.draw_unit () < 0.5)
+      {
+        g_free (desc->steps[i].rack);
+        desc->steps[i].rack = g_strdup_printf ("r%d", world.draw_below (3));
+      }
+    else
+      desc->steps[i].prefers_one_rack = world.draw_unit () < 0.5;
   if (world.has_repeating_jobs && world.draw_unit () < 0.33)
     {
       desc->repeats = 2 + world.draw_below (3);
@@ -258,7 +269,8 @@
 static bool
 run_seed (uint64_t seed, const Options &options)
 {
-  World world (seed, 5, 12, options.has_partitions || options.has_sequences);
+  World world (seed, 5, 12, options.has_partitions || options.has_sequences,
+               options.has_racks);
   // Fewer of the other faults, so that partitions meet a cell at work.
   double node_fault_probability = world.has_partitions ? 0.01 : 0.03;
   double instance_fault_probability = 0.03;
@@ -361,6 +373,8 @@
         options.has_crashing_tasks = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--resizing") == 0)
         options.has_resizing = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--racks") == 0)
+        options.has_racks = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--late-calls") == 0)
         options.has_late_calls = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--pending") == 0)
--- a/test/cell/store.cc
+++ b/test/cell/store.cc
@@ -62,20 +62,27 @@
 }
 
 static std::string
-format_entry (const Instance &instance, bool draining = false)
+format_entry (const Instance &instance, bool has_racks, bool draining)
 {
+  std::string rack = has_racks
+                         ? "r"
+                               + std::to_string (
+                                   std::hash<std::string> () (instance.id) % 3)
+                         : "r1";
+
   return "{\"service\":\"pool\",\"addr\":\"" + instance.address
          + "\",\"zone\":\"" + instance.zone + "\",\"state\":\""
          + (draining ? "draining" : "ready")
          + "\",\"capacity\":{\"cpu\":" + std::to_string (instance.cpu_milli)
-         + ",\"mem_mb\":4000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],\"born\":"
-         + std::to_string (instance.born) + "}";
+         + ",\"mem_mb\":4000,\"gpu\":0},\"labels\":[\"a\",\"" + rack
+         + "\"],\"born\":" + std::to_string (instance.born) + "}";
 }
 
 void
 World::register_instance (Instance &instance, bool draining)
 {
-  put_key ("servers/" + instance.id, format_entry (instance, draining));
+  put_key ("servers/" + instance.id,
+           format_entry (instance, has_racks, draining));
 }
 
 bool
@@ -105,7 +112,7 @@
             [this, &instance] { report_instance (instance); });
   if (reaches_store)
     {
-      std::string value = format_entry (instance);
+      std::string value = format_entry (instance, has_racks, false);
 
       instance.reported_at = now ();
       if (entry == store.end () || entry->second.value != value)
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -62,8 +62,8 @@
 static const int64_t customer_cpu_limit_milli = 12000;
 
 World::World (uint64_t seed, int node_count, int instance_count,
-              bool has_partitions)
-    : has_partitions (has_partitions), random (seed)
+              bool has_partitions, bool has_racks)
+    : has_partitions (has_partitions), has_racks (has_racks), random (seed)
 {
   static const char *const zones[] = { "a", "b", "c" };
 
@@ -220,6 +220,7 @@
   config.zone = node.zone.c_str ();
   config.address = node.address.c_str ();
   config.timing = { 5000, 6000, 120000, 250 };
+  config.timing.remote_penalty = has_racks ? 2.0 : 1.0;
   config.jitter_ms = draw_below (120);
   node.cell_node = rst_cell_node_create (&config);
   run_node (node);
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -296,10 +296,14 @@
   // arrive when it ends, and each side closes a silent link by itself; entries
   // of instances follow their reports to the store.  Without it, none of this
   // happens, since the seeds in tools/check depend on the order of events.
-  World (uint64_t seed, int nodes, int instances, bool has_partitions);
+  World (uint64_t seed, int nodes, int instances, bool has_partitions,
+         bool has_racks = false);
   ~World ();
 
   const bool has_partitions;
+  // Whether instances are in three racks, and nodes expect tasks to take twice
+  // as long outside their rack.
+  const bool has_racks;
 
   Faults faults;
   // Whether an instance may carry out a late order to its previous
