--- a/test/cell/store.cc
+++ b/test/cell/store.cc
@@ -294,6 +294,7 @@
   bool lost = draw_unit () < faults.lose_commit_probability;
   bool late = draw_unit () < faults.late_commit_probability;
 
+  copy.reserve ((size_t)count);
   for (int i = 0; i < count; i++)
     copy.push_back (
         Write{ writes[i].key,
