--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cell/plan_locality.h"
 #include "cell/planner_private.h"
 
 /** Number of gangs that may reserve room in one pass: the minimum, and how
@@ -107,11 +108,8 @@
   if (task != NULL && task->avoided_instance == instance)
     total += 4.0;
   total += 0.5 * MIN (instance->failures, 4);
-  if (step->spec->rack[0] != '\0'
-      && strcmp (step->spec->rack, instance->entry.rack) != 0)
-    total += 3.0;
   total += rst_plan_score_speed (planner, instance, step);
-  return total;
+  return total + rst_plan_score_rack (step, instance);
 }
 
 static double
@@ -216,6 +214,7 @@
 place_tasks (struct rst_planner *planner, struct step *step)
 {
   const GPtrArray *candidates = find_candidates (planner, step, true);
+  bool has_room = true;
   int unplaced = 0;
 
   for (int i = 0; i < step->spec->count; i++)
@@ -228,10 +227,10 @@
         continue;
       if (!rst_plan_is_below_limit (step, 1))
         return 0;
-      instance = unplaced == 0
-                     ? choose_instance (planner, candidates, step, task)
-                     : NULL;
-      if (instance == NULL)
+      instance = has_room ? choose_instance (planner, candidates, step, task)
+                          : NULL;
+      has_room = instance != NULL;
+      if (instance == NULL || rst_plan_task_waits (planner, step, instance))
         unplaced++;
       else
         rst_plan_start_task (planner, task, instance, task->attempt + 1,
@@ -277,7 +276,8 @@
 
       candidate.slots = rst_plan_count_slots (candidate.instance, step);
       if (candidate.slots == 0
-          || !rst_plan_instance_is_eligible (candidate.instance, step))
+          || !rst_plan_instance_is_eligible (candidate.instance, step)
+          || !rst_plan_may_use_rack (step, candidate.instance))
         continue;
       *total += candidate.slots;
       g_array_append_val (gang_slots, candidate);
@@ -347,11 +347,14 @@
    approval, on its approved instances.  All gangs reserve in one order of the
    instances, so that the room kept for them lies on few. */
 static void
-reserve_for_gang (struct rst_planner *planner, const struct step *step)
+reserve_for_gang (struct rst_planner *planner, struct step *step)
 {
   int wanted = step->spec->count;
   int total;
-  GArray *gang_slots = find_gang_slots (planner, step, false, &total);
+  GArray *gang_slots;
+
+  rst_plan_confine_reservation (planner, step);
+  gang_slots = find_gang_slots (planner, step, false, &total);
 
   g_array_sort (gang_slots, compare_positions);
   for (guint i = 0; wanted > 0 && i < gang_slots->len; i++)
@@ -382,13 +385,26 @@
   GArray *gang_slots;
   int total;
   int unplaced = 0;
+  bool confined;
 
   if (!rst_plan_gang_may_start (planner, step)
       || !rst_plan_is_below_limit (step, step->spec->count))
     return 0;
+  confined = rst_plan_confine_gang (step);
   gang_slots = find_gang_slots (planner, step, true, &total);
+  if (confined && total < step->spec->count)
+    {
+      g_array_free (gang_slots, TRUE);
+      rst_plan_release_gang (step);
+      gang_slots = find_gang_slots (planner, step, true, &total);
+      if (total >= step->spec->count && rst_plan_gang_waits (planner, step))
+        total = 0;
+    }
   if (total >= step->spec->count)
-    start_gang (planner, step, gang_slots);
+    {
+      rst_plan_note_gang_start (step);
+      start_gang (planner, step, gang_slots);
+    }
   else
     unplaced = step->spec->count;
   g_array_free (gang_slots, TRUE);
@@ -472,6 +488,7 @@
     return;
   if (!is_first_gang_request && !has_room_for_step (planner, step))
     return;
+  rst_plan_begin_rack_step (planner, step);
   /* A successor waits only for the runs of occurrences in the journal, so
      nothing of another one starts; but advice may already be requested. */
   if (!is_stored)
@@ -481,8 +498,10 @@
   else
     unplaced = place_tasks (planner, step);
   rst_plan_send_starts (planner, step);
+  rst_plan_end_rack_step (planner, step);
   if (unplaced == 0)
     return;
+  rst_plan_limit_request (planner, step, unplaced);
   if (job->queue->settings.needs_approval
       && !CK_LIST_EMPTY (&step->advice_requests))
     rst_plan_reserve_requested (planner, step, unplaced);
@@ -514,6 +533,7 @@
     }
   g_ptr_array_sort (planner->waiting_steps, compare_ranks);
   begin_pass (planner);
+  rst_plan_begin_rack_pass (planner);
   rst_plan_count_in_doubt (planner);
   rst_plan_place_trials (planner);
   for (guint i = 0; i < planner->waiting_steps->len; i++)
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -71,6 +71,8 @@
  * @tables_bytes_max: Memory for the tables of jobs; 0 for no bound.
  * @latest_end_percent: A job that would end later than this percentage of its
  *   objective is rejected; 0 for none.
+ * @remote_penalty: How many times as long tasks take outside their rack; up to
+ *   1 if racks make no difference.
  */
 struct rst_planner_timing
 {
@@ -84,6 +86,8 @@
   int64_t tables_bytes_max;
   /* Admission. */
   int64_t latest_end_percent;
+  /* Data locality. */
+  double remote_penalty;
 };
 
 /**
@@ -132,6 +136,24 @@
 void rst_planner_set_policy (struct rst_planner *planner,
                              enum rst_step_order order, enum rst_fit fit);
 
+/**
+ * enum rst_rack_policy - Whether steps wait for room in their rack.
+ * @RST_RACK_WAIT_PLANNED: While they gain by it; see locality.h.
+ * @RST_RACK_WAIT_NEVER: Never.
+ * @RST_RACK_WAIT_ALWAYS: Until there is room, whatever the objective.
+ */
+enum rst_rack_policy
+{
+  RST_RACK_WAIT_PLANNED,
+  RST_RACK_WAIT_NEVER,
+  RST_RACK_WAIT_ALWAYS,
+};
+
+/** rst_planner_set_rack_policy() - Sets whether steps wait for their rack; a
+    new planner uses RST_RACK_WAIT_PLANNED.  Used to compare policies. */
+void rst_planner_set_rack_policy (struct rst_planner *planner,
+                                  enum rst_rack_policy policy);
+
 /** rst_planner_destroy() - Frees a planner; does nothing for NULL. */
 void rst_planner_destroy (struct rst_planner *planner);
 
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -13,6 +13,7 @@
 #include "cell/attempts.h"
 #include "cell/fault_private.h"
 #include "cell/instance_speed.h"
+#include "cell/locality_state_private.h"
 #include "cell/planner.h"
 #include "util/log.h"
 
@@ -405,6 +406,8 @@
      runs to compare, or NULL; and whether they have been compared. */
   GArray *speed_runs;
   bool speed_runs_compared;
+  /* Data locality. */
+  struct step_locality locality;
 };
 
 /** struct occurrence - One execution of all steps of a job. */
@@ -662,6 +665,8 @@
   /* Partitioned zones: this planner is cut off from the others with its
      zone. */
   bool isolated;
+  /* Data locality. */
+  struct planner_locality locality;
 };
 
 #endif
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -6,6 +6,7 @@
 
 #include <stdint.h>
 
+#include "cell/locality.h"
 #include "util/histogram.h"
 
 /** Number of ways in which a run can end; see enum rst_end. */
@@ -55,6 +56,9 @@
  * @rejected_refused: Of @rejected, those while the store refused commits.
  * @returned: Submitted jobs that were accepted after a rejection.
  * @rejected_ids: Rejected ids whose first attempts are known.
+ * @rack_waits: Waits of steps for room in their rack.
+ * @rack_wait_ends: Waits that ended, by why the step starts elsewhere;
+ *   RST_LOCALITY_WAIT counts those that ended with room.
  */
 struct rst_planner_stats
 {
@@ -97,6 +101,9 @@
   uint64_t rejected_isolated;
   uint64_t isolations;
   uint64_t isolated;
+  /* Data locality. */
+  uint64_t rack_waits;
+  uint64_t rack_wait_ends[RST_LOCALITY_REASONS];
 };
 
 /**
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -70,6 +70,8 @@
   char log_level[16];
   /* Heterogeneous instances (cell/plan_speed.c). */
   bool placement_speed;
+  /* Data locality. */
+  char remote_penalty[32];
 };
 
 static const char *const log_levels[]
@@ -99,6 +101,7 @@
     offsetof (struct settings, placement_speed), sizeof (bool), 0, 0, NULL },
   { "log.level", RST_CONF_CHOICE, false, offsetof (struct settings, log_level),
     16, 0, 0, log_levels },
+  TEXT ("remote_penalty", RST_CONF_STRING, false, remote_penalty),
 };
 
 struct celld
@@ -205,6 +208,8 @@
   config.timing.ignores_speed = !settings->placement_speed;
   config.timing.tables_bytes_max
       = rst_body_limits_get_tables (&settings->limits);
+  rst_locality_parse_penalty (settings->remote_penalty,
+                              &config.timing.remote_penalty);
   config.jitter_ms = (rst_ms)(rst_os_random () % TAKEOVER_JITTER_MS);
   config.standby_delay_ms = get_standby_delay_ms (settings);
   celld->node = rst_cell_node_create (&config);
@@ -214,8 +219,14 @@
 check_settings (const void *target, GString *problems)
 {
   const struct settings *settings = target;
-
-  return rst_body_limits_check (&settings->limits, problems);
+  bool is_valid = rst_body_limits_check (&settings->limits, problems);
+  double penalty;
+
+  if (rst_locality_parse_penalty (settings->remote_penalty, &penalty))
+    return is_valid;
+  g_string_append (problems, "remote_penalty: must be a decimal number from 1 "
+                             "to 100, as text\n");
+  return false;
 }
 
 /* Half of the descriptors are left to links and files. */
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -62,9 +62,9 @@
 static const int64_t customer_cpu_limit_milli = 12000;
 
 World::World (uint64_t seed, int node_count, int instance_count,
-              bool has_partitions, bool has_refusals)
+              bool has_partitions, bool has_refusals, bool has_racks)
     : has_partitions (has_partitions), has_refusals (has_refusals),
-      random (seed)
+      has_racks (has_racks), random (seed)
 {
   static const char *const zones[] = { "a", "b", "c" };
 
@@ -227,6 +227,7 @@
   config.timing.early_ms = 250;
   // Rejects more jobs than deployments do, so that rejections meet faults.
   config.timing.latest_end_percent = has_refusals ? 50 : 0;
+  config.timing.remote_penalty = has_racks ? 2.0 : 1.0;
   config.jitter_ms = draw_below (120);
   node.cell_node = rst_cell_node_create (&config);
   run_node (node);
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -297,13 +297,16 @@
   // of instances follow their reports to the store.  Without it, none of this
   // happens, since the seeds in tools/check depend on the order of events.
   World (uint64_t seed, int nodes, int instances, bool has_partitions,
-         bool has_refusals = false);
+         bool has_refusals = false, bool has_racks = false);
   ~World ();
 
   const bool has_partitions;
   // Whether a store that is down answers commits with a refusal, and planners
   // reject jobs that would end too late.
   const bool has_refusals;
+  // Whether instances are in three racks, and nodes expect tasks to take twice
+  // as long outside their rack.
+  const bool has_racks;
 
   Faults faults;
   // Whether an instance may carry out a late order to its previous
--- a/test/replay/model.cc
+++ b/test/replay/model.cc
@@ -1,9 +1,8 @@
 #include "replay/model.h"
 
 #include <algorithm>
-#include <fstream>
 #include <functional>
-#include <sstream>
+#include <set>
 
 namespace replay
 {
@@ -19,126 +18,6 @@
 // Number of times that a caller submits a job.
 static const int attempts_max = 5;
 
-std::string
-read_load (const char *path, Load *out)
-{
-  std::ifstream file (path);
-  std::string line;
-  int number = 0;
-
-  if (!file)
-    return std::string (path) + ": can't be read";
-  while (std::getline (file, line))
-    {
-      std::istringstream words (line);
-      std::string word;
-
-      number++;
-      if (!(words >> word) || word[0] == '#')
-        continue;
-      if (word == "seed")
-        words >> out->seed;
-      else if (word == "seconds")
-        words >> out->seconds;
-      else if (word == "instances")
-        words >> out->instances >> out->instance_cpu_milli
-            >> out->instance_memory_mb;
-      else if (word == "links")
-        words >> out->agents;
-      else if (word == "customers")
-        words >> out->customers;
-      else if (word == "kind")
-        {
-          JobKind kind;
-
-          words >> kind.name >> kind.rate_per_s >> kind.mean_tasks
-              >> kind.cpu_milli >> kind.memory_mb >> kind.mean_run_ms
-              >> kind.priority >> kind.slack_factor >> kind.target_ms
-              >> kind.gang_fraction >> kind.approval_fraction >> kind.advice_ms
-              >> kind.advice_per_instance_us;
-          out->kinds.push_back (kind);
-        }
-      else if (word == "spread")
-        {
-          std::string name;
-          double spread = 0.0;
-
-          words >> name >> spread;
-          for (JobKind &kind : out->kinds)
-            if (kind.name == name)
-              kind.tasks_spread = spread;
-        }
-      else if (word == "outage")
-        {
-          Outage outage;
-
-          words >> outage.from_s >> outage.to_s;
-          out->outages.push_back (outage);
-        }
-      else if (word == "latest_end_percent")
-        words >> out->latest_end_percent;
-      else if (word == "callers_return")
-        out->callers_return = true;
-      else if (word == "expect")
-        {
-          Bound bound;
-
-          words >> bound.kind >> bound.measure >> bound.value;
-          out->bounds.push_back (bound);
-        }
-      else if (word == "burst" || word == "hot")
-        {
-          Surge surge;
-
-          words >> surge.target >> surge.rate_factor >> surge.from_s
-              >> surge.to_s;
-          (word == "burst" ? out->kind_surges : out->customer_surges)
-              .push_back (surge);
-        }
-      else
-        words.setstate (std::ios::failbit);
-      if (words.fail ())
-        return std::string (path) + ": line " + std::to_string (number) + ": "
-               + word;
-    }
-  return "";
-}
-
-rst_ms
-quantile (std::vector<rst_ms> values, double fraction)
-{
-  if (values.empty ())
-    return 0;
-  std::sort (values.begin (), values.end ());
-  return values[std::min (values.size () - 1,
-                          (size_t)(fraction * (double)values.size ()))];
-}
-
-double
-read_measure (const Result &result, const Bound &bound)
-{
-  const KindResult &kind = result.kinds.at (bound.kind);
-
-  if (bound.measure == "on_time")
-    return (double)kind.jobs_on_time / kind.jobs;
-  if (bound.measure == "work_on_time")
-    return kind.core_seconds_on_time / kind.core_seconds;
-  if (bound.measure == "value")
-    return kind.value / kind.jobs;
-  if (bound.measure == "value_after_outage")
-    return kind.value_after_outage / std::max (kind.jobs_after_outage, 1);
-  return (double)quantile (kind.first_start_delays_ms, 0.99);
-}
-
-bool
-is_kept (const Result &result, const Bound &bound)
-{
-  double measured = read_measure (result, bound);
-
-  return bound.measure == "first_start_p99_ms" ? measured <= bound.value
-                                               : measured >= bound.value;
-}
-
 namespace
 {
 
@@ -158,6 +37,11 @@
   std::string customer;
   int attempts = 0;
   bool is_after_outage = false;
+  // Rack of its data, and whether its tasks run faster in one rack.
+  std::string data_rack;
+  bool prefers_one_rack = false;
+  // Racks in which tasks of it have started.
+  std::set<std::string> racks;
 };
 
 struct Run
@@ -180,6 +64,7 @@
   rst_planner_timing timing = harness::Planner::make_timing ();
 
   timing.latest_end_percent = load.latest_end_percent;
+  timing.remote_penalty = load.remote_penalty;
   return timing;
 }
 
@@ -191,6 +76,7 @@
       : load_ (load), random_ (load.seed), planner_ (make_timing (load), 1)
   {
     rst_planner_set_policy (planner_.planner, policy.order, policy.fit);
+    rst_planner_set_rack_policy (planner_.planner, policy.rack_policy);
     configure ();
     for (int i = 0; i < load.agents; i++)
       planner_.add_agent ((uint64_t)i + 1);
@@ -230,6 +116,11 @@
         handle_commits ();
         sample_utilization (end);
       }
+    rst_planner_stats stats;
+    rst_planner_read_stats (planner_.planner, &stats);
+    result_.rack_waits = stats.rack_waits;
+    std::copy (std::begin (stats.rack_wait_ends),
+               std::end (stats.rack_wait_ends), result_.rack_wait_ends);
     result_.cpu_utilization /= std::max (samples_, 1.0);
     result_.cpu_utilization_under_backlog /= std::max (backlog_samples_, 1.0);
     return result_;
@@ -265,6 +156,17 @@
     return "i-" + std::to_string (index);
   }
 
+  // Returns the rack of an instance; "" if there are none.
+  std::string
+  find_rack (const std::string &id) const
+  {
+    if (load_.racks == 0)
+      return "";
+    return "r-"
+           + std::to_string (std::stoi (id.substr (2)) * load_.racks
+                             / load_.instances);
+  }
+
   void
   configure ()
   {
@@ -311,6 +213,7 @@
     g_strlcpy (entry.address, "10.0.0.1:80", sizeof entry.address);
     g_strlcpy (entry.zone, "a", sizeof entry.zone);
     g_strlcpy (entry.pool, "pool", sizeof entry.pool);
+    g_strlcpy (entry.rack, find_rack (entry.id).c_str (), sizeof entry.rack);
     entry.capacity = { load_.instance_cpu_milli, load_.instance_memory_mb, 0 };
     // The one that the harness reports.
     entry.incarnation = 1;
@@ -354,6 +257,7 @@
   {
     std::vector<double> weights;
 
+    weights.reserve ((size_t)load_.customers);
     for (int i = 0; i < load_.customers; i++)
       weights.push_back (compute_surge_factor (load_.customer_surges,
                                                std::to_string (i), time_s));
@@ -374,6 +278,38 @@
                        1, kind.mean_tasks * 6);
   }
 
+  // Loads without racks draw nothing, so that they stay as they are.
+  void
+  draw_rack (const JobKind &kind, Job *job)
+  {
+    if (kind.near_fraction > 0.0
+        && std::bernoulli_distribution (kind.near_fraction) (random_))
+      job->data_rack = "r-"
+                       + std::to_string (std::uniform_int_distribution<> (
+                           0, kind.data_racks - 1) (random_));
+    else if (kind.one_rack_fraction > 0.0)
+      job->prefers_one_rack
+          = std::bernoulli_distribution (kind.one_rack_fraction) (random_);
+  }
+
+  // Returns how long a run takes where it is.  A gang runs at the speed of its
+  // slowest task.
+  int64_t
+  get_length_ms (const Job &job, const std::string &id, const Run &run) const
+  {
+    bool inside = true;
+
+    if (!job.data_rack.empty ())
+      inside = job.is_gang
+                   ? job.racks == std::set<std::string>{ job.data_rack }
+                   : find_rack (id) == job.data_rack;
+    else if (job.prefers_one_rack)
+      inside = job.racks.size () == 1;
+    return inside ? run.run_ms
+                  : (int64_t)((double)run.run_ms
+                              * std::max (load_.remote_penalty, 1.0));
+  }
+
   void
   submit (const JobKind &kind, double time_s)
   {
@@ -383,6 +319,7 @@
     std::string customer = "c" + std::to_string (draw_customer (time_s));
 
     g_snprintf (id, sizeof id, "%016x", ++next_job_);
+    draw_rack (kind, &job);
     job.kind = &kind;
     job.submitted_at = now_;
     job.is_gang = draw < kind.gang_fraction;
@@ -423,6 +360,9 @@
     job.attempts++;
     desc->steps[0].need.memory = kind.memory_mb;
     desc->steps[0].estimate_ms = kind.mean_run_ms;
+    g_free (desc->steps[0].rack);
+    desc->steps[0].rack = g_strdup (job.data_rack.c_str ());
+    desc->steps[0].prefers_one_rack = job.prefers_one_rack;
     planner_.send_call (number, RST_OPERATION_SUBMIT, id, desc,
                         job.customer.c_str (),
                         ("/" + kind.name + "/").c_str ());
@@ -533,13 +473,33 @@
       result_.kinds[job.kind->name].first_start_delays_ms.push_back (
           now_ - job.submitted_at);
     job.has_started = true;
+    job.racks.insert (find_rack (message.id));
     instances_[message.id].runs[message.task]
         = Run{ message.attempt, now_, job.run_ms[index] };
     busy_cpu_ += job.kind->cpu_milli;
     planner_.answer_order (message.link, RST_MSG_STARTED, message.id,
                            message.task, message.attempt, RST_RESULT_OK);
     schedule (now_ + job.run_ms[index],
-              [this, message] { end_run (message, RST_END_DONE); });
+              [this, message] { finish_run (message); });
+  }
+
+  // Ends a run, or goes on if it takes longer where it is.
+  void
+  finish_run (const Sent &message)
+  {
+    auto found = instances_[message.id].runs.find (message.task);
+    rst_ms ends_at;
+
+    if (found == instances_[message.id].runs.end ()
+        || found->second.attempt != message.attempt)
+      return;
+    ends_at = found->second.started_at
+              + get_length_ms (jobs_[message.task.substr (0, 16)], message.id,
+                               found->second);
+    if (now_ < ends_at)
+      schedule (ends_at, [this, message] { finish_run (message); });
+    else
+      end_run (message, RST_END_DONE);
   }
 
   void
@@ -581,6 +541,17 @@
 
     kind.value += value;
     kind.value_after_outage += job.is_after_outage ? value : 0.0;
+    kind.jobs_ended++;
+    kind.job_ms += (double)(now_ - job.submitted_at);
+    if (!job.data_rack.empty () || job.prefers_one_rack)
+      {
+        kind.racked_jobs_ended++;
+        kind.racked_job_ms += (double)(now_ - job.submitted_at);
+        kind.racked_jobs_inside
+            += job.data_rack.empty ()
+                   ? job.racks.size () == 1
+                   : job.racks == std::set<std::string>{ job.data_rack };
+      }
     if (took_ms > job.objective_ms)
       return;
     kind.jobs_on_time++;
@@ -598,7 +569,9 @@
 
         runs.push_back (Planner::make_running_run (entry.first, run.attempt));
         runs.back ().progress_percent
-            = (int)((now_ - run.started_at) * 100 / run.run_ms);
+            = (int)((now_ - run.started_at) * 100
+                    / get_length_ms (jobs_[entry.first.substr (0, 16)], id,
+                                     run));
       }
     for (const rst_run &end : instances_[id].ends)
       runs.push_back (end);
--- a/test/replay/model.h
+++ b/test/replay/model.h
@@ -37,6 +37,11 @@
   // Standard deviation of a job's tasks as a fraction of their mean; 0 for a
   // Poisson distribution.
   double tasks_spread = 0.0;
+  // Fraction of the jobs that have their data in one of the first data_racks
+  // racks, and of those whose tasks run faster in one rack, whichever it is.
+  double near_fraction = 0.0;
+  int data_racks = 1;
+  double one_rack_fraction = 0.0;
 };
 
 // A temporary increase of the load.
@@ -59,9 +64,17 @@
 struct Bound
 {
   std::string kind;
-  // on_time, work_on_time, value, value_after_outage or first_start_p99_ms
+  // on_time, work_on_time, value, value_after_outage, first_start_p99_ms,
+  // mean_job_ms or mean_racked_ms
   std::string measure;
-  double value; // a minimum; of first_start_p99_ms, a maximum
+  double value; // a minimum; of times, a maximum
+};
+
+// A bound on a measure relative to that under another policy for racks.
+struct Comparison
+{
+  Bound bound; // its value is the factor
+  bool with_never;
 };
 
 struct Load
@@ -73,6 +86,10 @@
   int64_t instance_memory_mb = 1000;
   int agents = 1;
   int customers = 1;
+  // Racks with the same number of instances each; 0 for none.
+  int racks = 0;
+  // Tasks outside their rack take this many times as long.
+  double remote_penalty = 0.0;
   std::vector<JobKind> kinds;
   // Each raises the rate of a kind of job.
   std::vector<Surge> kind_surges;
@@ -84,6 +101,8 @@
   int64_t latest_end_percent = 0;
   // Whether callers submit a rejected job again, up to 4 times.
   bool callers_return = false;
+  // Compare waiting for racks as planned with other policies.
+  std::vector<Comparison> comparisons;
 };
 
 // Reads a load file.  Returns an error message, "" on success.
@@ -95,6 +114,7 @@
   const char *name;
   rst_step_order order;
   rst_fit fit;
+  rst_rack_policy rack_policy = RST_RACK_WAIT_PLANNED;
 };
 
 // Results of the jobs of one kind.  A job is on time if it ends within its
@@ -114,6 +134,13 @@
   // Jobs first submitted 1 to 4 s after an outage, and their value.
   int jobs_after_outage = 0;
   double value_after_outage = 0;
+  int jobs_ended = 0;
+  double job_ms = 0; // of all jobs that ended
+  // The same for jobs that run faster in a rack, and how many of them had all
+  // their tasks there.
+  int racked_jobs_ended = 0;
+  double racked_job_ms = 0;
+  int racked_jobs_inside = 0;
 };
 
 struct Result
@@ -126,6 +153,9 @@
   double cpu_utilization_under_backlog = 0;
   int64_t advice_requests = 0;
   double advice_seconds = 0;
+  uint64_t rack_waits = 0;
+  // By enum rst_locality_reason.
+  uint64_t rack_wait_ends[RST_LOCALITY_REASONS] = {};
 };
 
 // Simulates a load under a policy.
@@ -134,6 +164,10 @@
 // Returns the measured value that a bound is about.
 double read_measure (const Result &result, const Bound &bound);
 
+// Whether a result keeps a bound that is relative to another result.
+bool is_kept (const Result &result, const Result &other,
+              const Comparison &comparison);
+
 // Whether the results keep a bound.
 bool is_kept (const Result &result, const Bound &bound);
 
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -115,7 +115,8 @@
   }
 
   static rst_planner_timing
-  make_timing (int64_t link_bytes_per_ms = 0, bool ignores_speed = false)
+  make_timing (int64_t link_bytes_per_ms = 0, bool ignores_speed = false,
+               double remote_penalty = 0.0)
   {
     rst_planner_timing timing = {};
 
@@ -125,6 +126,7 @@
     timing.early_ms = 250;
     timing.link_bytes_per_ms = link_bytes_per_ms;
     timing.ignores_speed = ignores_speed;
+    timing.remote_penalty = remote_penalty;
     return timing;
   }
 
@@ -162,7 +164,7 @@
   void
   add_instance (const std::string &id, bool draining = false,
                 const char *zone = "a", int64_t incarnation = 1,
-                int64_t cpu = 4000)
+                int64_t cpu = 4000, const char *rack = "")
   {
     rst_instance_entry entry = {};
 
@@ -170,6 +172,7 @@
     g_strlcpy (entry.address, "10.0.0.1:80", sizeof entry.address);
     g_strlcpy (entry.zone, zone, sizeof entry.zone);
     g_strlcpy (entry.pool, "pool", sizeof entry.pool);
+    g_strlcpy (entry.rack, rack, sizeof entry.rack);
     g_strlcpy (entry.labels, ",a,r1,", sizeof entry.labels);
     entry.capacity = { cpu, 4000, 0 };
     entry.draining = draining;
