--- a/src/cell/plan_speed.c
+++ b/src/cell/plan_speed.c
@@ -24,11 +24,19 @@
     runs. */
 #define PROGRESS_INTERVAL_MS 1000
 
-/** Maximum number of samples from one such comparison: an instance of which
-    twenty samples are known counts as slow after two comparisons of four runs
-    at half the rate. */
+/** Maximum number of samples from one such comparison.  An instance of which
+    twenty samples are known counts as slower than usual after two comparisons
+    of four runs at half the rate, and is logged as slow after four. */
 #define PROGRESS_SAMPLES_MAX 4
 
+/** Logarithm of the speed below which an instance is logged as slow: three
+    quarters of the usual speed.  It no longer is from -RST_SPEED_ALIKE on. */
+#define SLOW_LOG_SPEED (-0.3)
+
+/** Maximum number of instances that one check logs as slow or no longer slow,
+    so that a disturbance of many does not fill the log. */
+#define LOGGED_MAX 8
+
 /** Multiple of its objective within which a late job still has some value. */
 #define VALUE_FACTOR 3
 
@@ -52,7 +60,7 @@
 }
 
 static void
-add_sample (const struct rst_planner *planner, const struct rst_speed_run *run,
+add_sample (struct rst_planner *planner, const struct rst_speed_run *run,
             double usual_log_work)
 {
   struct instance *instance = find_run_instance (planner, run);
@@ -62,10 +70,11 @@
   rst_instance_speed_add (
       &instance->speed, usual_log_work - (double)run->log_took, planner->now);
   update_log_speed (planner, instance);
+  planner->stats.speed_samples++;
 }
 
 static void
-compare_runs (const struct rst_planner *planner, struct step *step)
+compare_runs (struct rst_planner *planner, struct step *step)
 {
   GArray *runs = step->speed_runs;
   struct rst_speed_run *first = &g_array_index (runs, struct rst_speed_run, 0);
@@ -169,7 +178,7 @@
 }
 
 void
-rst_plan_learn_progress (const struct rst_planner *planner,
+rst_plan_learn_progress (struct rst_planner *planner,
                          struct instance *instance)
 {
   GArray *samples;
@@ -185,6 +194,7 @@
      instance. */
   if (samples->len > 0 && samples->len * 2 > compared)
     {
+      planner->stats.rate_changes++;
       g_array_sort (samples, compare_doubles);
       for (guint i = 0; i < MIN (samples->len, PROGRESS_SAMPLES_MAX); i++)
         rst_instance_speed_add (
@@ -243,20 +253,75 @@
   return usual;
 }
 
+static void
+log_slow (const struct rst_planner *planner, const struct instance *instance)
+{
+  char percent[16];
+  char samples[16];
+
+  g_snprintf (percent, sizeof percent, "%.0f",
+              100.0 * exp (instance->log_speed));
+  g_snprintf (samples, sizeof samples, "%.0f",
+              rst_instance_speed_get_weight (&instance->speed, planner->now));
+  rst_info (RST_PLAN_LOG,
+            instance->is_slow ? "Instance is slow."
+                              : "Instance no longer counts as slow.",
+            "instance", instance->entry.id, "percent", percent, "samples",
+            samples);
+}
+
+/* Notes whether an instance counts as slow.  Returns true if that changed. */
+static bool
+update_is_slow (struct rst_planner *planner, struct instance *instance)
+{
+  bool was_slow = instance->is_slow;
+
+  if (instance->log_speed < SLOW_LOG_SPEED)
+    instance->is_slow = true;
+  else if (instance->log_speed > -RST_SPEED_ALIKE)
+    instance->is_slow = false;
+  if (instance->is_slow && !was_slow)
+    planner->stats.slow_found++;
+  if (instance->is_slow && instance->registered)
+    planner->stats.slow_instances++;
+  return instance->is_slow != was_slow;
+}
+
+static void
+log_unlisted_changes (int changes)
+{
+  char count[16];
+
+  if (changes <= LOGGED_MAX)
+    return;
+  g_snprintf (count, sizeof count, "%d", changes - LOGGED_MAX);
+  rst_info (RST_PLAN_LOG, "More instances became slow or usual.", "instances",
+            count);
+}
+
 void
 rst_plan_check_speeds (struct rst_planner *planner)
 {
   GHashTableIter iter;
   gpointer value;
+  int changes = 0;
 
   if (planner->timing.ignores_speed
       || planner->now < planner->next_speed_check_at)
     return;
   planner->next_speed_check_at = planner->now + CHECK_INTERVAL_MS;
   planner->usual_speed = compute_usual_speed (planner);
+  planner->stats.slow_instances = 0;
   g_hash_table_iter_init (&iter, planner->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    update_log_speed (planner, value);
+    {
+      struct instance *instance = value;
+
+      update_log_speed (planner, instance);
+      if (update_is_slow (planner, instance) && ++changes <= LOGGED_MAX)
+        log_slow (planner, instance);
+    }
+  log_unlisted_changes (changes);
 }
 
 /* Returns how much later than now a step may start at the usual speed.  A job
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -535,7 +535,7 @@
 
 /** rst_plan_learn_progress() - Learns from the progress of the runs that a
     report lists. */
-void rst_plan_learn_progress (const struct rst_planner *planner,
+void rst_plan_learn_progress (struct rst_planner *planner,
                               struct instance *instance);
 
 /** rst_plan_free_speed_runs() - Frees the ended runs kept for a step. */
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -234,6 +234,8 @@
   double log_speed;
   /* When the progress of its runs was last compared. */
   rst_ms progress_compared_at;
+  /* Whether it was logged as slow, or would have been if there were fewer. */
+  bool is_slow;
 };
 
 /**
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -46,6 +46,10 @@
  * @commits: Segments appended to the journal.
  * @commit_ms: Time from a commit to its confirmation by the store.
  * @advice_ms: Time from an advice request to its answer.
+ * @slow_instances: Registered instances that count as slow.
+ * @slow_found: Times that an instance was found to be slow.
+ * @speed_samples: Ended runs that were compared with others of their step.
+ * @rate_changes: Reports that show a change of the speed of an instance.
  */
 struct rst_planner_stats
 {
@@ -78,6 +82,11 @@
   uint64_t commits;
   struct rst_histogram commit_ms;
   struct rst_histogram advice_ms;
+  /* Heterogeneous instances (plan_speed.c). */
+  uint64_t slow_instances;
+  uint64_t slow_found;
+  uint64_t speed_samples;
+  uint64_t rate_changes;
 };
 
 /**
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -112,6 +112,9 @@
   rst_metrics_add_gauge (page, "journal_needed_bytes",
                          "Size that it needs, as last estimated.",
                          (double)stats->journal_needed_bytes);
+  rst_metrics_add_gauge (page, "slow_instances",
+                         "Instances that count as slow.",
+                         (double)stats->slow_instances);
 }
 
 static void
@@ -162,6 +165,16 @@
                            stats->pace_orders);
   rst_metrics_add_counter (page, "commits_total", "Segments appended.",
                            stats->commits);
+  rst_metrics_add_counter (page, "slow_found_total",
+                           "Times that an instance was found to be slow.",
+                           stats->slow_found);
+  rst_metrics_add_counter (page, "speed_samples_total",
+                           "Ended runs compared with others of their step.",
+                           stats->speed_samples);
+  rst_metrics_add_counter (page, "speed_changes_total",
+                           "Reports that show a change of an instance's "
+                           "speed.",
+                           stats->rate_changes);
 }
 
 static void
--- a/test/unit/speed_placement_test.cc
+++ b/test/unit/speed_placement_test.cc
@@ -105,11 +105,17 @@
 TEST_F (SpeedPlacement, AvoidsASlowInstance)
 {
   Planner cell;
+  rst_planner_stats stats;
 
   slow = start (cell, 500).front ();
   for (int i = 0; i < 12; i++)
     run_job (cell, 500, 500, 2000);
   EXPECT_EQ (get_position (cell, 500), 3);
+  cell.advance_time (1000);
+  rst_planner_read_stats (cell.planner, &stats);
+  EXPECT_EQ (stats.slow_instances, 1u);
+  EXPECT_EQ (stats.slow_found, 1u);
+  EXPECT_GT (stats.speed_samples, 40u);
 }
 
 // Tasks of 20 ms are not late on the slow instance even if one takes seven
