Allow in full for stragglers when a task is placed by speed

Change: the delay of a straggler counts as much as that of another task, in place of 0.3 of it, and an estimate is used from three standard errors on, in place of 2.5.

--- a/src/cell/instance_speed.c
+++ b/src/cell/instance_speed.c
@@ -23,8 +23,8 @@
 #define USED_WEIGHT_MIN 2.0
 
 /** An estimate that is closer to the usual speed than this multiple of its
-    standard error is not used: of 1,000 usual instances, 12 exceed it. */
-#define ERRORS_MIN 2.5
+    standard error is not used: of 1,000 usual instances, 3 exceed it. */
+#define ERRORS_MIN 3.0
 
 /** Time in which the weight of an estimate falls to a half: a slow instance
     that is no longer used is tried again after about a minute. */
@@ -49,11 +49,10 @@
     others. */
 #define RUN_TIME_SPREAD 0.3
 
-/** By how much longer stragglers run than other tasks of their step, and the
-    weight of their lateness.  3 tasks in 100 are stragglers and a job has 3 to
-    25 tasks, so one in 10 to one in two jobs has one. */
+/** By how much longer stragglers run than other tasks of their step.  3 tasks
+    in 100 are stragglers, so every second job of 25 tasks has one, and their
+    delay counts as much as that of other tasks. */
 #define STRAGGLER_EXCESS 6.0
-#define STRAGGLER_WEIGHT 0.3
 
 /** Score of an instance on which a task would end too late by as much as it
     runs.  More than the largest difference of free shares, less than the
@@ -210,8 +209,7 @@
       = get_late_score (log_speed, run_ms, spare_ms, STRAGGLER_EXCESS);
   if (straggler_late <= 0.0)
     return LEAVE_FAST_SCORE * log_speed;
-  return late - get_late_score (0.0, run_ms, spare_ms, RUN_TIME_SPREAD)
-         + STRAGGLER_WEIGHT
-               * (straggler_late
-                  - get_late_score (0.0, run_ms, spare_ms, STRAGGLER_EXCESS));
+  return late + straggler_late
+         - get_late_score (0.0, run_ms, spare_ms, RUN_TIME_SPREAD)
+         - get_late_score (0.0, run_ms, spare_ms, STRAGGLER_EXCESS);
 }
