--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -59,6 +59,10 @@
  * @rack_waits: Waits of steps for room in their rack.
  * @rack_wait_ends: Waits that ended, by why the step starts elsewhere;
  *   RST_LOCALITY_WAIT counts those that ended with room.
+ * @slow_instances: Registered instances that count as slow.
+ * @slow_found: Times that an instance was found to be slow.
+ * @speed_samples: Ended runs that were compared with others of their step.
+ * @rate_changes: Reports that show a change of the speed of an instance.
  */
 struct rst_planner_stats
 {
@@ -104,6 +108,11 @@
   /* Data locality. */
   uint64_t rack_waits;
   uint64_t rack_wait_ends[RST_LOCALITY_REASONS];
+  /* Heterogeneous instances (plan_speed.c). */
+  uint64_t slow_instances;
+  uint64_t slow_found;
+  uint64_t speed_samples;
+  uint64_t rate_changes;
 };
 
 /**
--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -5,6 +5,7 @@
 //             [--outlive 1] [--partitions 1] [--repeating 1] [--sequences 1]
 //             [--listed-ends N] [--clock-steps 1] [--crashing 1]
 //             [--resizing 1] [--refusals 1] [--racks 1]
+//             [--speeds 1]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
 // --fault selects a deliberate fault; see cell/fault_private.h.  It has an
@@ -24,6 +25,7 @@
 // planners reject jobs that would end too late.
 // --racks puts instances in three racks and draws steps that run faster in
 // one, so that they wait for room there.
+// --speeds lets planners place tasks by the speed of the instances.
 // --sequences draws faults as sequences in the order of events, in a network
 // that can be cut, and freezes processes in pieces; see sequences.h.
 #include "partitions.h"
@@ -57,6 +59,7 @@
   bool has_resizing = false;
   bool has_refusals = false;
   bool has_racks = false;
+  bool has_speeds = false;
   bool has_late_calls = false;
   bool reads_pending = false;
 };
@@ -273,7 +276,7 @@
 run_seed (uint64_t seed, const Options &options)
 {
   World world (seed, 5, 12, options.has_partitions || options.has_sequences,
-               options.has_refusals, options.has_racks);
+               options.has_refusals, options.has_racks, options.has_speeds);
   // Fewer of the other faults, so that partitions meet a cell at work.
   double node_fault_probability = world.has_partitions ? 0.01 : 0.03;
   double instance_fault_probability = 0.03;
@@ -378,6 +381,8 @@
         options.has_crashing_tasks = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--resizing") == 0)
         options.has_resizing = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--speeds") == 0)
+        options.has_speeds = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--racks") == 0)
         options.has_racks = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--late-calls") == 0)
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -62,9 +62,10 @@
 static const int64_t customer_cpu_limit_milli = 12000;
 
 World::World (uint64_t seed, int node_count, int instance_count,
-              bool has_partitions, bool has_refusals, bool has_racks)
+              bool has_partitions, bool has_refusals, bool has_racks,
+              bool has_speeds)
     : has_partitions (has_partitions), has_refusals (has_refusals),
-      has_racks (has_racks), random (seed)
+      has_racks (has_racks), has_speeds (has_speeds), random (seed)
 {
   static const char *const zones[] = { "a", "b", "c" };
 
@@ -228,6 +229,7 @@
   // Rejects more jobs than deployments do, so that rejections meet faults.
   config.timing.latest_end_percent = has_refusals ? 50 : 0;
   config.timing.remote_penalty = has_racks ? 2.0 : 1.0;
+  config.timing.ignores_speed = !has_speeds;
   config.jitter_ms = draw_below (120);
   node.cell_node = rst_cell_node_create (&config);
   run_node (node);
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -297,7 +297,8 @@
   // of instances follow their reports to the store.  Without it, none of this
   // happens, since the seeds in tools/check depend on the order of events.
   World (uint64_t seed, int nodes, int instances, bool has_partitions,
-         bool has_refusals = false, bool has_racks = false);
+         bool has_refusals = false, bool has_racks = false,
+         bool has_speeds = false);
   ~World ();
 
   const bool has_partitions;
@@ -307,6 +308,9 @@
   // Whether instances are in three racks, and nodes expect tasks to take twice
   // as long outside their rack.
   const bool has_racks;
+  // Whether planners place tasks by the speed of the instances.  The seeds in
+  // tools/check depend on the order of events without it.
+  const bool has_speeds;
 
   Faults faults;
   // Whether an instance may carry out a late order to its previous
--- a/test/replay/load.cc
+++ b/test/replay/load.cc
@@ -68,6 +68,12 @@
         words >> out->latest_end_percent;
       else if (word == "callers_return")
         out->callers_return = true;
+      else if (word == "speeds")
+        words >> out->slow_fraction >> out->slow_speed >> out->usual_speed;
+      else if (word == "stragglers")
+        words >> out->straggler_fraction >> out->straggler_factor;
+      else if (word == "alike")
+        words >> out->run_time_spread;
       else if (word == "racks")
         words >> out->racks >> out->remote_penalty;
       else if (word == "near" || word == "one_rack")
@@ -135,8 +141,18 @@
                           (size_t)(fraction * (double)values.size ()))];
 }
 
+static double
+compute_recovered (const KindResult &kind, const KindResult &ignoring)
+{
+  int late
+      = ignoring.jobs - ignoring.jobs_with_stragglers - ignoring.jobs_on_time;
+
+  return (double)(kind.jobs_on_time - ignoring.jobs_on_time)
+         / std::max (late, 1);
+}
+
 double
-read_measure (const Result &result, const Bound &bound)
+read_measure (const Result &result, const Bound &bound, const Result *ignoring)
 {
   const KindResult &kind = result.kinds.at (bound.kind);
 
@@ -144,6 +160,8 @@
     return (double)kind.jobs_on_time / kind.jobs;
   if (bound.measure == "work_on_time")
     return kind.core_seconds_on_time / kind.core_seconds;
+  if (bound.measure == "recovered")
+    return compute_recovered (kind, ignoring->kinds.at (bound.kind));
   if (bound.measure == "value")
     return kind.value / kind.jobs;
   if (bound.measure == "value_after_outage")
@@ -168,14 +186,12 @@
   Bound bound = comparison.bound;
 
   bound.value *= read_measure (other, bound);
-  return is_kept (result, bound);
+  return is_kept (read_measure (result, bound), bound);
 }
 
 bool
-is_kept (const Result &result, const Bound &bound)
+is_kept (double measured, const Bound &bound)
 {
-  double measured = read_measure (result, bound);
-
   return is_time (bound) ? measured <= bound.value : measured >= bound.value;
 }
 
--- a/test/replay/model.cc
+++ b/test/replay/model.cc
@@ -42,13 +42,16 @@
   bool prefers_one_rack = false;
   // Racks in which tasks of it have started.
   std::set<std::string> racks;
+  // The speed of the slowest member of a gang's last attempt.
+  int gang_attempt = 0;
+  double gang_speed = 1.0;
 };
 
 struct Run
 {
   int attempt;
   rst_ms started_at;
-  int64_t run_ms;
+  int64_t run_ms; // at the speed of its instance
 };
 
 struct Instance
@@ -56,15 +59,17 @@
   std::map<std::string, Run> runs;
   std::vector<rst_run> ends;
   int64_t next_end_number = 1;
+  double speed = 1.0;
 };
 
 rst_planner_timing
-make_timing (const Load &load)
+make_timing (const Load &load, const Policy &policy)
 {
   rst_planner_timing timing = harness::Planner::make_timing ();
 
   timing.latest_end_percent = load.latest_end_percent;
   timing.remote_penalty = load.remote_penalty;
+  timing.ignores_speed = policy.ignores_speed;
   return timing;
 }
 
@@ -73,7 +78,8 @@
 {
 public:
   Model (const Load &load, const Policy &policy)
-      : load_ (load), random_ (load.seed), planner_ (make_timing (load), 1)
+      : load_ (load), random_ (load.seed),
+        planner_ (make_timing (load, policy), 1)
   {
     rst_planner_set_policy (planner_.planner, policy.order, policy.fit);
     rst_planner_set_rack_policy (planner_.planner, policy.rack_policy);
@@ -218,6 +224,9 @@
     // The one that the harness reports.
     entry.incarnation = 1;
     rst_planner_update_instance (planner_.planner, &entry);
+    instances_[entry.id].speed = index < load_.slow_fraction * load_.instances
+                                     ? load_.slow_speed
+                                     : load_.usual_speed;
   }
 
   double
@@ -297,6 +306,7 @@
   int64_t
   get_length_ms (const Job &job, const std::string &id, const Run &run) const
   {
+    double speed = job.is_gang ? job.gang_speed : instances_.at (id).speed;
     bool inside = true;
 
     if (!job.data_rack.empty ())
@@ -305,9 +315,50 @@
                    : find_rack (id) == job.data_rack;
     else if (job.prefers_one_rack)
       inside = job.racks.size () == 1;
-    return inside ? run.run_ms
-                  : (int64_t)((double)run.run_ms
-                              * std::max (load_.remote_penalty, 1.0));
+    return (int64_t)((double)run.run_ms / speed
+                     * (inside ? 1.0 : std::max (load_.remote_penalty, 1.0)));
+  }
+
+  int64_t
+  draw_run_time (double shape, double mean_ms)
+  {
+    return std::max<int64_t> (20, (int64_t)std::gamma_distribution<> (
+                                      shape, mean_ms / shape) (random_));
+  }
+
+  void
+  draw_run_times (const JobKind &kind, Job &job)
+  {
+    double shape = 4.0;
+    auto mean_ms = (double)kind.mean_run_ms;
+
+    if (load_.run_time_spread > 0.0)
+      {
+        shape = 1.0 / (load_.run_time_spread * load_.run_time_spread);
+        mean_ms = (double)draw_run_time (shape, mean_ms);
+      }
+    job.run_ms.resize ((size_t)job.tasks);
+    for (int64_t &run_ms : job.run_ms)
+      run_ms = draw_run_time (shape, mean_ms);
+    if (job.is_gang)
+      std::fill (job.run_ms.begin (), job.run_ms.end (), job.run_ms[0]);
+  }
+
+  void
+  draw_stragglers (Job &job)
+  {
+    int stragglers = 0;
+
+    if (load_.straggler_fraction <= 0.0 || job.is_gang)
+      return;
+    for (int64_t &run_ms : job.run_ms)
+      if (std::bernoulli_distribution (load_.straggler_fraction) (random_))
+        {
+          run_ms = (int64_t)((double)run_ms * load_.straggler_factor);
+          stragglers++;
+        }
+    if (stragglers > 0)
+      result_.kinds[job.kind->name].jobs_with_stragglers++;
   }
 
   void
@@ -325,18 +376,14 @@
     job.is_gang = draw < kind.gang_fraction;
     job.tasks = draw_tasks (kind);
     job.remaining_ends = job.is_gang ? 1 : job.tasks;
-    for (int i = 0; i < job.tasks; i++)
-      job.run_ms.push_back (std::max<int64_t> (
-          20, (int64_t)std::gamma_distribution<> (4.0, (double)kind.mean_run_ms
-                                                           / 4.0) (random_)));
-    if (job.is_gang)
-      std::fill (job.run_ms.begin (), job.run_ms.end (), job.run_ms[0]);
+    draw_run_times (kind, job);
     for (int64_t run_ms : job.run_ms)
       job.core_seconds += (double)(run_ms * kind.cpu_milli) / 1e6;
     job.objective_ms = (rst_ms)(kind.slack_factor
                                 * (double)*std::max_element (
                                     job.run_ms.begin (), job.run_ms.end ()))
                        + kind.target_ms;
+    draw_stragglers (job);
     result_.kinds[kind.name].jobs++;
     result_.kinds[kind.name].core_seconds += job.core_seconds;
     job.customer = customer;
@@ -474,12 +521,18 @@
           now_ - job.submitted_at);
     job.has_started = true;
     job.racks.insert (find_rack (message.id));
-    instances_[message.id].runs[message.task]
-        = Run{ message.attempt, now_, job.run_ms[index] };
+    Instance &instance = instances_[message.id];
+    Run &run = instance.runs[message.task];
+
+    run = Run{ message.attempt, now_, job.run_ms[index] };
+    if (message.attempt > job.gang_attempt)
+      job.gang_speed = instance.speed;
+    job.gang_attempt = std::max (job.gang_attempt, message.attempt);
+    job.gang_speed = std::min (job.gang_speed, instance.speed);
     busy_cpu_ += job.kind->cpu_milli;
     planner_.answer_order (message.link, RST_MSG_STARTED, message.id,
                            message.task, message.attempt, RST_RESULT_OK);
-    schedule (now_ + job.run_ms[index],
+    schedule (now_ + (rst_ms)((double)run.run_ms / instance.speed),
               [this, message] { finish_run (message); });
   }
 
