--- a/src/cell/attempts.c
+++ b/src/cell/attempts.c
@@ -11,6 +11,8 @@
 {
   char id[ID_SIZE];
   rst_ms at;
+  /* When it was last rejected. */
+  rst_ms rejected_at;
   CK_STAILQ_ENTRY (attempt) entry;
 };
 
@@ -75,16 +77,21 @@
 {
   struct attempt *attempt = g_hash_table_lookup (attempts->by_id, id);
 
-  if (attempt != NULL)
+  if (attempt != NULL && !is_outdated (attempts, attempt, now))
     {
-      if (is_outdated (attempts, attempt, now))
-        attempt->at = at;
+      attempt->rejected_at = now;
       return;
     }
+  if (attempt != NULL)
+    {
+      CK_STAILQ_REMOVE (&attempts->in_order, attempt, attempt, entry);
+      g_hash_table_remove (attempts->by_id, id);
+    }
   make_room (attempts, now);
   attempt = g_new0 (struct attempt, 1);
   g_strlcpy (attempt->id, id, sizeof attempt->id);
   attempt->at = at;
+  attempt->rejected_at = now;
   CK_STAILQ_INSERT_TAIL (&attempts->in_order, attempt, entry);
   g_hash_table_insert (attempts->by_id, attempt->id, attempt);
 }
@@ -100,6 +107,15 @@
   return attempt->at;
 }
 
+bool
+rst_attempts_was_rejected (const struct rst_attempts *attempts, const char *id,
+                           rst_ms since)
+{
+  const struct attempt *attempt = g_hash_table_lookup (attempts->by_id, id);
+
+  return attempt != NULL && attempt->rejected_at >= since;
+}
+
 unsigned
 rst_attempts_count (const struct rst_attempts *attempts)
 {
--- a/src/cell/attempts.h
+++ b/src/cell/attempts.h
@@ -27,8 +27,8 @@
 void rst_attempts_destroy (struct rst_attempts *attempts);
 
 /**
- * rst_attempts_note() - Notes a rejected id, unless the table has it.
- * @at: When it was first submitted.
+ * rst_attempts_note() - Notes that an id is rejected now.
+ * @at: When it was first submitted; ignored if the table has the id.
  * @now: Monotonic time.
  */
 void rst_attempts_note (struct rst_attempts *attempts, const char *id,
@@ -42,6 +42,13 @@
 rst_ms rst_attempts_find (const struct rst_attempts *attempts, const char *id,
                           rst_ms now);
 
+/**
+ * rst_attempts_was_rejected() - Whether an id was rejected.
+ * @since: At this time or later.
+ */
+bool rst_attempts_was_rejected (const struct rst_attempts *attempts,
+                                const char *id, rst_ms since);
+
 /** rst_attempts_count() - Number of ids in the table. */
 unsigned rst_attempts_count (const struct rst_attempts *attempts);
 
--- a/src/cell/entry_state.h
+++ b/src/cell/entry_state.h
@@ -17,9 +17,9 @@
 #include "rosemarystile.h"
 
 /** How long calls wait for the next planner, in milliseconds.  A succession
-    usually takes 350 to 800 ms, and this process reads the planner record
-    every 150 ms. */
-#define RST_ENTRY_SUCCESSION_MS 1000
+    usually takes 350 to 800 ms, and up to 1,500 ms after a silent loss: the
+    record has to stand still for 700 ms, and the journal is read then. */
+#define RST_ENTRY_SUCCESSION_MS 1500
 
 /** A planner that was not heard for this long is not sent calls, in
     milliseconds.  It sends a heartbeat every 250 ms, so three in a row have to
--- a/src/cell/plan_admission.c
+++ b/src/cell/plan_admission.c
@@ -311,6 +311,7 @@
 {
   struct rst_plan_admission *admission = planner->admission;
   struct free_room *room;
+  gpointer pool_key = NULL;
 
   for (int i = 0; i < admission->free_room_count; i++)
     {
@@ -321,8 +322,12 @@
     }
   if (admission->free_room_count == FREE_ROOMS_MAX)
     return NULL;
+  /* The table's key lives as long as the rooms; a queue's settings may be
+     replaced before. */
+  get_pool_load (planner, pool);
+  g_hash_table_lookup_extended (admission->pools, pool, &pool_key, NULL);
   room = &admission->free_rooms[admission->free_room_count++];
-  room->pool = pool;
+  room->pool = pool_key;
   room->need = *need;
   room->slots = count_free_slots (planner, pool, need);
   return room;
--- a/src/cell/plan_calls.c
+++ b/src/cell/plan_calls.c
@@ -221,6 +221,16 @@
   return true;
 }
 
+/* Whether a submission was sent before its id was rejected.  Another one was
+   answered then that the job never runs, and this one waited on its way. */
+static bool
+precedes_rejection (const struct rst_planner *planner, const char *id,
+                    rst_ms sent_at)
+{
+  return sent_at != 0
+         && rst_attempts_was_rejected (planner->attempts, id, sent_at);
+}
+
 static void
 submit_job (struct rst_planner *planner, const struct rst_planner_call *call,
             const struct rst_queue *route, struct customer *customer,
@@ -238,7 +248,8 @@
       return;
     }
   if ((job == NULL || job->is_note)
-      && rst_plan_submission_is_outdated (planner, id, job, call->sent_at))
+      && (rst_plan_submission_is_outdated (planner, id, job, call->sent_at)
+          || precedes_rejection (planner, id, call->sent_at)))
     {
       rst_jobdesc_destroy (call->desc);
       reply_rejected (planner, call->link, call->number, OUTDATED_RETRY_S);
--- a/src/cell/plan_locality.c
+++ b/src/cell/plan_locality.c
@@ -484,6 +484,7 @@
   step->locality.is_planned = false;
   step->locality.waits = 0;
   step->locality.rack_only = false;
+  step->locality.held = 0;
   step->locality.rack[0] = '\0';
   if (!has_penalty (planner) || spec->long_running || spec->best_effort)
     return;
--- a/src/cell/plan_speed.c
+++ b/src/cell/plan_speed.c
@@ -8,6 +8,7 @@
 #include <math.h>
 #include <stdlib.h>
 
+#include "cell/plan_locality.h"
 #include "cell/planner_private.h"
 
 /** Time between two computations of the usual speed. */
@@ -119,7 +120,8 @@
     return;
   ended.instance = run->instance->number;
   ended.log_took
-      = (float)log ((double)MAX (planner->now - run->confirmed_at, 1));
+      = (float)(log ((double)MAX (planner->now - run->confirmed_at, 1))
+                - log (rst_plan_get_run_factor (planner, run)));
   ended.ended_at = planner->now;
   if (step->speed_runs == NULL)
     step->speed_runs
--- a/src/cell/plan_trial.c
+++ b/src/cell/plan_trial.c
@@ -8,6 +8,7 @@
    tasks of the job wait until its suspects are cleared. */
 #include <inttypes.h>
 
+#include "cell/plan_locality.h"
 #include "cell/planner_private.h"
 
 /** How long a trial waits for the runs on its instances to end. */
@@ -569,6 +570,8 @@
     release_rooms (step);
   else if (slots >= wanted || !step->spec->gang)
     hold_rooms (planner, step, rooms);
+  /* Racks do not limit trials; the last placement may have confined it. */
+  rst_plan_release_gang (step);
   if (left > 0 && needs_advice (planner, step, rooms, lacks_rooms))
     rst_plan_request_advice (planner, step, left);
   g_array_free (rooms, TRUE);
--- a/src/cell/start_estimate.c
+++ b/src/cell/start_estimate.c
@@ -33,7 +33,10 @@
                         const struct rst_resources *need, double expected_ms,
                         double left_ms)
 {
-  add_work (&load->running, need, MAX (left_ms, 0.0));
+  /* Never more than the same runs are expected to have left when the step
+     starts, so that long runs that just began delay nobody. */
+  add_work (&load->running, need,
+            CLAMP (left_ms, 0.0, MAX (expected_ms, 0.0) * MEAN_PROGRESS));
   /* Sums until rst_start_load_finish_runs(). */
   load->turnover_ms += (double)need->cpu * expected_ms;
   load->turnover_weight += (double)need->cpu;
@@ -119,6 +122,6 @@
 
   add_waiting_before (load, band, start_by, &sum);
   return MAX (get_work_ms (load, &sum) - load->turnover_ms * MEAN_PROGRESS
-                  - (double)(now - load->taken_at),
+                  - (double)MAX (now - load->taken_at, 0),
               0.0);
 }
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -33,9 +33,6 @@
     in milliseconds. */
 #define UNCONFIRMED_RENEWAL_MS 5000
 
-/** A job has no value to its caller after three times its objective. */
-#define LATEST_END_PERCENT 300
-
 /** Upper bound of the random delay before a takeover, in milliseconds. */
 #define TAKEOVER_JITTER_MS 120
 
@@ -255,9 +252,7 @@
 
   celld.settings.lease_max_ms = 6000;
   celld.settings.status_s = 120;
-  celld.settings.placement_speed = true;
   celld.settings.limits.body_bytes = RST_CELL_FRAME_MAX_BYTES;
-  celld.settings.latest_end_percent = LATEST_END_PERCENT;
   g_strlcpy (celld.settings.log_level, "info",
              sizeof celld.settings.log_level);
   status = rst_program_configure (&program, argc, argv, &celld.settings);
--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -583,6 +583,8 @@
       rst_warning (LOG_DOMAIN, "listen: address can't be used; exiting.");
       return false;
     }
+  /* A crowd of callers must not make the probe fail. */
+  config.budget = NULL;
   config.address = jobd->settings.readiness;
   config.max_body_bytes = READINESS_BODY_MAX_BYTES;
   config.max_connections = 32;
--- a/src/state/json.c
+++ b/src/state/json.c
@@ -13,16 +13,20 @@
 {
   size_t containers = 0;
   size_t separators = 0;
-  bool in_string = false;
+  char quote = '\0';
 
   for (size_t i = 0; i < length; i++)
     {
-      if (in_string && text[i] == '\\')
+      if (quote != '\0' && text[i] == '\\')
         i++;
-      else if (text[i] == '"')
-        in_string = !in_string;
-      else if (in_string)
-        continue;
+      else if (quote != '\0')
+        quote = text[i] == quote ? '\0' : quote;
+      /* The parser accepts single quotes, too. */
+      else if (text[i] == '"' || text[i] == '\'')
+        quote = text[i];
+      /* It skips comments, which may contain quotes.  JSON has none. */
+      else if (text[i] == '/')
+        return false;
       else if (text[i] == '{' || text[i] == '[')
         containers++;
       else if (text[i] == ',')
--- a/src/transport/body_budget.c
+++ b/src/transport/body_budget.c
@@ -96,7 +96,8 @@
 rst_body_budget_begin (struct rst_body_budget *budget,
                        struct rst_body_holder *holder)
 {
-  if (holder->phase == RST_BODY_IDLE)
+  /* A peer's connection that is in use begins another message. */
+  if (holder->phase == RST_BODY_IDLE || holder->phase == RST_BODY_COMPLETE)
     set_phase (budget, holder, RST_BODY_READING);
 }
 
--- a/test/unit/body_budget_test.cc
+++ b/test/unit/body_budget_test.cc
@@ -80,6 +80,22 @@
 }
 
 // Guards against a budget that closes the connections of ordinary callers.
+// Fails if a peer that has delivered a whole frame keeps all of the budget
+// with a part of its next one, so that other peers' frames are refused.
+TEST_F (BodyBudget, APeerInUseMakesRoomOnceItBeginsAnotherMessage)
+{
+  init (1000, 10);
+  rst_body_holder *first = open ();
+  rst_body_holder *second = open ();
+
+  rst_body_budget_complete (&budget, first);
+  rst_body_budget_begin (&budget, first);
+  EXPECT_TRUE (charge (first, 1000));
+  rst_body_budget_complete (&budget, second);
+  rst_body_budget_begin (&budget, second);
+  EXPECT_TRUE (charge (second, 10));
+}
+
 TEST_F (BodyBudget, SmallestMachineHoldsABodyOfEveryOrdinaryCaller)
 {
   rst_body_limits limits = make_limits (120, 3075);
--- a/test/unit/first_attempt_test.cc
+++ b/test/unit/first_attempt_test.cc
@@ -108,6 +108,34 @@
              new_job);
 }
 
+// Fails if an older copy of a rejected submission, which waited on its way, is
+// accepted: its caller was told that the job never runs.
+TEST (FirstAttempt, RejectsACopyThatWasSentBeforeTheRejection)
+{
+  Planner cell;
+
+  cell.start_serving (1);
+  rst_ms sent_at = cell.now;
+
+  cell.is_confirmed = false;
+  cell.advance_time (1500);
+  cell.send_call (1, RST_OPERATION_SUBMIT, returning_job,
+                  Planner::make_job (1, 1000), "k", "/q/", cell.now);
+  ASSERT_EQ (cell.reply_to (1)->reply.outcome, RST_OUTCOME_REJECTED);
+  rst_ms rejected_at = cell.now;
+
+  cell.is_confirmed = true;
+  cell.advance_time (100);
+  cell.send_call (2, RST_OPERATION_SUBMIT, returning_job,
+                  Planner::make_job (1, 1000), "k", "/q/", sent_at);
+  cell.settle ();
+  EXPECT_EQ (cell.reply_to (2)->reply.outcome, RST_OUTCOME_REJECTED);
+  cell.send_call (3, RST_OPERATION_SUBMIT, returning_job,
+                  Planner::make_job (1, 1000), "k", "/q/", rejected_at + 50);
+  cell.settle ();
+  EXPECT_EQ (cell.reply_to (3)->reply.outcome, RST_OUTCOME_OK);
+}
+
 TEST (FirstAttempt, KeepsABoundedNumberOfIds)
 {
   rst_attempts *attempts = rst_attempts_create (2, 1000);
--- a/test/unit/state_test.cc
+++ b/test/unit/state_test.cc
@@ -281,6 +281,10 @@
 
   EXPECT_TRUE (is_within ("[{},{},1]"));
   EXPECT_FALSE (is_within ("[{},{},{}]"));
+  // The parser accepts single quotes and comments, which must hide nothing.
+  EXPECT_FALSE (is_within ("['\"',{},{},{}]"));
+  EXPECT_TRUE (is_within ("['{{{{{{']"));
+  EXPECT_FALSE (is_within ("[/*\"*/{}]"));
   EXPECT_FALSE (is_within ("[1,1,1,1]"));
   EXPECT_TRUE (is_within ("{\"[[[[,,,,\\\"[[[[,,,,\":\"{{{{,,,,\\\\\"}"));
   EXPECT_FALSE (is_within ("\"\\\\\"[[[["));
