--- a/src/cell/plan_agents.c
+++ b/src/cell/plan_agents.c
@@ -278,6 +278,24 @@
          >= planner->last_answered_at;
 }
 
+void
+rst_plan_log_silent_agents (struct rst_planner *planner)
+{
+  for (guint i = 0; i < planner->agents->len; i++)
+    {
+      struct agent *agent = g_ptr_array_index (planner->agents, i);
+      bool answers = rst_plan_agent_answers (planner, agent);
+
+      if (answers != agent->silence_logged)
+        continue;
+      agent->silence_logged = !answers;
+      rst_info (RST_PLAN_LOG,
+                answers ? "Agent answers heartbeats again."
+                        : "Agent misses heartbeats; it gets no new work.",
+                "agent", agent->name, "zone", agent->zone);
+    }
+}
+
 /* Start orders sent through an agent that has disconnected may never be
    answered. */
 static void
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -325,6 +325,7 @@
       planner->next_check_at = planner->now + CHECK_INTERVAL_MS;
       rst_plan_check_instances (planner);
       rst_plan_check_speeds (planner);
+      rst_plan_log_silent_agents (planner);
       rst_plan_begin_due_occurrences (planner);
       rst_plan_reject_unsent_jobs (planner);
       rst_plan_end_lost_requests (planner);
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -243,6 +243,10 @@
 bool rst_plan_agent_answers (const struct rst_planner *planner,
                              const struct agent *agent);
 
+/** rst_plan_log_silent_agents() - Logs which agents have stopped or begun to
+    answer since the last call. */
+void rst_plan_log_silent_agents (struct rst_planner *planner);
+
 /** rst_plan_send_hold() - Orders an instance's agent to hold it. */
 void rst_plan_send_hold (struct rst_planner *planner,
                          struct instance *instance);
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -80,6 +80,8 @@
   /* When the last heartbeat that it answered was sent; at first, when it
      connected. */
   rst_ms answered_at;
+  /* Whether it was logged that it does not answer. */
+  bool silence_logged;
 };
 
 /**
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -16,7 +16,7 @@
 struct rst_http_request;
 
 /** Value of Retry-After of a request for which there is no room, in seconds.
-    Requests hold what they have for 3 s at most. */
+    Requests hold what they have until their caller's deadline, usually 3 s. */
 #define RST_HTTP_NO_ROOM_RETRY_S 1
 
 /**
