--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -82,7 +82,7 @@
   rst_ms early_ms;
   int64_t link_bytes_per_ms;
   bool ignores_speed;
-  /* Part "callers outside the limits". */
+  /* Limits for callers (plan_tables.c). */
   int64_t tables_bytes_max;
   /* Admission. */
   int64_t latest_end_percent;
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -95,7 +95,7 @@
   uint64_t commits;
   struct rst_histogram commit_ms;
   struct rst_histogram advice_ms;
-  /* Part "callers outside the limits". */
+  /* Limits for callers (plan_tables.c). */
   uint64_t tables_refused;
   /* Admission. */
   uint64_t overloaded;
--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -583,7 +583,7 @@
       rst_warning (LOG_DOMAIN, "listen: address can't be used; exiting.");
       return false;
     }
-  /* A crowd of callers must not make the probe fail. */
+  /* Callers that use the whole budget must not make the probe fail. */
   config.budget = NULL;
   config.address = jobd->settings.readiness;
   config.max_body_bytes = READINESS_BODY_MAX_BYTES;
