Free link events that a destroyed loop has not handled

The daemons never destroy theirs. Change: rst_cell_loop_destroy() frees the link events that are still in its mailbox.

--- a/src/daemon/cell_loop.c
+++ b/src/daemon/cell_loop.c
@@ -143,18 +143,6 @@
   return loop->budget;
 }
 
-void
-rst_cell_loop_destroy (struct rst_cell_loop *loop)
-{
-  if (loop == NULL)
-    return;
-  rst_net_destroy (loop->net);
-  rst_shared_budget_destroy (loop->link_budget);
-  rst_shared_budget_destroy (loop->budget);
-  rst_mailbox_destroy (loop->mailbox);
-  g_free (loop);
-}
-
 void
 rst_cell_loop_post (struct rst_cell_loop *loop, struct rst_cell_event *event)
 {
@@ -175,6 +163,33 @@
   g_free (event);
 }
 
+/* Frees the link events that were not handled. */
+static void
+discard_link_events (struct rst_cell_loop *loop)
+{
+  struct rst_cell_event *event;
+
+  while ((event = rst_mailbox_take (loop->mailbox)) != NULL)
+    if (event->run == run_link_event)
+      {
+        g_byte_array_free (((struct link_event *)event)->data, TRUE);
+        g_free (event);
+      }
+}
+
+void
+rst_cell_loop_destroy (struct rst_cell_loop *loop)
+{
+  if (loop == NULL)
+    return;
+  rst_net_destroy (loop->net);
+  discard_link_events (loop);
+  rst_shared_budget_destroy (loop->link_budget);
+  rst_shared_budget_destroy (loop->budget);
+  rst_mailbox_destroy (loop->mailbox);
+  g_free (loop);
+}
+
 /* Frames wait in the kernel, and then at their senders, while too many wait
    here.  A frame above the maximum waits until it is alone. */
 static void
