Answer 503 at a planned stop only to calls that nobody has

Cause: rst_http_server_destroy() answered every pending request with 503, which says that a job never runs. The server can't know: its handler has the request. It then stopped its thread at once, so that most answers were never written; that hid the fault in most connections, and lost true answers as well. With the planner's own machine stopped the path is the same: its celld is gone within a second, its jobd passes the calls on to the next planner and ends 4.5 s later (log of jobd: no "Call failed" line for the calls that got 503).

Ruled out: an answer of the planner. It keeps each submission until its commit is through, and calls of a lost link were answered 504 before.

Fix: the server answers what its owner left open with 504, and closes first: no connection is accepted any more, requests on open connections get 503 before they reach the handler, and it waits up to 0.5 s until the answers are written. jobd answers all of its calls itself when it closes. Each of its rejections goes through rst_jobd_calls_reject(), which turns 429 and 503 into 504 unless no planner can have the call; before, each caller of it decided that. The stop waits for answers until the last sixth of grace_s (5 s instead of 4.5 s). entryd and schedd close their servers first, too.

--- a/src/daemon/entryd.c
+++ b/src/daemon/entryd.c
@@ -427,6 +427,8 @@
 static void
 shut_down (struct daemon *daemon)
 {
+  if (daemon->server != NULL)
+    rst_http_server_close (daemon->server);
   if (daemon->entry != NULL)
     handle_events (daemon, INT32_MAX);
   rst_mailbox_close (daemon->mailbox);
--- a/src/daemon/jobd.c
+++ b/src/daemon/jobd.c
@@ -39,13 +39,22 @@
     removes a process after two failed checks. */
 #define STOP_LINGER_MS 3000
 
-/** Longest duration of a planned stop, in milliseconds. */
-#define STOP_TIMEOUT_MS 4500
+/** How long a stopping process waits for the answers to its calls, in
+    milliseconds: all but the last sixth of the time until it is killed. */
+#define STOP_TIMEOUT_MS 5000
+
+/** How long a stopping process then waits until its callers have been sent
+    their answers, in milliseconds. */
+#define CLOSE_TIMEOUT_MS 500
 
 /** Time between two checks of the deadlines of pending calls, in milliseconds.
  */
 #define DEADLINE_CHECK_INTERVAL_MS 50
 
+/** Time between two checks whether callers have been sent their answers, in
+    milliseconds. */
+#define WRITTEN_CHECK_INTERVAL_MS 5
+
 /** Longest time between two evaluations of the planner's state, in
     milliseconds; below RST_ENTRY_GAP_MAX_MS. */
 #define STATE_CHECK_INTERVAL_MS 100
@@ -68,6 +77,9 @@
   bool stopping;
   rst_ms linger_until;
   rst_ms stop_deadline;
+  /* Whether all calls have been answered and new ones are rejected. */
+  bool closing;
+  rst_ms close_deadline;
   rst_ms next_deadline_check;
 };
 
@@ -88,14 +100,6 @@
   send_reply (request, status, text, retry_s);
 }
 
-/* Replies to a call, counts it and frees it. */
-static void
-finish_call (struct jobd *jobd, struct pending_call *call, unsigned status,
-             const char *text, unsigned retry_s)
-{
-  rst_jobd_calls_finish (jobd->calls, call, status, text, retry_s);
-}
-
 /* Replies to a call with an error, and logs it. */
 static void
 reject_call (struct jobd *jobd, struct pending_call *call, unsigned status,
@@ -150,8 +154,7 @@
   if (call->operation == RST_OPERATION_SUBMIT)
     objection = find_objection (call);
   if (objection != NULL)
-    reject_call (jobd, call, call->sent_on_lost_link ? 504 : 503, objection,
-                 call->sent_on_lost_link ? 0 : 1);
+    reject_call (jobd, call, 503, objection, 1);
   else if (call->operation == RST_OPERATION_SUBMIT)
     call->sent = send_submission (jobd, call);
   else
@@ -272,6 +275,12 @@
       send_error (request, 405, "method: must be GET, POST or DELETE", 0);
       return;
     }
+  if (jobd->closing)
+    {
+      reject_call (jobd, rst_jobd_calls_add (jobd->calls, request, operation),
+                   503, "stopping", RST_HTTP_RETRY_AT_ONCE);
+      return;
+    }
   update_action (jobd);
   if (jobd->action == RST_ENTRY_REJECT)
     {
@@ -337,87 +346,11 @@
     send_reply (request, 503, "{\"ready\":false}\n", 0);
 }
 
-static void
-finish_with_state (struct jobd *jobd, struct pending_call *call,
-                   enum rst_job_state state)
-{
-  static const char *const names[]
-      = { "queued", "running", "completed", "failed", "cancelled" };
-  char text[64];
-
-  g_snprintf (text, sizeof text, "{\"state\":\"%s\"}\n", names[state]);
-  finish_call (jobd, call, 200, text, 0);
-}
-
-static void
-finish_with_count (struct jobd *jobd, struct pending_call *call, int64_t count)
-{
-  char text[64];
-
-  g_snprintf (text, sizeof text, "{\"pending\":%lld}\n", (long long)count);
-  finish_call (jobd, call, 200, text, 0);
-}
-
-/* Replies to a call with the HTTP status for an unsuccessful outcome. */
-static void
-reject_with_outcome (struct jobd *jobd, struct pending_call *call,
-                     enum rst_outcome outcome, unsigned retry_s)
-{
-  switch (outcome)
-    {
-    case RST_OUTCOME_NO_QUEUE:
-      reject_call (jobd, call, 404, "no such queue", 0);
-      break;
-    case RST_OUTCOME_INVALID_KEY:
-      reject_call (jobd, call, 401, "unknown key", 0);
-      break;
-    case RST_OUTCOME_NO_JOB:
-      reject_call (jobd, call, 410, "no such job", 0);
-      break;
-    case RST_OUTCOME_MALFORMED:
-      reject_call (jobd, call, 400, "not a job", 0);
-      break;
-    case RST_OUTCOME_REJECTED:
-      reject_call (jobd, call, call->sent_on_lost_link ? 504 : 503,
-                   "turned away", retry_s);
-      break;
-    case RST_OUTCOME_OVERLOADED:
-      reject_call (jobd, call, call->sent_on_lost_link ? 504 : 429, "too busy",
-                   retry_s);
-      break;
-    default:
-      reject_call (jobd, call, 504, "not known", retry_s);
-      break;
-    }
-}
-
-static void
-handle_reply (struct jobd *jobd, struct rst_reader *reader)
-{
-  uint64_t number = (uint64_t)rst_reader_read_int (reader);
-  enum rst_outcome outcome = (enum rst_outcome)rst_reader_read_int (reader);
-  int64_t state = rst_reader_read_int (reader);
-  int64_t count = rst_reader_read_int (reader);
-  unsigned retry_s = (unsigned)rst_reader_read_int (reader);
-  struct pending_call *call = rst_jobd_calls_find (jobd->calls, number);
-
-  if (call == NULL || reader->bad)
-    return;
-  if (outcome == RST_OUTCOME_OK)
-    finish_call (jobd, call, 200, "{\"accepted\":true}\n", 0);
-  else if (outcome == RST_OUTCOME_STATE)
-    finish_with_state (jobd, call, (enum rst_job_state)state);
-  else if (outcome == RST_OUTCOME_COUNT)
-    finish_with_count (jobd, call, count);
-  else
-    reject_with_outcome (jobd, call, outcome, retry_s);
-}
-
 static void
 on_message (void *userdata, int kind, struct rst_reader *reader)
 {
   if (kind == RST_MSG_REPLY)
-    handle_reply (userdata, reader);
+    rst_jobd_calls_handle_reply (((struct jobd *)userdata)->calls, reader);
 }
 
 static void
@@ -471,6 +404,47 @@
     rst_planner_client_link_closed (jobd->planner_client);
 }
 
+static void
+reject_stopping_call (void *userdata, struct pending_call *call)
+{
+  reject_call (userdata, call, 503, "stopping", RST_HTTP_RETRY_AT_ONCE);
+}
+
+/* Answers all calls.  Their callers may repeat them at once, at other entry
+   instances. */
+static void
+begin_close (struct jobd *jobd, rst_ms now)
+{
+  char calls[16];
+
+  g_snprintf (calls, sizeof calls, "%u", rst_jobd_calls_count (jobd->calls));
+  rst_info (LOG_DOMAIN, "Planned stop: no more calls are taken.",
+            "calls_without_answer", calls);
+  jobd->closing = true;
+  jobd->close_deadline = now + CLOSE_TIMEOUT_MS;
+  rst_http_server_close (jobd->caller_server);
+  rst_jobd_calls_foreach (jobd->calls, reject_stopping_call, jobd);
+}
+
+/* Advances the planned stop.  Returns when to do so again at the latest. */
+static rst_ms
+run_stop (struct jobd *jobd, rst_ms now)
+{
+  bool has_pending_calls = rst_jobd_calls_count (jobd->calls) > 0;
+
+  if (!jobd->closing
+      && ((now >= jobd->linger_until && !has_pending_calls)
+          || now >= jobd->stop_deadline))
+    begin_close (jobd, now);
+  if (jobd->closing
+      && (rst_http_server_count_unwritten (jobd->caller_server) == 0
+          || now >= jobd->close_deadline))
+    rst_cell_loop_stop (jobd->loop);
+  return now
+         + (jobd->closing ? WRITTEN_CHECK_INTERVAL_MS
+                          : DEADLINE_CHECK_INTERVAL_MS);
+}
+
 static rst_ms
 on_tick (void *userdata)
 {
@@ -494,12 +468,7 @@
     }
   if (has_pending_calls)
     wake = MIN (wake, jobd->next_deadline_check);
-  if (!jobd->stopping)
-    return wake;
-  if ((now >= jobd->linger_until && !has_pending_calls)
-      || now >= jobd->stop_deadline)
-    rst_cell_loop_stop (jobd->loop);
-  return MIN (wake, now + DEADLINE_CHECK_INTERVAL_MS);
+  return jobd->stopping ? MIN (wake, run_stop (jobd, now)) : wake;
 }
 
 static void
@@ -605,6 +574,16 @@
   return true;
 }
 
+static void
+log_stopped (const struct jobd *jobd)
+{
+  char unwritten[16];
+
+  g_snprintf (unwritten, sizeof unwritten, "%u",
+              rst_http_server_count_unwritten (jobd->caller_server));
+  rst_info (LOG_DOMAIN, "Stopped.", "answers_not_sent", unwritten);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -640,8 +619,8 @@
             rst_http_server_address (jobd.readiness_server));
   rst_cell_loop_watch_stop_signals (jobd.loop, begin_stop, &jobd);
   rst_cell_loop_run (jobd.loop);
-  rst_http_server_destroy (jobd.caller_server);
-  rst_info (LOG_DOMAIN, "Stopped.");
-  /* Other threads may still post to the loop, so it is not destroyed. */
+  log_stopped (&jobd);
+  /* Other threads may still post to the loop, so it is not destroyed, and
+     neither are the servers. */
   _exit (EXIT_SUCCESS);
 }
--- a/src/daemon/jobd_calls.c
+++ b/src/daemon/jobd_calls.c
@@ -42,6 +42,15 @@
   return calls;
 }
 
+void
+rst_jobd_calls_destroy (struct rst_jobd_calls *calls)
+{
+  if (calls == NULL)
+    return;
+  g_hash_table_destroy (calls->table);
+  g_free (calls);
+}
+
 struct pending_call *
 rst_jobd_calls_add (struct rst_jobd_calls *calls,
                     struct rst_http_request *request,
@@ -75,6 +84,14 @@
   return call->sent || call->sent_on_lost_link;
 }
 
+/* Whether a planner may have carried a call out beyond what it replied, or may
+   still do so. */
+static bool
+may_be_carried_out (const struct pending_call *call)
+{
+  return (call->sent && !call->replied) || call->sent_on_lost_link;
+}
+
 void
 rst_jobd_calls_set_closing (struct rst_jobd_calls *calls, bool closing)
 {
@@ -100,6 +117,8 @@
 {
   char text[256];
 
+  if ((status == 429 || status == 503) && may_be_carried_out (call))
+    status = 504;
   if (rst_log_enabled (G_LOG_LEVEL_INFO))
     {
       char number[16];
@@ -117,6 +136,83 @@
   rst_jobd_calls_finish (calls, call, status, text, retry_s);
 }
 
+static void
+finish_with_state (struct rst_jobd_calls *calls, struct pending_call *call,
+                   enum rst_job_state state)
+{
+  static const char *const names[]
+      = { "queued", "running", "completed", "failed", "cancelled" };
+  char text[64];
+
+  g_snprintf (text, sizeof text, "{\"state\":\"%s\"}\n", names[state]);
+  rst_jobd_calls_finish (calls, call, 200, text, 0);
+}
+
+static void
+finish_with_count (struct rst_jobd_calls *calls, struct pending_call *call,
+                   int64_t count)
+{
+  char text[64];
+
+  g_snprintf (text, sizeof text, "{\"pending\":%lld}\n", (long long)count);
+  rst_jobd_calls_finish (calls, call, 200, text, 0);
+}
+
+/* Replies to a call with the HTTP status for an unsuccessful outcome. */
+static void
+reject_with_outcome (struct rst_jobd_calls *calls, struct pending_call *call,
+                     enum rst_outcome outcome, unsigned retry_s)
+{
+  switch (outcome)
+    {
+    case RST_OUTCOME_NO_QUEUE:
+      rst_jobd_calls_reject (calls, call, 404, "no such queue", 0);
+      break;
+    case RST_OUTCOME_INVALID_KEY:
+      rst_jobd_calls_reject (calls, call, 401, "unknown key", 0);
+      break;
+    case RST_OUTCOME_NO_JOB:
+      rst_jobd_calls_reject (calls, call, 410, "no such job", 0);
+      break;
+    case RST_OUTCOME_MALFORMED:
+      rst_jobd_calls_reject (calls, call, 400, "not a job", 0);
+      break;
+    case RST_OUTCOME_REJECTED:
+      rst_jobd_calls_reject (calls, call, 503, "turned away", retry_s);
+      break;
+    case RST_OUTCOME_OVERLOADED:
+      rst_jobd_calls_reject (calls, call, 429, "too busy", retry_s);
+      break;
+    default:
+      rst_jobd_calls_reject (calls, call, 504, "not known", retry_s);
+      break;
+    }
+}
+
+void
+rst_jobd_calls_handle_reply (struct rst_jobd_calls *calls,
+                             struct rst_reader *reader)
+{
+  uint64_t number = (uint64_t)rst_reader_read_int (reader);
+  enum rst_outcome outcome = (enum rst_outcome)rst_reader_read_int (reader);
+  int64_t state = rst_reader_read_int (reader);
+  int64_t count = rst_reader_read_int (reader);
+  unsigned retry_s = (unsigned)rst_reader_read_int (reader);
+  struct pending_call *call = rst_jobd_calls_find (calls, number);
+
+  if (call == NULL || reader->bad)
+    return;
+  call->replied = true;
+  if (outcome == RST_OUTCOME_OK)
+    rst_jobd_calls_finish (calls, call, 200, "{\"accepted\":true}\n", 0);
+  else if (outcome == RST_OUTCOME_STATE)
+    finish_with_state (calls, call, (enum rst_job_state)state);
+  else if (outcome == RST_OUTCOME_COUNT)
+    finish_with_count (calls, call, count);
+  else
+    reject_with_outcome (calls, call, outcome, retry_s);
+}
+
 void
 rst_jobd_calls_foreach (struct rst_jobd_calls *calls,
                         void (*visit) (void *userdata,
--- a/src/daemon/schedd.c
+++ b/src/daemon/schedd.c
@@ -443,6 +443,8 @@
 static void
 shut_down (struct daemon *daemon)
 {
+  if (daemon->server != NULL)
+    rst_http_server_close (daemon->server);
   if (daemon->platform != NULL)
     rst_platform_http_close (daemon->platform);
   if (daemon->scheduler != NULL)
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -1,16 +1,11 @@
-#include "transport/http_server.h"
+#include "transport/http_server_private.h"
 
 #include <arpa/inet.h>
-#include <poll.h>
-#include <pthread.h>
-#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-
-#include <ck_queue.h>
-#include <glib.h>
-#include <microhttpd.h>
+#include <time.h>
+#include <unistd.h>
 
 #include "rosemarystile.h"
 #include "transport/transport.h"
@@ -30,68 +25,18 @@
 /** Bytes that a request holds beside its path and its body. */
 #define REQUEST_BYTES 256
 
-static const char no_room_text[]
-    = "{\"outcome\":\"not-run\",\"reason\":\"no-room\","
-      "\"detail\":\"too many bodies are read or wait\"}\n";
+/** How long rst_http_server_destroy() waits until clients have been sent their
+    responses, in milliseconds. */
+#define WRITE_TIMEOUT_MS 500
 
-enum request_state
-{
-  REQUEST_READING,
-  REQUEST_TOO_LARGE,
-  REQUEST_NO_ROOM,
-  REQUEST_PENDING,
-  REQUEST_REPLIED,
-};
-
-/* An open connection. */
-struct connection
-{
-  struct rst_body_holder holder;
-  int fd;
-  /* The request whose body is read, which is freed when the connection has to
-     make room; or NULL.  Protected by the budget's lock. */
-  struct rst_http_request *reading;
-};
-
-struct rst_http_request
-{
-  struct rst_http_server *server;
-  struct MHD_Connection *connection;
-  struct connection *peer;
-  /* The connection's socket; set once the request is pending. */
-  int fd;
-  /* A value of enum request_state.  Set by the thread that replies and read
-     by the server's thread. */
-  atomic_int state;
-  char *method;
-  char *path;
-  /* NUL-terminated; NULL if the request has no body. */
-  char *body;
-  size_t body_length;
-  size_t body_capacity;
-  /* Bytes that were received and not kept. */
-  size_t discarded;
-  struct MHD_Response *response;
-  unsigned status;
-  bool aborted;
-  /* The connection is closed after the reply. */
-  bool closes_connection;
-  CK_LIST_ENTRY (rst_http_request) list_entry;
-};
-
-struct rst_http_server
-{
-  struct MHD_Daemon *daemon;
-  struct rst_http_server_config config;
-  char address[RST_ADDRESS_SIZE];
-  atomic_bool keep_alive_disabled;
-  /* The configured budget, or one without a bound. */
-  struct rst_shared_budget *budget;
-  struct rst_shared_budget *own_budget;
-  struct rst_body_group group;
-  pthread_mutex_t lock;
-  CK_LIST_HEAD (request_list, rst_http_request) pending;
-};
+static const char closing_text[]
+    = "{\"outcome\":\"not-run\",\"reason\":\"stopping\","
+      "\"detail\":\"the process stops and takes no more requests\"}\n";
+
+/* The server can't tell what became of a request that its handler has. */
+static const char unknown_text[]
+    = "{\"outcome\":\"unknown\",\"reason\":\"stopping\","
+      "\"detail\":\"the process stopped before the answer came\"}\n";
 
 static void
 lock_budget (struct rst_http_server *server)
@@ -204,25 +149,6 @@
   g_free (request);
 }
 
-static struct MHD_Response *
-make_response (const char *content_type, const void *body, size_t length,
-               unsigned retry_after_s)
-{
-  struct MHD_Response *response = MHD_create_response_from_buffer (
-      length, (void *)body, MHD_RESPMEM_MUST_COPY);
-  char seconds[16];
-
-  MHD_add_response_header (response, "Content-Type",
-                           content_type != NULL ? content_type
-                                                : "application/json");
-  if (retry_after_s > 0)
-    {
-      g_snprintf (seconds, sizeof seconds, "%u", retry_after_s);
-      MHD_add_response_header (response, "Retry-After", seconds);
-    }
-  return response;
-}
-
 /* Makes room for @size more bytes and a NUL.  Called with the budget's lock
    held. */
 static bool
@@ -280,10 +206,33 @@
 reject_request (struct rst_http_request *request, unsigned status,
                 const char *text, unsigned retry_after_s)
 {
-  request->response = make_response (NULL, text, strlen (text), retry_after_s);
+  request->response
+      = rst_http_response_new (NULL, text, strlen (text), retry_after_s);
+  if (atomic_load (&request->server->keep_alive_disabled))
+    MHD_add_response_header (request->response, MHD_HTTP_HEADER_CONNECTION,
+                             "close");
   return MHD_queue_response (request->connection, status, request->response);
 }
 
+/* Makes a request pending, unless the server is closing. */
+static bool
+add_pending (struct rst_http_server *server, struct rst_http_request *request)
+{
+  bool is_added;
+
+  pthread_mutex_lock (&server->lock);
+  is_added = !server->closing;
+  if (is_added)
+    {
+      request->state = REQUEST_PENDING;
+      request->is_dispatched = true;
+      server->unwritten++;
+      CK_LIST_INSERT_HEAD (&server->pending, request, list_entry);
+    }
+  pthread_mutex_unlock (&server->lock);
+  return is_added;
+}
+
 static enum MHD_Result
 dispatch_request (struct rst_http_request *request)
 {
@@ -297,11 +246,9 @@
   unlock_budget (server);
   if (is_closing)
     return MHD_NO;
-  request->state = REQUEST_PENDING;
   request->fd = request->peer->fd;
-  pthread_mutex_lock (&server->lock);
-  CK_LIST_INSERT_HEAD (&server->pending, request, list_entry);
-  pthread_mutex_unlock (&server->lock);
+  if (!add_pending (server, request))
+    return reject_request (request, 503, closing_text, RST_HTTP_RETRY_AT_ONCE);
   MHD_suspend_connection (request->connection);
   server->config.handler (request, server->config.userdata);
   return MHD_YES;
@@ -331,7 +278,7 @@
           "\"detail\":\"body: exceeds the bound on its size\"}\n",
           0);
     case REQUEST_NO_ROOM:
-      return reject_request (request, 503, no_room_text,
+      return reject_request (request, 503, rst_http_no_room_text,
                              RST_HTTP_NO_ROOM_RETRY_S);
     case REQUEST_READING:
       return dispatch_request (request);
@@ -345,6 +292,16 @@
     }
 }
 
+static void
+note_written (struct rst_http_server *server)
+{
+  pthread_mutex_lock (&server->lock);
+  server->unwritten--;
+  if (server->unwritten == 0)
+    pthread_cond_broadcast (&server->written);
+  pthread_mutex_unlock (&server->lock);
+}
+
 static void
 handle_completed (void *userdata, struct MHD_Connection *connection,
                   void **context, enum MHD_RequestTerminationCode code)
@@ -361,6 +318,8 @@
   request->peer->reading = NULL;
   rst_body_budget_finish (&server->budget->budget, &request->peer->holder);
   unlock_budget (server);
+  if (request->is_dispatched)
+    note_written (server);
   request_free (request);
 }
 
@@ -426,6 +385,18 @@
   setsockopt (info->listen_fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
 }
 
+static void
+init_lock (struct rst_http_server *server)
+{
+  pthread_condattr_t attributes;
+
+  pthread_mutex_init (&server->lock, NULL);
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&server->written, &attributes);
+  pthread_condattr_destroy (&attributes);
+}
+
 int
 rst_http_server_create (const struct rst_http_server_config *config,
                         struct rst_http_server **out)
@@ -443,7 +414,8 @@
       = config->budget != NULL ? config->budget : server->own_budget;
   rst_body_group_init (&server->group, config->max_connections);
   CK_LIST_INIT (&server->pending);
-  pthread_mutex_init (&server->lock, NULL);
+  init_lock (server);
+  server->quiesced_fd = -1;
   if (!rst_transport_parse_address (config->address, &address))
     goto fail;
   server->daemon = MHD_start_daemon (
@@ -466,6 +438,7 @@
 
 fail:
   rst_shared_budget_destroy (server->own_budget);
+  pthread_cond_destroy (&server->written);
   pthread_mutex_destroy (&server->lock);
   g_free (server);
   return RST_TRANSPORT_BAD_ADDRESS;
@@ -478,71 +451,90 @@
 }
 
 void
-rst_http_server_destroy (struct rst_http_server *server)
+rst_http_server_close (struct rst_http_server *server)
 {
-  static const char text[]
-      = "{\"outcome\":\"unknown\",\"reason\":\"stopping\","
-        "\"detail\":\"the process stopped before the answer came\"}\n";
-  struct rst_http_request *request;
+  bool was_closing;
 
-  if (server == NULL)
+  pthread_mutex_lock (&server->lock);
+  was_closing = server->closing;
+  server->closing = true;
+  pthread_mutex_unlock (&server->lock);
+  if (was_closing)
     return;
-  MHD_quiesce_daemon (server->daemon);
+  rst_http_server_disable_keep_alive (server);
+  server->quiesced_fd = MHD_quiesce_daemon (server->daemon);
+  /* The library's thread may still use the socket, so it is closed later. */
+  if (server->quiesced_fd >= 0)
+    shutdown (server->quiesced_fd, SHUT_RDWR);
+}
+
+unsigned
+rst_http_server_count_unwritten (struct rst_http_server *server)
+{
+  unsigned count;
+
+  pthread_mutex_lock (&server->lock);
+  count = server->unwritten;
+  pthread_mutex_unlock (&server->lock);
+  return count;
+}
+
+/* Replies to the requests that the server's owner has left without a reply. */
+static void
+reply_unknown (struct rst_http_server *server)
+{
+  struct rst_http_request *request;
+
   for (;;)
     {
       pthread_mutex_lock (&server->lock);
       request = CK_LIST_FIRST (&server->pending);
       pthread_mutex_unlock (&server->lock);
       if (request == NULL)
-        break;
-      rst_http_request_reply (request, 503, NULL, text, sizeof text - 1, 1);
+        return;
+      rst_http_request_reply (request, 504, NULL, unknown_text,
+                              strlen (unknown_text), 0);
     }
-  MHD_stop_daemon (server->daemon);
-  rst_shared_budget_destroy (server->own_budget);
-  pthread_mutex_destroy (&server->lock);
-  g_free (server);
 }
 
-void
-rst_http_server_disable_keep_alive (struct rst_http_server *server)
-{
-  atomic_store (&server->keep_alive_disabled, true);
-}
-
-const char *
-rst_http_request_method (const struct rst_http_request *request)
-{
-  return request->method;
-}
-
-const char *
-rst_http_request_path (const struct rst_http_request *request)
+static void
+wait_until_written (struct rst_http_server *server)
 {
-  return request->path;
-}
+  struct timespec deadline;
+  int status = 0;
 
-const char *
-rst_http_request_header (const struct rst_http_request *request,
-                         const char *name)
-{
-  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND,
-                                      name);
+  clock_gettime (CLOCK_MONOTONIC, &deadline);
+  deadline.tv_nsec += WRITE_TIMEOUT_MS * 1000000L;
+  deadline.tv_sec += deadline.tv_nsec / 1000000000L;
+  deadline.tv_nsec %= 1000000000L;
+  pthread_mutex_lock (&server->lock);
+  while (server->unwritten > 0 && status == 0)
+    status
+        = pthread_cond_timedwait (&server->written, &server->lock, &deadline);
+  pthread_mutex_unlock (&server->lock);
 }
 
-const char *
-rst_http_request_query (const struct rst_http_request *request,
-                        const char *name)
+void
+rst_http_server_destroy (struct rst_http_server *server)
 {
-  return MHD_lookup_connection_value (request->connection,
-                                      MHD_GET_ARGUMENT_KIND, name);
+  if (server == NULL)
+    return;
+  rst_http_server_close (server);
+  reply_unknown (server);
+  wait_until_written (server);
+  MHD_stop_daemon (server->daemon);
+  if (server->quiesced_fd >= 0)
+    close (server->quiesced_fd);
+  rst_shared_budget_destroy (server->own_budget);
+  pthread_cond_destroy (&server->written);
+  pthread_mutex_destroy (&server->lock);
+  g_free (server);
 }
 
-const char *
-rst_http_request_body (const struct rst_http_request *request, size_t *length)
+void
+rst_http_server_disable_keep_alive (struct rst_http_server *server)
 {
-  if (length != NULL)
-    *length = request->body_length;
-  return request->body != NULL ? request->body : "";
+  atomic_store (&server->keep_alive_disabled, true);
 }
 
 bool
@@ -569,66 +561,3 @@
   unlock_budget (server);
   return has_room;
 }
-
-bool
-rst_http_request_client_has_left (const struct rst_http_request *request)
-{
-  struct pollfd descriptor = { request->fd, POLLRDHUP, 0 };
-
-  return poll (&descriptor, 1, 0) > 0
-         && (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
-static void
-resume_request (struct rst_http_request *request)
-{
-  struct rst_http_server *server = request->server;
-
-  pthread_mutex_lock (&server->lock);
-  CK_LIST_REMOVE (request, list_entry);
-  pthread_mutex_unlock (&server->lock);
-  request->state = REQUEST_REPLIED;
-  MHD_resume_connection (request->connection);
-}
-
-void
-rst_http_request_reply (struct rst_http_request *request, unsigned status,
-                        const char *content_type, const void *body,
-                        size_t length, unsigned retry_after_s)
-{
-  request->response
-      = make_response (content_type, body, length, retry_after_s);
-  if (request->closes_connection
-      || atomic_load (&request->server->keep_alive_disabled))
-    MHD_add_response_header (request->response, MHD_HTTP_HEADER_CONNECTION,
-                             "close");
-  request->status = status;
-  resume_request (request);
-}
-
-void
-rst_http_request_close_connection (struct rst_http_request *request)
-{
-  request->closes_connection = true;
-}
-
-void
-rst_http_request_reply_json (struct rst_http_request *request, unsigned status,
-                             const char *text)
-{
-  rst_http_request_reply (request, status, NULL, text, strlen (text), 0);
-}
-
-void
-rst_http_request_reply_no_room (struct rst_http_request *request)
-{
-  rst_http_request_reply (request, 503, NULL, no_room_text,
-                          strlen (no_room_text), RST_HTTP_NO_ROOM_RETRY_S);
-}
-
-void
-rst_http_request_abort (struct rst_http_request *request)
-{
-  request->aborted = true;
-  resume_request (request);
-}
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -7,6 +7,7 @@
 #ifndef RST_HTTP_SERVER_H
 #define RST_HTTP_SERVER_H
 
+#include <limits.h>
 #include <stdbool.h>
 #include <stddef.h>
 
@@ -19,6 +20,10 @@
     Requests hold what they have until their caller's deadline, usually 3 s. */
 #define RST_HTTP_NO_ROOM_RETRY_S 1
 
+/** Value of retry_after_s for a request that may be repeated at once: the
+    response says "Retry-After: 0". */
+#define RST_HTTP_RETRY_AT_ONCE UINT_MAX
+
 /**
  * typedef rst_http_handler - Handles a request whose body is complete.
  * @request: The request, valid until it is replied to or aborted.
@@ -85,11 +90,33 @@
  * rst_http_server_destroy() - Stops the server's thread and frees the server.
  * @server: The server, or NULL.
  *
- * Requests that are still pending are replied to with status 503; the caller
- * must not reply to them any more.
+ * Closes the server as rst_http_server_close() does.  Requests that are still
+ * pending are replied to with status 504: only the owner can know that a
+ * request was not carried out, so it replies to those first.  It must not
+ * reply to any later.  Blocks for up to 500 ms until the responses have been
+ * written.
  */
 void rst_http_server_destroy (struct rst_http_server *server);
 
+/**
+ * rst_http_server_close() - Stops taking requests.
+ * @server: The server.
+ *
+ * No connection is accepted any more.  Requests that arrive on open
+ * connections are replied to with status 503 and "Retry-After: 0", and never
+ * reach the handler.  Those that the handler has already are not affected.
+ */
+void rst_http_server_close (struct rst_http_server *server);
+
+/**
+ * rst_http_server_count_unwritten() - Counts the requests that the handler was
+ * called for and whose response has not been written to the socket yet.
+ * @server: The server.
+ *
+ * May be called from any thread.
+ */
+unsigned rst_http_server_count_unwritten (struct rst_http_server *server);
+
 /**
  * rst_http_server_disable_keep_alive() - Stops the reuse of connections.
  * @server: The server.
@@ -158,7 +185,8 @@
  * @content_type: Content type, or NULL for "application/json".
  * @body: Response body, copied.
  * @length: Length of @body in bytes.
- * @retry_after_s: Value of the Retry-After header in seconds; 0 to omit it.
+ * @retry_after_s: Value of the Retry-After header in seconds; 0 to omit it, or
+ *   RST_HTTP_RETRY_AT_ONCE.
  */
 void rst_http_request_reply (struct rst_http_request *request, unsigned status,
                              const char *content_type, const void *body,
