Note a submission that is rejected for want of memory

What a caller could see: a submission is answered 504 while its copy waits on a link; it is sent again and answered 503, since the planner has no memory for its tasks; then the copy arrives, there is room, and the job runs after the 503.

Cause: submit_job() noted the rejected id in one of its three early returns. The copy is compared with that note (precedes_rejection()).

Ruled out by the tests that exist: noting each rejection. A submission that is rejected as outdated must not outdate those sent before that moment (CancelledId.RejectsASubmissionThatIsOlderThanAnyNote and FirstAttempt.RejectsACopyThatWasSentBeforeTheRejection fail).

Fix: one function decides on a new job and notes each rejection that no older note covers.

--- a/src/cell/plan_calls.c
+++ b/src/cell/plan_calls.c
@@ -231,38 +231,55 @@
          && rst_attempts_was_rejected (planner->attempts, id, sent_at);
 }
 
+/* Notes that an id is rejected, so that a copy of the submission which is
+   still on its way is not accepted later. */
+static void
+note_rejection (struct rst_planner *planner, const char *id)
+{
+  rst_attempts_note (planner->attempts, id, planner->now, planner->now);
+}
+
+/* Returns after how many seconds the caller of a new job should retry, or 0 if
+   the job may be created.  @note is NULL if its id was not cancelled. */
+static int
+find_rejection (struct rst_planner *planner,
+                const struct rst_planner_call *call, const char *id,
+                const struct job *note)
+{
+  int retry_s = get_retry_s (planner, id);
+
+  if (retry_s > 0)
+    {
+      log_rejected (planner, id, retry_s);
+      note_rejection (planner, id);
+      return retry_s;
+    }
+  /* Earlier copies are outdated as well. */
+  if (rst_plan_submission_is_outdated (planner, id, note, call->sent_at)
+      || precedes_rejection (planner, id, call->sent_at))
+    return OUTDATED_RETRY_S;
+  if (rst_plan_has_room_for (planner, id, call->desc))
+    return 0;
+  note_rejection (planner, id);
+  return RST_JOB_TABLES_RETRY_S;
+}
+
 static void
 submit_job (struct rst_planner *planner, const struct rst_planner_call *call,
             const struct rst_queue *route, struct customer *customer,
             const char *id)
 {
   struct job *job = g_hash_table_lookup (planner->jobs, id);
-  int retry_s = get_retry_s (planner, id);
+  int retry_s = job == NULL || job->is_note
+                    ? find_rejection (planner, call, id, job)
+                    : 0;
 
-  if ((job == NULL || job->is_note) && retry_s > 0)
+  if (retry_s > 0)
     {
-      log_rejected (planner, id, retry_s);
-      rst_attempts_note (planner->attempts, id, planner->now, planner->now);
       rst_jobdesc_destroy (call->desc);
       reply_rejected (planner, call->link, call->number, retry_s);
       return;
     }
-  if ((job == NULL || job->is_note)
-      && (rst_plan_submission_is_outdated (planner, id, job, call->sent_at)
-          || precedes_rejection (planner, id, call->sent_at)))
-    {
-      rst_jobdesc_destroy (call->desc);
-      reply_rejected (planner, call->link, call->number, OUTDATED_RETRY_S);
-      return;
-    }
-  if ((job == NULL || job->is_note)
-      && !rst_plan_has_room_for (planner, id, call->desc))
-    {
-      rst_jobdesc_destroy (call->desc);
-      reply_rejected (planner, call->link, call->number,
-                      RST_JOB_TABLES_RETRY_S);
-      return;
-    }
   if (job != NULL && job->is_note)
     {
       rst_plan_note_free (planner, job);
--- a/test/unit/first_attempt_test.cc
+++ b/test/unit/first_attempt_test.cc
@@ -136,6 +136,29 @@
   EXPECT_EQ (cell.reply_to (3)->reply.outcome, RST_OUTCOME_OK);
 }
 
+// Fails if a copy is accepted of a submission that was rejected for want of
+// memory, once there is room for it.
+TEST (FirstAttempt, RejectsACopyOfAJobThatThereWasNoRoomFor)
+{
+  rst_planner_timing timing = Planner::make_timing ();
+
+  timing.tables_bytes_max = 1000;
+  Planner cell (timing, 1);
+
+  cell.start_serving (1);
+  rst_ms sent_at = cell.now;
+
+  cell.advance_time (100);
+  cell.send_call (1, RST_OPERATION_SUBMIT, returning_job,
+                  Planner::make_job (1001, 1000), "k", "/q/", cell.now);
+  ASSERT_EQ (cell.reply_to (1)->reply.outcome, RST_OUTCOME_REJECTED);
+  // There is always room for this one.
+  cell.send_call (2, RST_OPERATION_SUBMIT, returning_job,
+                  Planner::make_job (1000, 1000), "k", "/q/", sent_at);
+  cell.settle ();
+  EXPECT_EQ (cell.reply_to (2)->reply.outcome, RST_OUTCOME_REJECTED);
+}
+
 TEST (FirstAttempt, KeepsABoundedNumberOfIds)
 {
   rst_attempts *attempts = rst_attempts_create (2, 1000);
