Record all failed runs of a task, each once

Cause: the record held at most 16 failed runs (RST_FAILED_RUNS_MAX), and restore_tasks() took that for their number. Each further hand-over gave away what lay above 16.

Ruled out: a clamp of attempts itself. The configuration accepts up to 2^31 - 1 and the queue's record keeps it whole.

Fix: cell/failures.c counts in 32 bits and keeps the counted attempts as ranges, without a bound. Ends that were not failures and orders that were certainly not carried out close the gaps between ranges, so that 50,000 failures take under 32 bytes; a gap stays for a run whose fate is unknown. The record has them in a member of their own, for tasks that are not done. Records of earlier versions can be read; an earlier version that takes over in a mixed cell does not see the failed runs.

--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -50,6 +50,7 @@
       for (int t = 0; t < desc->steps[i].count; t++)
         {
           g_free (occurrence->steps[i].tasks[t].crashes);
+          rst_failures_destroy (occurrence->steps[i].tasks[t].failures);
           g_free (occurrence->steps[i].tasks[t].checkpoint);
         }
       g_free (occurrence->steps[i].checkpoint);
--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -15,9 +15,9 @@
   g_byte_array_append (bytes, (const guint8 *)&big_endian, sizeof big_endian);
 }
 
-/* Packs the tasks of a step as bytes: for each a byte of flags, a byte with
-   the number of failed runs, the last attempt and the failed attempts; an
-   attempt is a 32-bit big-endian number. */
+/* Packs the tasks of a step as bytes: for each a byte of flags, a byte that is
+   0, and the last attempt as a 32-bit big-endian number.  Earlier versions had
+   up to 16 failed runs here; pack_failures() packs them now. */
 static void
 pack_tasks (struct rst_pack *pack, const struct step *step)
 {
@@ -26,8 +26,7 @@
   for (int i = 0; i < step->spec->count; i++)
     {
       const struct task *task = &step->tasks[i];
-      int failed_runs = MIN (task->failed_runs, RST_FAILED_RUNS_MAX);
-      guint8 head[2] = { 0, (guint8)failed_runs };
+      guint8 head[2] = { 0, 0 };
 
       if (task->done)
         head[0] |= RST_TASK_DONE_FLAG;
@@ -35,13 +34,17 @@
         head[0] |= RST_TASK_STARTED_FLAG;
       g_byte_array_append (bytes, head, sizeof head);
       append_int32 (bytes, task->attempt);
-      for (int k = 0; k < failed_runs; k++)
-        append_int32 (bytes, task->failed_attempts[k]);
     }
   rst_pack_bytes (pack, bytes->data, bytes->len);
   g_byte_array_free (bytes, TRUE);
 }
 
+static bool
+has_crashes (const struct task *task)
+{
+  return task->crashes != NULL;
+}
+
 static void
 pack_crashes (struct rst_pack *pack, const struct task *task)
 {
@@ -59,10 +62,37 @@
     rst_pack_int (pack, crashes->attempts[i]);
 }
 
-/* Packs the crashes counted under the tasks of a job; only counts these tasks
-   when @pack is NULL. */
+static bool
+has_failures (const struct task *task)
+{
+  return task->failures != NULL && !task->done;
+}
+
+static void
+pack_failures (struct rst_pack *pack, const struct task *task)
+{
+  rst_pack_array (pack, 4);
+  rst_pack_int (pack, task->step->occurrence->number);
+  rst_pack_int (pack, task->step->index);
+  rst_pack_int (pack, task->index);
+  rst_failures_pack (task->failures, pack);
+}
+
+/* A kind of facts that the record holds of few tasks only. */
+struct task_facts
+{
+  bool (*exist) (const struct task *task);
+  void (*pack) (struct rst_pack *pack, const struct task *task);
+};
+
+static const struct task_facts crash_facts = { has_crashes, pack_crashes };
+static const struct task_facts failure_facts = { has_failures, pack_failures };
+
+/* Packs the facts of the tasks of a job; only counts these tasks when @pack is
+   NULL. */
 static size_t
-pack_job_crashes (struct rst_pack *pack, const struct job *job)
+pack_task_facts (struct rst_pack *pack, const struct job *job,
+                 const struct task_facts *facts)
 {
   size_t count = 0;
 
@@ -76,23 +106,35 @@
           {
             const struct task *task = &occurrence->steps[i].tasks[t];
 
-            if (task->crashes == NULL)
+            if (!facts->exist (task))
               continue;
             if (pack != NULL)
-              pack_crashes (pack, task);
+              facts->pack (pack, task);
             count++;
           }
     }
   return count;
 }
 
+/* Packs the facts of all tasks; none of a job that has ended. */
+static void
+pack_all_task_facts (struct rst_pack *pack, const struct job *job,
+                     const struct task_facts *facts)
+{
+  bool has_ended = rst_plan_job_has_ended (job);
+
+  rst_pack_array (pack, has_ended ? 0 : pack_task_facts (NULL, job, facts));
+  if (!has_ended)
+    pack_task_facts (pack, job, facts);
+}
+
 static void
 pack_progress (const struct rst_planner *planner, struct rst_pack *pack,
                const struct job *job)
 {
   bool has_ended = rst_plan_job_has_ended (job);
 
-  rst_pack_array (pack, 6);
+  rst_pack_array (pack, 7);
   rst_pack_int (pack, job->state);
   rst_pack_int (pack, job->occurrences_left);
   rst_pack_int (pack, job->next_occurrence);
@@ -108,9 +150,8 @@
         pack_tasks (pack, &occurrence->steps[i]);
     }
   rst_pack_int (pack, planner->epoch);
-  rst_pack_array (pack, has_ended ? 0 : pack_job_crashes (NULL, job));
-  if (!has_ended)
-    pack_job_crashes (pack, job);
+  pack_all_task_facts (pack, job, &crash_facts);
+  pack_all_task_facts (pack, job, &failure_facts);
 }
 
 /* Packs an ended job without its steps, of which only the state is still
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -13,8 +13,7 @@
     the job to use up the margin. */
 #define UNRECORDED_ATTEMPTS_MAX 100
 
-/** Bytes of a task without failed runs: flags, number of failed runs,
-    attempt. */
+/** Bytes of a task: flags, number of failed runs that follow, attempt. */
 #define TASK_BYTES_MIN 6
 
 static int
@@ -38,9 +37,9 @@
       struct task *task = &step->tasks[i];
       bool done = bytes[at] & RST_TASK_DONE_FLAG;
       bool has_started = bytes[at] & RST_TASK_STARTED_FLAG;
+      int listed_failures = bytes[at + 1];
       int attempt;
 
-      task->failed_runs = MIN (bytes[at + 1], RST_FAILED_RUNS_MAX);
       at += 2;
       attempt = read_int32 (bytes, length, &at);
       task->attempt = MAX (task->attempt, attempt);
@@ -49,8 +48,9 @@
           rst_plan_job_mark_started (step->occurrence->job);
           step->occurrence->job->start_recorded = true;
         }
-      for (int k = 0; k < task->failed_runs; k++)
-        task->failed_attempts[k] = read_int32 (bytes, length, &at);
+      /* Only in the records of earlier versions. */
+      for (int k = 0; k < listed_failures; k++)
+        rst_failures_add (&task->failures, read_int32 (bytes, length, &at));
       if (!done || task->done)
         continue;
       task->done = true;
@@ -87,27 +87,54 @@
   reader->bad |= in.bad;
 }
 
+/* Reads which task a row is about.  Returns NULL if there is no such task. */
+static struct task *
+read_task (struct job *job, struct rst_reader *row)
+{
+  struct occurrence *occurrence
+      = rst_plan_find_occurrence (job, rst_reader_read_int (row));
+  int64_t step = rst_reader_read_int (row);
+  int64_t index = rst_reader_read_int (row);
+
+  if (row->bad || occurrence == NULL || step < 0
+      || step >= job->desc->step_count || index < 0
+      || index >= job->desc->steps[step].count)
+    return NULL;
+  return &occurrence->steps[step].tasks[index];
+}
+
+/* Restores the failed runs of one task. */
+static void
+restore_failures (struct job *job, struct rst_reader *rows)
+{
+  struct rst_reader row = rst_reader_read_array (rows);
+  struct task *task = read_task (job, &row);
+  struct rst_failures *failures = rst_failures_read (&row);
+
+  rows->bad |= row.bad;
+  if (task == NULL)
+    {
+      rst_failures_destroy (failures);
+      return;
+    }
+  rst_failures_destroy (task->failures);
+  task->failures = failures;
+}
+
 /* Restores the crashes counted under one task. */
 static void
 restore_crashes (struct job *job, struct rst_reader *rows)
 {
   struct rst_reader row = rst_reader_read_array (rows);
-  struct occurrence *occurrence
-      = rst_plan_find_occurrence (job, rst_reader_read_int (&row));
-  int64_t step = rst_reader_read_int (&row);
-  int64_t index = rst_reader_read_int (&row);
+  struct task *task = read_task (job, &row);
   bool is_suspect = rst_reader_read_int (&row) != 0;
   bool is_probable = rst_reader_read_int (&row) != 0;
   rst_ms survived_ms = rst_reader_read_int (&row);
   struct rst_reader attempts = rst_reader_read_array (&row);
-  struct task *task;
 
   rows->bad |= row.bad;
-  if (row.bad || occurrence == NULL || step < 0
-      || step >= job->desc->step_count || index < 0
-      || index >= job->desc->steps[step].count)
+  if (task == NULL || row.bad)
     return;
-  task = &occurrence->steps[step].tasks[index];
   rst_plan_restore_crashes (task, is_suspect, is_probable, survived_ms);
   for (uint32_t i = 0; i < attempts.count && i < RST_CRASHES_MAX; i++)
     task->crashes->attempts[task->crashes->count++]
@@ -122,6 +149,7 @@
   struct rst_reader in = rst_reader_read_array (reader);
   struct rst_reader occurrences;
   struct rst_reader crashes;
+  struct rst_reader failures;
 
   job->state = (enum rst_job_state)rst_reader_read_int (&in);
   job->committed_state = job->state;
@@ -134,6 +162,14 @@
   crashes = rst_reader_read_array (&in);
   for (uint32_t i = 0; i < crashes.count; i++)
     restore_crashes (job, &crashes);
+  /* Absent from the records of earlier versions. */
+  if (in.position < in.count)
+    {
+      failures = rst_reader_read_array (&in);
+      for (uint32_t i = 0; i < failures.count; i++)
+        restore_failures (job, &failures);
+      in.bad |= failures.bad;
+    }
   job->unstored_occurrence = job->next_occurrence;
   if (rst_plan_job_has_ended (job))
     job->ended_at = planner->now;
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -356,6 +356,8 @@
   if (result == RST_RESULT_REJECTED || result == RST_RESULT_NO_ROOM
       || result == RST_RESULT_NOT_SENT)
     pause_instance (planner, run->instance);
+  if (!run->task->step->spec->gang)
+    rst_failures_settle (run->task->failures, run->attempt);
   rst_plan_run_mark_lost (planner, run, rst_result_name (result));
 }
 
@@ -422,19 +424,6 @@
                "instance", instance->entry.id);
 }
 
-/* Counts a failed run of a task.  Returns false if it was counted before. */
-static bool
-count_failure (struct task *task, int attempt)
-{
-  for (int i = 0; i < MIN (task->failed_runs, RST_FAILED_RUNS_MAX); i++)
-    if (task->failed_attempts[i] == attempt)
-      return false;
-  if (task->failed_runs < RST_FAILED_RUNS_MAX)
-    task->failed_attempts[task->failed_runs] = attempt;
-  task->failed_runs++;
-  return true;
-}
-
 static void
 record_task_failure (struct rst_planner *planner, struct task *task,
                      struct instance *instance, int attempt)
@@ -445,10 +434,12 @@
   struct task *counter = step->spec->gang ? &step->tasks[0] : task;
 
   task->avoided_instance = instance;
-  if (step->spec->long_running || !count_failure (counter, attempt))
+  if (step->spec->long_running
+      || !rst_failures_add (&counter->failures, attempt))
     return;
   rst_plan_mark_dirty (planner, job);
-  if (counter->failed_runs >= MAX (job->queue->settings.max_failures, 1)
+  if (rst_failures_count (counter->failures)
+          >= MAX (job->queue->settings.max_failures, 1)
       && !RST_CELL_FAULT (RST_CELL_FAULT_IGNORE_FAILURES))
     rst_plan_end_job (planner, job, RST_JOB_FAILED);
 }
@@ -509,6 +500,8 @@
           record_instance_failure (planner, instance);
           record_task_failure (planner, task, instance, end->attempt);
         }
+      else if (!step->spec->gang)
+        rst_failures_settle (task->failures, end->attempt);
       if (end->end_reason != RST_END_DONE && run != NULL)
         stop_gang (planner, step);
     }
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -11,6 +11,7 @@
 #include <ck_queue.h>
 
 #include "cell/attempts.h"
+#include "cell/failures.h"
 #include "cell/fault_private.h"
 #include "cell/instance_speed.h"
 #include "cell/locality_state_private.h"
@@ -22,9 +23,6 @@
 /** Size of a job's id: hexadecimal digits and the final NUL. */
 #define RST_JOB_ID_SIZE 17
 
-/** Number of a task's failed runs whose attempts are remembered. */
-#define RST_FAILED_RUNS_MAX 16
-
 /** Number of crashes under a task whose attempts are remembered. */
 #define RST_CRASHES_MAX 8
 
@@ -335,11 +333,9 @@
   int index;
   struct run *run;
   bool done;
-  /* Number of its failed runs.  Instances may report failures repeatedly and
-     in any order; each attempt counts once. */
-  int failed_runs;
-  /* Attempt numbers of the first failed runs. */
-  int failed_attempts[RST_FAILED_RUNS_MAX];
+  /* Its failed runs, or NULL; those of a gang are counted under its first
+     task. */
+  struct rst_failures *failures;
   /* NULL if none is counted. */
   struct crash_history *crashes;
   /* The highest attempt number used. */
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -76,6 +76,8 @@
   int64_t unix_offset = 0;
   // Whether agents answer heartbeats.
   bool are_agents_heard = true;
+  // Failed runs of a task at which its job fails, for configure().
+  int max_failures = 3;
   // Links of agents that answer no heartbeats.
   std::set<uint64_t> silent_links;
   // Whether instances may have ends that their reports do not list.
@@ -144,7 +146,7 @@
     queue->host = g_strdup ("h");
     queue->prefix = g_strdup ("/q/");
     queue->pool = g_strdup ("pool");
-    queue->max_failures = 3;
+    queue->max_failures = max_failures;
     queue->slack_permille = 3000;
     queue->target_ms = 500;
     queue->needs_approval = needs_approval;
