cell-fuzz: compare what a planner restores with what was stored

Ruled out on the way: a first form, which noted a record only after the store had applied it, reported restored states as too new; the fuzzer's store applies a transaction while it is sent.

--- a/src/cell/failures.c
+++ b/src/cell/failures.c
@@ -105,6 +105,13 @@
     add_attempt (failures, attempt);
 }
 
+void
+rst_failures_cut (struct rst_failures *failures, int count_max)
+{
+  if (failures != NULL)
+    failures->count = MIN (failures->count, count_max);
+}
+
 void
 rst_failures_pack (const struct rst_failures *failures, struct rst_pack *pack)
 {
--- a/src/cell/failures.h
+++ b/src/cell/failures.h
@@ -40,6 +40,10 @@
  */
 void rst_failures_settle (struct rst_failures *failures, int attempt);
 
+/** rst_failures_cut() - Forgets failed runs above a number; only for the test
+    build's deliberate fault. */
+void rst_failures_cut (struct rst_failures *failures, int count_max);
+
 /** rst_failures_pack() - Encodes the failures, which must not be NULL. */
 void rst_failures_pack (const struct rst_failures *failures,
                         struct rst_pack *pack);
--- a/src/cell/fault_private.h
+++ b/src/cell/fault_private.h
@@ -41,6 +41,7 @@
  * @RST_CELL_FAULT_IGNORE_NOTES: A submission is accepted although its caller
  *   was told that the job, which it cancelled, does not exist.
  * @RST_CELL_FAULT_COUNT_ORDERS: A successor takes a start order for a start.
+ * @RST_CELL_FAULT_CUT_FAILURES: A successor forgets failed runs above 16.
  */
 enum rst_cell_fault_kind
 {
@@ -63,6 +64,7 @@
   RST_CELL_FAULT_KEEP_CAPACITY,
   RST_CELL_FAULT_IGNORE_NOTES,
   RST_CELL_FAULT_COUNT_ORDERS,
+  RST_CELL_FAULT_CUT_FAILURES,
 };
 
 #ifdef RST_FAULTS
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -117,6 +117,8 @@
       rst_failures_destroy (failures);
       return;
     }
+  if (RST_CELL_FAULT (RST_CELL_FAULT_CUT_FAILURES))
+    rst_failures_cut (failures, 16);
   rst_failures_destroy (task->failures);
   task->failures = failures;
 }
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -307,6 +307,18 @@
   rst_plan_reject_unsent_jobs (planner);
 }
 
+int64_t
+rst_planner_get_epoch (const struct rst_planner *planner)
+{
+  return planner->epoch;
+}
+
+bool
+rst_planner_is_restored (const struct rst_planner *planner)
+{
+  return planner->restored;
+}
+
 bool
 rst_planner_is_ready (const struct rst_planner *planner)
 {
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -347,6 +347,36 @@
                                                const struct rst_queue_stats *),
                                 void *userdata);
 
+/** rst_planner_get_epoch() - Returns the epoch of the planner's term. */
+int64_t rst_planner_get_epoch (const struct rst_planner *planner);
+
+/** rst_planner_is_restored() - Whether all of the journal is applied. */
+bool rst_planner_is_restored (const struct rst_planner *planner);
+
+/**
+ * struct rst_job_facts - What a successor has to know of a job.
+ * @id: The job's id.
+ * @segment: Segment of the journal with its last record; 0 for none.
+ * @text: Its state if it has ended; otherwise its times and which tasks are
+ *   done, have failed or had crashes counted under them.  Alike for the
+ * planner that wrote the record and one that has just restored it.
+ */
+struct rst_job_facts
+{
+  const char *id;
+  int64_t segment;
+  const char *text;
+};
+
+/**
+ * rst_planner_foreach_job() - Calls @visit with the facts of each job, which
+ * are valid during the call.
+ */
+void rst_planner_foreach_job (
+    const struct rst_planner *planner,
+    void (*visit) (void *userdata, const struct rst_job_facts *facts),
+    void *userdata);
+
 /**
  * rst_planner_is_ready() - Whether callers can be served: the journal is
  * restored and a configuration is set.
--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -5,7 +5,7 @@
 //             [--outlive 1] [--partitions 1] [--repeating 1] [--sequences 1]
 //             [--listed-ends N] [--clock-steps 1] [--crashing 1]
 //             [--resizing 1] [--refusals 1] [--racks 1]
-//             [--speeds 1]
+//             [--speeds 1] [--attempts N]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
 // --fault selects a deliberate fault; see cell/fault_private.h.  It has an
@@ -26,6 +26,8 @@
 // --racks puts instances in three racks and draws steps that run faster in
 // one, so that they wait for room there.
 // --speeds lets planners place tasks by the speed of the instances.
+// --attempts draws from 1 to N failed runs at which a job fails, instead of 3,
+// and lets some tasks always fail.
 // --sequences draws faults as sequences in the order of events, in a network
 // that can be cut, and freezes processes in pieces; see sequences.h.
 #include "partitions.h"
@@ -62,6 +64,8 @@
   bool has_speeds = false;
   bool has_late_calls = false;
   bool reads_pending = false;
+  // Largest number of failed runs that is drawn for "attempts"; 0 for 3.
+  int attempts_max = 0;
 };
 
 // Time after the last fault in which all accepted jobs must finish.
@@ -69,6 +73,9 @@
 // Factor of it where jobs repeat: with a third of the jobs repeating three
 // times in the mean there is 1.7 times the work.
 static const int repeating_settle_factor = 2;
+// Factor of it where tasks always fail: instances where runs keep failing are
+// paused, for up to some seconds each time.
+static const int failing_settle_factor = 3;
 // The same with partitions.  The jobs of 40 s take 70 s under the customer's
 // limit, all of which may be left after the faults, and the last cuts and
 // pauses end 20 s later.
@@ -114,7 +121,15 @@
       desc->steps[0].need.cpu = 100;
       desc->steps[0].estimate_ms = 6000 + world.draw_below (8000);
     }
-  if (world.has_crashing_tasks && world.draw_unit () < 0.06)
+  // Short, so that tens of its runs fail within the time of a seed.
+  if (world.has_failing_tasks && world.draw_unit () < 0.15)
+    {
+      g_free (desc->spec);
+      desc->spec = g_strdup ("always fail");
+      for (int i = 0; i < steps; i++)
+        desc->steps[i].estimate_ms = 60;
+    }
+  else if (world.has_crashing_tasks && world.draw_unit () < 0.06)
     {
       int step = world.draw_below (steps);
 
@@ -238,6 +253,15 @@
     instance->is_unreachable = false;
 }
 
+static bool
+has_unfinished_jobs (World &world)
+{
+  for (auto &entry : world.jobs)
+    if (entry.second.is_accepted && !world.is_reported_ended (entry.first))
+      return true;
+  return false;
+}
+
 static int
 report_unfinished_jobs (World &world)
 {
@@ -289,12 +313,16 @@
 
   if (options.has_repeating_jobs)
     settle_ms *= repeating_settle_factor;
+  if (options.attempts_max > 0)
+    settle_ms *= failing_settle_factor;
   world.orders_survive_restart = options.orders_survive_restart;
   world.has_repeating_jobs = options.has_repeating_jobs;
   world.listed_ends_max = options.listed_ends_max;
   world.has_instance_clock_steps = options.has_instance_clock_steps;
   world.has_crashing_tasks = options.has_crashing_tasks;
   world.pauses_in_pieces = options.has_sequences;
+  if (options.attempts_max > 0)
+    world.set_attempts (1 + world.draw_below (options.attempts_max));
   world.run_until (start + 3000);
   if (options.has_sequences)
     {
@@ -332,6 +360,8 @@
   repair_all (world);
   for (Millis at = 0; at < settle_ms; at += 1000)
     {
+      if (options.attempts_max > 0 && !has_unfinished_jobs (world))
+        break;
       world.run_until (world.now () + 1000);
       for (auto &entry : world.jobs)
         if (!world.is_reported_ended (entry.first))
@@ -389,6 +419,8 @@
         options.has_late_calls = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--pending") == 0)
         options.reads_pending = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--attempts") == 0)
+        options.attempts_max = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--sequences") == 0)
         options.has_sequences = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--log") == 0)
--- a/test/cell/instances.cc
+++ b/test/cell/instances.cc
@@ -28,8 +28,6 @@
 static const Millis shrink_grace_ms = 3000 + 1550;
 // Longest step of an instance's time of day; far below first_born_ms.
 static const int max_clock_step_ms = 20000;
-// Failed runs of a task at which its job fails; "attempts" in configure().
-static const size_t max_failures = 3;
 // After this many crashes under a task, at most max_starts_after_crashes
 // further starts of it may be ordered by nodes in touch.
 static const int max_crashes = 3;
@@ -120,7 +118,7 @@
 // starts after it, with the properties of check_start().  An end after which
 // the lease of the instance has expired does not count as noted.
 static std::string
-note_end (Job &job, const RunEnd &end)
+note_end (Job &job, const RunEnd &end, size_t max_failures)
 {
   Millis last_start = job.last_starts[end.task];
   std::vector<Millis> &failures = job.noted_failures[end.task];
@@ -141,7 +139,8 @@
       std::sort (failures.begin (), failures.end ());
       if (failures.size () >= max_failures
           && last_start > failures[max_failures - 1])
-        return "BUDGET " + end.task + " started after three failed runs";
+        return "BUDGET " + end.task + " started after "
+               + std::to_string (max_failures) + " failed runs";
     }
   return "";
 }
@@ -154,7 +153,8 @@
          && instance.ends.front ().number <= last_acked_end)
     {
       const RunEnd &end = instance.ends.front ();
-      std::string violation = note_end (jobs[get_job_id (end.task)], end);
+      std::string violation
+          = note_end (jobs[get_job_id (end.task)], end, (size_t)attempts_);
 
       if (!violation.empty ())
         report_violation (violation);
@@ -269,8 +269,9 @@
   if (job.completed_at > 0 && order.is_in_touch && !order.is_late
       && now () > job.completed_at + completed_grace_ms)
     report_violation ("TWICE " + task + " starts after its job was completed");
-  if (job.noted_failures[task].size () >= max_failures)
-    report_violation ("BUDGET " + task + " starts after three failed runs");
+  if (job.noted_failures[task].size () >= (size_t)attempts_)
+    report_violation ("BUDGET " + task + " starts after "
+                      + std::to_string (attempts_) + " failed runs");
   if (job.crashes[task] >= max_crashes && order.is_in_touch
       && ++job.starts_after_crashes[task] > max_starts_after_crashes)
     report_violation ("BUDGET " + task + " starts again after "
@@ -315,6 +316,8 @@
 {
   const rst_jobdesc *desc = jobs[get_job_id (task)].desc;
 
+  if (std::string (desc->spec) == "always fail")
+    return 1.0;
   return std::string (desc->spec) == "fail" ? 0.9
                                             : faults.fail_run_probability;
 }
@@ -509,7 +512,7 @@
   // Failures of all members of a gang count together.
   if (end_reason == RST_END_FAILED)
     job.may_fail |= ++job.failures[step.gang ? get_step_name (task) : task]
-                    >= (int)max_failures;
+                    >= attempts_;
   if (end_reason == RST_END_DONE || run.gang_size == 0)
     return;
   for (auto &other : instances)
--- a/test/cell/store.cc
+++ b/test/cell/store.cc
@@ -50,10 +50,14 @@
       "op/config",
       "{\"version\":" + std::to_string (version)
           + ",\"routes\":[{\"name\":\"q\",\"host\":\"h\",\"prefix\":\"/q/\","
-            "\"service\":\"pool\",\"attempts\":3,\"priority\":1,"
+            "\"service\":\"pool\",\"attempts\":"
+          + std::to_string (attempts_)
+          + ",\"priority\":1,"
             "\"slack_factor\":3.0,\"target_latency_ms\":500},"
             "{\"name\":\"u\",\"host\":\"h\",\"prefix\":\"/u/\","
-            "\"service\":\"pool\",\"attempts\":3,\"priority\":0,"
+            "\"service\":\"pool\",\"attempts\":"
+          + std::to_string (attempts_)
+          + ",\"priority\":0,"
             "\"slack_factor\":2.0,\"target_latency_ms\":200,\"advice\":"
             "{\"decision_ms\":8.0,\"interval_ms\":0.2,\"validity_ms\":2000}}]"
             ",\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"],\"weight\":50"
@@ -61,6 +65,14 @@
           + limit + ",\"mem_mb\":0,\"gpu\":0}}]}");
 }
 
+void
+World::set_attempts (int attempts)
+{
+  attempts_ = attempts;
+  has_failing_tasks = true;
+  configure (2, cpu_limit_);
+}
+
 static std::string
 format_entry (const Instance &instance, bool has_racks, bool draining)
 {
@@ -293,7 +305,11 @@
   bool reached = can_reach_store (node);
   bool lost = draw_unit () < faults.lose_commit_probability;
   bool late = draw_unit () < faults.late_commit_probability;
+  rst_planner_record record = {};
 
+  for (int i = 0; i < count; i++)
+    if (strcmp (writes[i].key, RST_PLANNER_RECORD_KEY) == 0)
+      rst_planner_record_read (&record, writes[i].value, writes[i].length);
   copy.reserve ((size_t)count);
   for (int i = 0; i < count; i++)
     copy.push_back (
@@ -301,7 +317,7 @@
                std::string ((const char *)writes[i].value, writes[i].length),
                writes[i].expected_revision, writes[i].is_removal,
                writes[i].value != nullptr });
-  auto apply = [this, copy] (rst_store_answer *answer) {
+  auto apply = [this, copy, record] (rst_store_answer *answer) {
     bool succeeds = conditions_hold (store, copy);
 
     if (answer != nullptr)
@@ -311,7 +327,10 @@
         if (succeeds && write.remove)
           change_key (write.key, nullptr);
         else if (succeeds && write.has_value)
-          change_key (write.key, &write.value);
+          {
+            change_key (write.key, &write.value);
+            note_stored (record.epoch, write.key);
+          }
         if (answer != nullptr && !succeeds && write.expected >= 0
             && store.count (write.key) > 0)
           add_item (answer, write.key, &store[write.key]);
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -252,6 +252,7 @@
     }
   Millis next_run = rst_cell_node_run (node.cell_node);
 
+  observe_planner (node);
   if (has_partitions)
     {
       next_run = std::max (next_run, world_now + 1);
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -218,6 +218,11 @@
   std::map<uint64_t, std::function<void ()> > pending_calls;
   // Increases with each start and each death of the process.
   uint64_t incarnation = 0;
+  // The last planner in this process that was observed: its epoch, its number
+  // of commits and whether it had restored the journal.
+  int64_t planner_epoch = 0;
+  uint64_t planner_commits = 0;
+  bool planner_was_restored = false;
   // Incarnation of each instance to which the last call arrived, and to which
   // there are connections; with partitions.
   std::map<const Instance *, int64_t> connected_incarnations;
@@ -325,6 +330,8 @@
   size_t listed_ends_max = SIZE_MAX;
   // Whether the time of day of an instance may step before it starts again.
   bool has_instance_clock_steps = false;
+  // Whether some tasks always fail; see set_attempts().
+  bool has_failing_tasks = false;
   // Whether a process can be frozen in pieces: a call to an instance waits
   // inside the process for some milliseconds and, if that is paused meanwhile,
   // until it wakes; after a pause the links, the answers and the timers of a
@@ -433,6 +440,15 @@
   // Returns whether a caller has seen that the job ended.
   int is_reported_ended (const std::string &id) const;
 
+  // Sets the number of failed runs of a task at which its job fails, and lets
+  // some tasks always fail.
+  void set_attempts (int attempts);
+  int
+  get_attempts () const
+  {
+    return attempts_;
+  }
+
   // Implementation of struct rst_backend for a node.
 
   void store_get (Node &node, const std::string &key, rst_store_done done,
@@ -593,6 +609,14 @@
                       uint64_t end, const std::string &data);
   void handle_entry_opened ();
   void connect_entry ();
+  // Notes the facts of the jobs whose records a planner has just packed, and
+  // compares those of one that has just restored the journal with what is
+  // stored.
+  void observe_planner (Node &node);
+  void compare_restored (const rst_planner *planner);
+  // Notes the facts in a segment of the planner of an epoch, which the store
+  // has applied.
+  void note_stored (int64_t epoch, const std::string &key);
   void handle_entry_frame (const std::string &data);
   void send_request (uint64_t number);
   int count_waiting_jobs (const std::string &queue) const;
@@ -623,6 +647,14 @@
   int64_t entry_epoch_ = 0;
   std::map<uint64_t, CallerRequest> entry_requests_;
   uint64_t next_request_number_ = 1;
+  int attempts_ = 3;
+  // Facts of the jobs by id in each segment that was packed, by epoch and
+  // number; the segments that the store has applied since the last
+  // comparison; and the facts that the records in the store were made from.
+  std::map<std::pair<int64_t, int64_t>, std::map<std::string, std::string> >
+      packed_facts_;
+  std::vector<std::pair<int64_t, int64_t> > stored_segments_;
+  std::map<std::string, std::string> stored_facts_;
   std::set<std::string> reported_ended_;
   int completed_ = 0;
   std::vector<rst_jobdesc *> descs_;
