cell-fuzz: planned stops, and rejected jobs that run

--stops 1 stops nodes as planned, the planner most often and also while it is stopping, half of them with a store that gives no answers, so that a commit is out. The oracle's property REFUSED: no task of a job starts if each of its submissions was rejected; a rejection by the next planner of a call that went over a lost link does not count, as the entry instance answers 504 then.

--- a/src/cell/fault_private.h
+++ b/src/cell/fault_private.h
@@ -42,6 +42,8 @@
  *   was told that the job, which it cancelled, does not exist.
  * @RST_CELL_FAULT_COUNT_ORDERS: A successor takes a start order for a start.
  * @RST_CELL_FAULT_CUT_FAILURES: A successor forgets failed runs above 16.
+ * @RST_CELL_FAULT_REJECT_COMMITTING: A submission is rejected while the commit
+ *   with its job is out.
  */
 enum rst_cell_fault_kind
 {
@@ -65,6 +67,7 @@
   RST_CELL_FAULT_IGNORE_NOTES,
   RST_CELL_FAULT_COUNT_ORDERS,
   RST_CELL_FAULT_CUT_FAILURES,
+  RST_CELL_FAULT_REJECT_COMMITTING,
 };
 
 #ifdef RST_FAULTS
--- a/src/cell/plan_calls.c
+++ b/src/cell/plan_calls.c
@@ -116,12 +116,10 @@
                      planner->now);
 }
 
-/* Rejects a job that no commit contains and forgets it. */
 static void
-reject_job (struct rst_planner *planner, struct job *job, int retry_s)
+reject_pending_replies (struct rst_planner *planner, const struct job *job,
+                        int retry_s)
 {
-  log_rejected (planner, job->id, retry_s);
-  note_attempt (planner, job);
   for (guint i = 0; i < job->pending_replies->len; i++)
     {
       struct pending_reply pending_reply
@@ -130,6 +128,15 @@
       reply_rejected (planner, pending_reply.link, pending_reply.call,
                       retry_s);
     }
+}
+
+/* Rejects a job that no commit contains and forgets it. */
+static void
+reject_job (struct rst_planner *planner, struct job *job, int retry_s)
+{
+  log_rejected (planner, job->id, retry_s);
+  note_attempt (planner, job);
+  reject_pending_replies (planner, job, retry_s);
   if (job->desc->repeats > 0)
     g_ptr_array_remove_fast (planner->repeating_jobs, job);
   else
@@ -149,6 +156,14 @@
 void
 rst_plan_reject_unsent_jobs (struct rst_planner *planner)
 {
+  if (RST_CELL_FAULT (RST_CELL_FAULT_REJECT_COMMITTING))
+    for (guint i = 0; i < planner->committing_jobs->len; i++)
+      {
+        struct job *job = g_ptr_array_index (planner->committing_jobs, i);
+
+        if (!job->stored && get_retry_s (planner, job->id) > 0)
+          reject_pending_replies (planner, job, 1);
+      }
   for (guint i = planner->dirty_jobs->len; i-- > 0;)
     {
       struct job *job = g_ptr_array_index (planner->dirty_jobs, i);
--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -5,7 +5,7 @@
 //             [--outlive 1] [--partitions 1] [--repeating 1] [--sequences 1]
 //             [--listed-ends N] [--clock-steps 1] [--crashing 1]
 //             [--resizing 1] [--refusals 1] [--racks 1]
-//             [--speeds 1] [--attempts N]
+//             [--speeds 1] [--attempts N] [--stops 1]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
 // --fault selects a deliberate fault; see cell/fault_private.h.  It has an
@@ -28,6 +28,8 @@
 // --speeds lets planners place tasks by the speed of the instances.
 // --attempts draws from 1 to N failed runs at which a job fails, instead of 3,
 // and lets some tasks always fail.
+// --stops draws planned stops, most of them of the planner, also in series,
+// and half of them while the store gives no answers.
 // --sequences draws faults as sequences in the order of events, in a network
 // that can be cut, and freezes processes in pieces; see sequences.h.
 #include "partitions.h"
@@ -64,6 +66,7 @@
   bool has_speeds = false;
   bool has_late_calls = false;
   bool reads_pending = false;
+  bool has_stops = false;
   // Largest number of failed runs that is drawn for "attempts"; 0 for 3.
   int attempts_max = 0;
 };
@@ -188,6 +191,27 @@
     }
 }
 
+// While the store gives no answers, the planner's commit stays out.
+static void
+stop_any_node (World &world)
+{
+  Node &node
+      = *world.nodes[(size_t)world.draw_below ((int)world.nodes.size ())];
+  Node *planner = world.find_planner ();
+  Node &target
+      = planner != nullptr && world.draw_unit () < 0.7 ? *planner : node;
+
+  if (world.draw_unit () < 0.5)
+    {
+      world.faults.is_store_down = true;
+      world.run_after (500 + world.draw_below (4000),
+                       [&world] { world.faults.is_store_down = false; });
+      world.run_until (world.now () + 10 + world.draw_below (200));
+    }
+  if (target.cell_node != nullptr)
+    world.stop_node (target);
+}
+
 static void
 repair_nodes (World &world, bool all)
 {
@@ -356,6 +380,8 @@
         draw_fault_probabilities (world);
       if (options.has_partitions && world.draw_unit () < 0.025)
         inject_partition (world);
+      if (options.has_stops && world.draw_unit () < 0.04)
+        stop_any_node (world);
     }
   repair_all (world);
   for (Millis at = 0; at < settle_ms; at += 1000)
@@ -419,6 +445,8 @@
         options.has_late_calls = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--pending") == 0)
         options.reads_pending = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--stops") == 0)
+        options.has_stops = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--attempts") == 0)
         options.attempts_max = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--sequences") == 0)
--- a/test/cell/instances.cc
+++ b/test/cell/instances.cc
@@ -244,6 +244,8 @@
 // LIMIT: the runs of an instance fit its capacity, or one that it had a short
 //   time ago.
 // QUOTA: the runs of the customer fit its limit, with a tolerance.
+// REFUSED: a task starts only if its job was submitted by a call that was not
+//   rejected.
 void
 World::check_start (Instance &instance, const Order &order)
 {
@@ -258,6 +260,10 @@
       return;
     }
   Job &job = found->second;
+
+  if (job.submissions == job.rejections)
+    report_violation ("REFUSED " + task
+                      + " starts although its job was rejected");
   const rst_step &step = job.desc->steps[get_step_index (task)];
 
   for (auto &other : instances)
--- a/test/cell/links.cc
+++ b/test/cell/links.cc
@@ -122,7 +122,10 @@
   entry_link_ = 0;
   planner_is_serving_ = false;
   for (auto &request : entry_requests_)
-    request.second.sent = false;
+    {
+      request.second.sent_on_lost_link |= request.second.sent;
+      request.second.sent = false;
+    }
 }
 
 void
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -549,6 +549,11 @@
               job.is_accepted = true;
               job.accepted_at = world_now;
             }
+          if (request.operation == RST_OPERATION_SUBMIT
+              && !request.sent_on_lost_link
+              && (outcome == RST_OUTCOME_REJECTED
+                  || outcome == RST_OUTCOME_OVERLOADED))
+            job.rejections++;
           if (request.operation == RST_OPERATION_CANCEL
               && outcome == RST_OUTCOME_OK && job.cancelled_at == 0)
             job.cancelled_at = world_now;
@@ -606,6 +611,7 @@
   Job &job = jobs[id];
   Millis sent_at = world_now;
 
+  job.submissions++;
   if (job.desc == nullptr)
     {
       job.desc = desc;
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -166,6 +166,9 @@
   Millis accepted_at = 0;
   // Whether a caller has tried to cancel it.
   bool is_unwanted = false;
+  // Number of its submissions, and of those that were rejected.
+  int submissions = 0;
+  int rejections = 0;
   // Time at which a caller was told that it is cancelled; 0 if none was.
   Millis cancelled_at = 0;
   // When a caller was last told that its cancel found no such job, and when it
@@ -392,6 +395,8 @@
   void start_node (Node &node);
   // Kills the process.  If @silent, its links are closed only after a timeout.
   void kill_node (Node &node, bool silent);
+  // Begins a planned stop; the process ends by itself.
+  void stop_node (Node &node);
   void set_isolated (Node &node, bool isolated);
   // Suspends the node; what arrives meanwhile is handled after it wakes.
   void pause_node (Node &node, Millis ms);
@@ -495,6 +500,9 @@
     rst_jobdesc *desc; // owned; nullptr unless the operation is a submit
     bool sent;
     Millis sent_at; // when the caller sent it
+    // Whether it was sent over a link that was lost, so that a rejection by
+    // the next planner does not reach the caller as one.
+    bool sent_on_lost_link = false;
   };
   // A call of a node to an instance.
   struct InstanceCall
@@ -590,6 +598,7 @@
   void list_runs (Instance &instance, rst_instance_answer *answer);
   Millis get_clock (const Instance &instance) const;
   void abort_calls (Node &node);
+  void end_stopped_node (Node &node, uint64_t incarnation);
   // Closes the links of a node that is killed.
   void close_links_of (Node &node, bool silent);
   void accept_link (uint64_t end, const std::string &address);
