Record a job again after 50 rejected starts of a task

A rejected start leaves no record, but uses an attempt number. A successor adds 100 to the recorded attempt of each task. A task that an instance keeps rejecting (no room, not ready) used more than that between two records, and the next planner then gave the same numbers to other starts. An instance that has seen a higher one rejects them as outdated, up to 100 ms apart, until the number is passed; and an answer to an earlier planner's order passes for the present one's.

Cause: the bound was derived from 10 s without a record, and nothing saw to it that a record is made by then.

Fix: a start more than 50 attempts above the recorded one marks the job to be recorded. Starts end 4 s after the store last answered, so that at most some 40 follow before the commit.

--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -25,7 +25,7 @@
 
   for (int i = 0; i < step->spec->count; i++)
     {
-      const struct task *task = &step->tasks[i];
+      struct task *task = &step->tasks[i];
       guint8 head[2] = { 0, 0 };
 
       if (task->done)
@@ -34,6 +34,7 @@
         head[0] |= RST_TASK_STARTED_FLAG;
       g_byte_array_append (bytes, head, sizeof head);
       append_int32 (bytes, task->attempt);
+      task->recorded_attempt = task->attempt;
     }
   rst_pack_bytes (pack, bytes->data, bytes->len);
   g_byte_array_free (bytes, TRUE);
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -4,15 +4,6 @@
 
 #include "cell/planner_private.h"
 
-/** Added to the attempt of each task that is not done, for each planner since
-    the one that wrote the job's last record: a planner's last starts are not
-    recorded, and an attempt number must not be used twice.  An agent reports
-    the answer to an order of an earlier planner to the present one, which
-    knows its own orders by their attempt.  A start is repeated after 100 ms at
-    the earliest, so a planner would have to run for 10 s without a record of
-    the job to use up the margin. */
-#define UNRECORDED_ATTEMPTS_MAX 100
-
 /** Bytes of a task: flags, number of failed runs that follow, attempt. */
 #define TASK_BYTES_MIN 6
 
@@ -538,7 +529,8 @@
         struct task *task = &occurrence->steps[i].tasks[t];
 
         if (!task->done)
-          task->attempt += (int)(planners * UNRECORDED_ATTEMPTS_MAX);
+          task->attempt += (int)(planners * RST_UNRECORDED_ATTEMPTS_MAX);
+        task->recorded_attempt = task->attempt;
       }
 }
 
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -67,6 +67,10 @@
   run->customer = job->customer;
   task->run = run;
   task->attempt = MAX (task->attempt, attempt);
+  if (planner->restored
+      && task->attempt - task->recorded_attempt
+             > RST_UNRECORDED_ATTEMPTS_MAX / 2)
+    rst_plan_mark_dirty (planner, job);
   if (!task->done)
     task->step->tasks_waiting--;
   rst_resources_add (&instance->used, &run->need, 1);
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -23,6 +23,16 @@
 /** Size of a job's id: hexadecimal digits and the final NUL. */
 #define RST_JOB_ID_SIZE 17
 
+/** Added to the attempt of each task that is not done, for each planner since
+    the one that wrote the job's last record: a planner's last starts are not
+    recorded, and an attempt number must not be used twice.  An agent reports
+    the answer to an order of an earlier planner to the present one, which
+    knows its own orders by their attempt.  The job is recorded again after
+    half as many starts of a task.  A start is repeated after 100 ms at the
+    earliest, and none is ordered 4 s after the store last answered, so that
+    the rest suffices until then. */
+#define RST_UNRECORDED_ATTEMPTS_MAX 100
+
 /** Number of crashes under a task whose attempts are remembered. */
 #define RST_CRASHES_MAX 8
 
@@ -338,8 +348,10 @@
   struct rst_failures *failures;
   /* NULL if none is counted. */
   struct crash_history *crashes;
-  /* The highest attempt number used. */
+  /* The highest attempt number used, and as of the job's last record or of the
+     beginning of this planner's term. */
   int attempt;
+  int recorded_attempt;
   /* Whether an instance inherited from the predecessor may run it although
      no run is known. */
   bool in_doubt;
--- a/test/unit/succession_test.cc
+++ b/test/unit/succession_test.cc
@@ -88,6 +88,43 @@
   EXPECT_GT (successor.sent_of_kind (RST_MSG_START)[0].attempt, 70000);
 }
 
+// Guards against an attempt number that is used twice, after many starts in a
+// row that were rejected and left no record.
+TEST (Succession, UsesNoAttemptOfARejectedStart)
+{
+  Planner predecessor;
+  Planner successor (2);
+  int attempt = 0;
+
+  predecessor.start_serving (1);
+  predecessor.send_call (7, RST_OPERATION_SUBMIT, job_a,
+                         Planner::make_job (1, 1000));
+  while (attempt < 250)
+    {
+      predecessor.advance_time (200);
+      if (predecessor.is_committing)
+        predecessor.complete_commit ();
+      for (const auto &start : predecessor.sent_of_kind (RST_MSG_START))
+        {
+          attempt = start.attempt;
+          predecessor.answer_order (1, RST_MSG_STARTED, "i-0", task_a0,
+                                    attempt, RST_RESULT_NO_ROOM);
+        }
+      predecessor.sent.clear ();
+      predecessor.report (1, "i-0", {});
+    }
+  successor.restore (predecessor);
+  EXPECT_EQ (successor.unreadable, 0);
+  successor.configure ();
+  successor.add_agent (1);
+  successor.add_instance ("i-0", false, "a", 2);
+  rst_planner_finish_restore (successor.planner);
+  successor.report (1, "i-0", {}, 2);
+  successor.settle ();
+  ASSERT_EQ (successor.sent_of_kind (RST_MSG_START).size (), 1u);
+  EXPECT_GT (successor.sent_of_kind (RST_MSG_START)[0].attempt, attempt);
+}
+
 TEST (Succession, CountsAJobThatWasNeverStartedAsWaiting)
 {
   Planner predecessor;
