--- a/test/cell/stored.cc
+++ b/test/cell/stored.cc
@@ -63,6 +63,21 @@
   packed_facts_[{ node.planner_epoch, packed.segment }] = packed.facts;
 }
 
+// Returns the epoch of the planner record in the store.
+static int64_t
+read_stored_epoch (const std::map<std::string, StoreItem> &store)
+{
+  auto found = store.find (RST_PLANNER_RECORD_KEY);
+  rst_planner_record record = {};
+
+  if (found != store.end ())
+    rst_planner_record_read (&record, found->second.value.data (),
+                             found->second.value.size ());
+  return record.epoch;
+}
+
+// A planner that was replaced while it read the journal knows less.
+//
 // A segment may be stored while it is packed, before its facts are noted, so
 // they are looked up only now.
 void
@@ -70,6 +85,8 @@
 {
   std::map<std::string, std::string> restored;
 
+  if (read_stored_epoch (store) != rst_planner_get_epoch (planner))
+    return;
   for (auto &segment : stored_segments_)
     for (auto &entry : packed_facts_[segment])
       stored_facts_[entry.first] = entry.second;
