--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -2,6 +2,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "cell/plan_intent.h"
 #include "cell/planner_private.h"
 
 /** How long an instance is kept after its entry was removed. */
@@ -354,6 +355,9 @@
   rst_plan_run_mark_started (run);
   run->adopted = true;
   run->progress_percent = listed->progress_percent;
+  /* Its record may say that the task runs nowhere. */
+  if (task->inherited_starts == RST_STARTS_NOWHERE)
+    rst_plan_mark_dirty (planner, job);
   rst_plan_keep_checkpoint (planner, task, listed->checkpoint);
   task->step->gang_attempt = MAX (task->step->gang_attempt, listed->attempt);
   if (rst_plan_job_has_ended (job)
@@ -520,7 +524,7 @@
             "instance", instance->entry.id, "address",
             instance->entry.address);
   rst_plan_count_crash (planner, instance);
-  instance->inherited = false;
+  rst_plan_set_inherited (planner, instance, false);
   rst_plan_discard_unstored_ends (instance);
   mark_runs_lost (planner, instance, "instance ended");
 }
@@ -582,7 +586,7 @@
   /* All runs that the predecessor started there are known once all ends are
      listed. */
   if (!has_more_ends)
-    instance->inherited = false;
+    rst_plan_set_inherited (planner, instance, false);
   /* The instance rejects earlier agents since it has answered this one. */
   instance->former_lease_until
       = MIN (instance->former_lease_until,
@@ -593,20 +597,12 @@
 static void
 update_has_inherited (struct rst_planner *planner)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  planner->has_inherited = false;
-  g_hash_table_iter_init (&iter, planner->instances);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    planner->has_inherited
-        |= ((struct instance *)value)->inherited
-           && !RST_CELL_FAULT (RST_CELL_FAULT_NO_TAKEOVER_WAIT);
-  if (planner->has_inherited)
-    return;
-  planner->accounted_at = planner->now;
-  rst_info (RST_PLAN_LOG,
-            "All instances of the predecessor are accounted for.");
+  planner->has_inherited
+      = g_hash_table_size (planner->inherited_places) > 0
+        && !RST_CELL_FAULT (RST_CELL_FAULT_NO_TAKEOVER_WAIT);
+  if (!planner->has_inherited)
+    rst_info (RST_PLAN_LOG,
+              "All instances of the predecessor are accounted for.");
 }
 
 /* Handles the end of the lease of an instance whose runs are not known.  It
@@ -619,7 +615,7 @@
       = { "succession", "report", "agent lost", "restart" };
   char unknown_ms[16];
 
-  instance->inherited = false;
+  rst_plan_set_inherited (planner, instance, false);
   rst_plan_discard_unstored_ends (instance);
   if (g_hash_table_size (instance->runs) == 0)
     return;
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -214,6 +214,8 @@
       || !rst_plan_occurrence_is_due (step->occurrence))
     return;
   step->enqueued = true;
+  if (step->ready_at == 0)
+    step->ready_at = planner->now;
   rst_plan_set_objective (step);
   g_ptr_array_add (planner->waiting_steps, step);
 }
--- a/src/cell/plan_journal.c
+++ b/src/cell/plan_journal.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "cell/plan_intent.h"
 #include "cell/planner_private.h"
 
 /* Each commit appends one segment, an array of records, to the journal.  A
@@ -30,7 +31,7 @@
     a task in it, in bytes. */
 #define RECORD_BYTES 128
 #define STEP_BYTES 64
-#define TASK_BYTES 6
+#define TASK_BYTES 10
 
 /** Largest number of segments that a commit removes; the store limits the
     entries of a transaction. */
@@ -550,6 +551,7 @@
       job->stored = true;
       job->committed_state = job->committing_state;
       job->unstored_occurrence = job->committing_occurrence;
+      rst_plan_confirm_intents (planner, job);
       rst_plan_reply_committed (planner, job);
     }
   g_ptr_array_set_size (planner->committing_jobs, 0);
--- a/src/cell/plan_limit.c
+++ b/src/cell/plan_limit.c
@@ -1,5 +1,6 @@
 /* Upper limits of customers: resources that the runs of a customer may take on
    all instances together. */
+#include "cell/plan_intent.h"
 #include "cell/planner_private.h"
 
 /* Whether a use of @used and @tasks times @need stays within a limit; a limit
@@ -27,7 +28,7 @@
 }
 
 static void
-add_step_in_doubt (const struct step *step)
+add_step_in_doubt (const struct rst_planner *planner, const struct step *step)
 {
   struct customer *customer = step->occurrence->job->customer;
   struct rst_resources need = rst_step_get_task_need (step->spec);
@@ -36,13 +37,14 @@
     {
       const struct task *task = &step->tasks[i];
 
-      if (task->in_doubt && task->run == NULL && !task->done)
+      if (task->run == NULL && !task->done
+          && rst_plan_is_in_doubt (planner, task))
         rst_resources_add (&customer->in_doubt, &need, 1);
     }
 }
 
 /* After a takeover, tasks of earlier jobs may run on instances that have not
-   reported yet.  Until all have, these tasks count as running. */
+   reported yet.  Until they have, these tasks count as running. */
 void
 rst_plan_count_in_doubt (struct rst_planner *planner)
 {
@@ -55,5 +57,5 @@
     ((struct customer *)value)->in_doubt = none;
   for (guint i = 0; planner->has_inherited && i < planner->waiting_steps->len;
        i++)
-    add_step_in_doubt (g_ptr_array_index (planner->waiting_steps, i));
+    add_step_in_doubt (planner, g_ptr_array_index (planner->waiting_steps, i));
 }
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cell/plan_intent.h"
 #include "cell/plan_locality.h"
 #include "cell/planner_private.h"
 
@@ -187,12 +188,12 @@
 /* Whether a task that has been started before may start again.  A successor
    may have stored the end of its last run, which is then no longer listed;
    there was none if the store has confirmed this planner since it learnt that
-   the run is gone.  Of inherited tasks it learns that with the last report of
-   an inherited instance. */
+   the run is gone.  Of inherited tasks it learns that with the report of an
+   inherited instance. */
 static bool
 may_start_again (const struct rst_planner *planner, const struct task *task)
 {
-  rst_ms known_at = task->in_doubt
+  rst_ms known_at = task->inherited_starts != RST_STARTS_NOWHERE
                         ? MAX (task->freed_at, planner->accounted_at)
                         : task->freed_at;
 
@@ -205,7 +206,7 @@
                          const struct task *task)
 {
   return !task->done && task->run == NULL
-         && !(task->in_doubt && planner->has_inherited)
+         && !rst_plan_is_in_doubt (planner, task)
          && may_start_again (planner, task);
 }
 
@@ -232,6 +233,11 @@
       has_room = instance != NULL;
       if (instance == NULL || rst_plan_task_waits (planner, step, instance))
         unplaced++;
+      else if (!rst_plan_has_intent (task))
+        {
+          rst_plan_want_intent (planner, task);
+          rst_plan_reserve_slots (instance, step, 1);
+        }
       else
         rst_plan_start_task (planner, task, instance, task->attempt + 1,
                              rst_plan_find_ticket (planner, step, instance));
@@ -325,6 +331,26 @@
     }
 }
 
+/* Has the intent to start a gang recorded, and reserves its room until then.
+ */
+static void
+prepare_gang (struct rst_planner *planner, struct step *step,
+              const GArray *gang_slots)
+{
+  int wanted = step->spec->count;
+
+  rst_plan_want_step_intent (planner, step);
+  for (guint i = 0; i < gang_slots->len && wanted > 0; i++)
+    {
+      struct instance_slots candidate
+          = g_array_index (gang_slots, struct instance_slots, i);
+      int slots = MIN (candidate.slots, wanted);
+
+      wanted -= slots;
+      rst_plan_reserve_slots (candidate.instance, step, slots);
+    }
+}
+
 void
 rst_plan_reserve_slots (struct instance *instance, const struct step *step,
                         int slots)
@@ -400,7 +426,9 @@
       if (total >= step->spec->count && rst_plan_gang_waits (planner, step))
         total = 0;
     }
-  if (total >= step->spec->count)
+  if (total >= step->spec->count && !rst_plan_step_has_intent (step))
+    prepare_gang (planner, step, gang_slots);
+  else if (total >= step->spec->count)
     {
       rst_plan_note_gang_start (step);
       start_gang (planner, step, gang_slots);
--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -1,6 +1,7 @@
 /* Encodes the records of the journal; plan_restore.c decodes them. */
 #include <string.h>
 
+#include "cell/plan_intent.h"
 #include "cell/planner_private.h"
 
 /** How long after a job's end its records still contain its steps, in
@@ -16,10 +17,12 @@
 }
 
 /* Packs the tasks of a step as bytes: for each a byte of flags, a byte that is
-   0, and the last attempt as a 32-bit big-endian number.  Earlier versions had
-   up to 16 failed runs here; pack_failures() packs them now. */
+   0, the last attempt as a 32-bit big-endian number and, if the task may run
+   on one instance, that one's key as another.  Earlier versions had up to 16
+   failed runs here; pack_failures() packs them now. */
 static void
-pack_tasks (struct rst_pack *pack, const struct step *step)
+pack_tasks (const struct rst_planner *planner, struct rst_pack *pack,
+            const struct step *step)
 {
   GByteArray *bytes = g_byte_array_new ();
 
@@ -27,13 +30,22 @@
     {
       struct task *task = &step->tasks[i];
       guint8 head[2] = { 0, 0 };
+      guint32 place;
+      enum rst_starts starts
+          = rst_plan_choose_start_record (planner, task, &place);
 
       if (task->done)
         head[0] |= RST_TASK_DONE_FLAG;
       if (step->occurrence->job->has_started)
         head[0] |= RST_TASK_STARTED_FLAG;
+      if (starts == RST_STARTS_NOWHERE)
+        head[0] |= RST_TASK_NOWHERE_FLAG;
+      else if (starts == RST_STARTS_ON_ONE)
+        head[0] |= RST_TASK_ON_ONE_FLAG;
       g_byte_array_append (bytes, head, sizeof head);
       append_int32 (bytes, task->attempt);
+      if (starts == RST_STARTS_ON_ONE)
+        append_int32 (bytes, (int)place);
       task->recorded_attempt = task->attempt;
     }
   rst_pack_bytes (pack, bytes->data, bytes->len);
@@ -148,7 +160,7 @@
       rst_pack_array (pack, 1 + (size_t)job->desc->step_count);
       rst_pack_int (pack, occurrence->number);
       for (int i = 0; i < job->desc->step_count; i++)
-        pack_tasks (pack, &occurrence->steps[i]);
+        pack_tasks (planner, pack, &occurrence->steps[i]);
     }
   rst_pack_int (pack, planner->epoch);
   pack_all_task_facts (pack, job, &crash_facts);
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -2,9 +2,11 @@
    plan_journal.c describes; plan_record.c encodes their records. */
 #include <string.h>
 
+#include "cell/plan_intent.h"
 #include "cell/planner_private.h"
 
-/** Bytes of a task: flags, number of failed runs that follow, attempt. */
+/** Bytes of a task: flags, number of failed runs that follow, attempt.  The
+    failed runs and the key of an instance may follow. */
 #define TASK_BYTES_MIN 6
 
 static int
@@ -18,6 +20,20 @@
   return (int)g_ntohl (big_endian);
 }
 
+/* Reads where a task may run. */
+static void
+restore_starts (struct task *task, guint8 flags, const guint8 *bytes,
+                size_t length, size_t *at)
+{
+  if ((flags & RST_TASK_ON_ONE_FLAG) && *at + sizeof (guint32) <= length)
+    rst_plan_restore_intent (task, RST_STARTS_ON_ONE,
+                             (guint32)read_int32 (bytes, length, at));
+  else if (flags & RST_TASK_NOWHERE_FLAG)
+    rst_plan_restore_intent (task, RST_STARTS_NOWHERE, 0);
+  else
+    rst_plan_restore_intent (task, RST_STARTS_ANYWHERE, 0);
+}
+
 static void
 restore_tasks (struct step *step, const guint8 *bytes, size_t length)
 {
@@ -26,8 +42,9 @@
   for (int i = 0; i < step->spec->count && at + TASK_BYTES_MIN <= length; i++)
     {
       struct task *task = &step->tasks[i];
-      bool done = bytes[at] & RST_TASK_DONE_FLAG;
-      bool has_started = bytes[at] & RST_TASK_STARTED_FLAG;
+      guint8 flags = bytes[at];
+      bool done = flags & RST_TASK_DONE_FLAG;
+      bool has_started = flags & RST_TASK_STARTED_FLAG;
       int listed_failures = bytes[at + 1];
       int attempt;
 
@@ -42,6 +59,7 @@
       /* Only in the records of earlier versions. */
       for (int k = 0; k < listed_failures; k++)
         rst_failures_add (&task->failures, read_int32 (bytes, length, &at));
+      restore_starts (task, flags, bytes, length, &at);
       if (!done || task->done)
         continue;
       task->done = true;
@@ -66,14 +84,15 @@
       size_t length;
       const void *bytes = rst_reader_read_bytes (&in, &length);
 
-      restore_tasks (&occurrence->steps[i], bytes, length);
-      if (occurrence->steps[i].tasks_left > 0)
-        occurrence->steps_left++;
       for (int t = 0; t < occurrence->steps[i].spec->count; t++)
         {
-          occurrence->steps[i].tasks[t].in_doubt = true;
+          rst_plan_restore_intent (&occurrence->steps[i].tasks[t],
+                                   RST_STARTS_ANYWHERE, 0);
           rst_plan_clear_crashes (&occurrence->steps[i].tasks[t]);
         }
+      restore_tasks (&occurrence->steps[i], bytes, length);
+      if (occurrence->steps[i].tasks_left > 0)
+        occurrence->steps_left++;
     }
   reader->bad |= in.bad;
 }
@@ -343,12 +362,7 @@
   GList *runs = g_hash_table_get_values (instance->runs);
 
   for (GList *item = runs; item != NULL; item = item->next)
-    {
-      struct task *task = ((struct run *)item->data)->task;
-
-      rst_plan_run_remove (planner, item->data);
-      task->in_doubt = true;
-    }
+    rst_plan_run_remove (planner, item->data);
   g_list_free (runs);
 }
 
@@ -363,8 +377,7 @@
   discard_runs (planner, instance);
   instance->record_names_runs = false;
   instance->recorded = true;
-  instance->inherited = true;
-  planner->has_inherited = true;
+  rst_plan_set_inherited (planner, instance, true);
 }
 
 static void
@@ -396,8 +409,6 @@
       run->lost_after_ms = lost_after_ms;
       if (on_trial)
         rst_plan_begin_trial (run);
-      /* The run may have ended since, and the task may run elsewhere. */
-      task->in_doubt = true;
     }
   /* A job of which only orders were sent still waits. */
   if (task != NULL && !row.bad
@@ -421,7 +432,7 @@
     return;
   discard_runs (planner, instance);
   instance->recorded = false;
-  instance->inherited = false;
+  rst_plan_set_inherited (planner, instance, false);
   instance->record_names_runs = rows.count > 0;
   for (uint32_t i = 0; i < rows.count; i++)
     restore_run (planner, instance, &rows);
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "cell/pace.h"
+#include "cell/plan_intent.h"
 #include "cell/plan_locality.h"
 #include "cell/planner_private.h"
 
@@ -194,7 +195,7 @@
   struct start_batch *batch = get_start_batch (planner, instance->agent->link);
 
   rst_plan_run_new (planner, task, instance, attempt);
-  task->in_doubt = false;
+  task->inherited_starts = RST_STARTS_NOWHERE;
   count_start (planner, step->occurrence->job);
   batch->count++;
   rst_pack_array (&batch->rows, 5);
@@ -212,8 +213,11 @@
 void
 rst_plan_send_starts (struct rst_planner *planner, const struct step *step)
 {
-  const struct job *job = step->occurrence->job;
+  struct job *job = step->occurrence->job;
 
+  /* Its record still says that the tasks may be anywhere. */
+  if (planner->start_batches->len > 0)
+    rst_plan_mark_dirty (planner, job);
   for (guint i = 0; i < planner->start_batches->len; i++)
     {
       struct start_batch *batch
--- a/src/cell/plan_trial.c
+++ b/src/cell/plan_trial.c
@@ -8,6 +8,7 @@
    tasks of the job wait until its suspects are cleared. */
 #include <inttypes.h>
 
+#include "cell/plan_intent.h"
 #include "cell/plan_locality.h"
 #include "cell/planner_private.h"
 
@@ -440,7 +441,10 @@
                       && rst_plan_is_below_limit (step, 1);
            k++)
         {
-          start_trial (planner, task, room, task->attempt + 1);
+          if (rst_plan_has_intent (task))
+            start_trial (planner, task, room, task->attempt + 1);
+          else
+            left++;
           task = find_next_suspect (planner, step, &index);
         }
     }
@@ -467,6 +471,8 @@
     }
   if (free_slots < step->spec->count)
     return step->spec->count;
+  if (!rst_plan_step_has_intent (step))
+    return step->spec->count;
   rst_plan_begin_gang_attempt (step);
   for (guint i = 0; i < rooms->len; i++)
     {
@@ -539,6 +545,22 @@
   return slots;
 }
 
+/* The tasks keep their intent while their trial waits for its instances. */
+static void
+want_intents (struct rst_planner *planner, struct step *step)
+{
+  int index = 0;
+  struct task *task;
+
+  if (step->spec->gang)
+    {
+      rst_plan_want_step_intent (planner, step);
+      return;
+    }
+  while ((task = find_next_suspect (planner, step, &index)) != NULL)
+    rst_plan_want_intent (planner, task);
+}
+
 static void
 try_step (struct rst_planner *planner, struct step *step)
 {
@@ -561,6 +583,8 @@
   lacks_rooms = count_slots (rooms) < wanted;
   slots = limit_rooms (planner, rooms, wanted);
   lacks_rooms |= may_share_trial (step) && slots < wanted;
+  if (slots > 0)
+    want_intents (planner, step);
   if (!step->spec->gang)
     left = start_suspects (planner, step, rooms);
   else if (slots >= wanted)
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "cell/plan_locality.h"
+#include "cell/plan_intent.h"
 #include "cell/planner_private.h"
 
 /** Bits of a request's handle below the planner's epoch. */
@@ -71,6 +72,7 @@
   planner->instances = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                               rst_plan_instance_free);
   planner->instances_by_number = g_hash_table_new (NULL, NULL);
+  planner->inherited_places = g_hash_table_new (NULL, NULL);
   planner->ends_log = g_string_new (NULL);
   planner->advice_requests = g_hash_table_new_full (
       g_int64_hash, g_int64_equal, NULL, rst_plan_advice_request_free);
@@ -107,6 +109,7 @@
   if (planner == NULL)
     return;
   g_hash_table_destroy (planner->instances_by_number);
+  g_hash_table_destroy (planner->inherited_places);
   g_hash_table_destroy (planner->instances);
   g_string_free (planner->ends_log, TRUE);
   /* Before the requests, which its steps refer to. */
@@ -341,6 +344,7 @@
       rst_plan_begin_due_occurrences (planner);
       rst_plan_reject_unsent_jobs (planner);
       rst_plan_end_lost_requests (planner);
+      rst_plan_withdraw_intents (planner);
       planner->pass_wanted = true;
     }
   wake = planner->next_check_at;
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -4,8 +4,8 @@
  * planner.c: the public entry points and the main loop.  plan_jobs.c:
  * callers' requests, jobs and their steps.  plan_agents.c: agents and
  * the instances that they hold.  plan_instances.c: instances and reports.
- * plan_runs.c: runs, from the start order to the end.  plan_ends.c: ends that
- * wait to be stored.  plan_crash.c: which runs a crash of their instance is
+ * plan_runs.c: runs, from the start order to the end.  plan_intent.c: what the
+ * journal says of starts.  plan_ends.c: ends that wait to be stored.  plan_crash.c: which runs a crash of their instance is
  * attributed to.  plan_trial.c: trials of suspects.  plan_rank.c: the order
  * of waiting steps.  plan_place.c: placement of waiting tasks.  plan_limit.c:
  * upper limits of customers.  plan_speed.c: speeds of instances, learned from
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -50,6 +50,12 @@
 /** Flag of a task in the journal: a task of its job has started. */
 #define RST_TASK_STARTED_FLAG 2
 
+/** Flags of a task in the journal that tell where it may run, see
+    plan_intent.h: nowhere, or only on the instance whose key follows.  Without
+    either it may run anywhere, as in the records of earlier versions. */
+#define RST_TASK_NOWHERE_FLAG 4
+#define RST_TASK_ON_ONE_FLAG 8
+
 /**
  * enum rst_record_kind - Kinds of journal records; the first member of each.
  * @RST_RECORD_JOB: A job with its description and progress.
@@ -336,6 +342,19 @@
   bool is_probable;
 };
 
+/**
+ * enum rst_starts - Where a task may run according to its record.
+ * @RST_STARTS_NOWHERE: No start was ordered, or its run has certainly ended.
+ * @RST_STARTS_ON_ONE: On one instance.
+ * @RST_STARTS_ANYWHERE: On any instance.
+ */
+enum rst_starts
+{
+  RST_STARTS_NOWHERE,
+  RST_STARTS_ON_ONE,
+  RST_STARTS_ANYWHERE,
+};
+
 /** struct task - One task of a step. */
 struct task
 {
@@ -352,9 +371,15 @@
      beginning of this planner's term. */
   int attempt;
   int recorded_attempt;
-  /* Whether an instance inherited from the predecessor may run it although
-     no run is known. */
-  bool in_doubt;
+  /* Whether the journal contains the intent to start it, whether the commit
+     under way does, and when it was last wanted; see plan_intent.h. */
+  bool has_intent;
+  bool intent_packed;
+  rst_ms intent_wanted_at;
+  /* Where runs that earlier planners ordered may be, and the key of the
+     instance if that is a single one. */
+  enum rst_starts inherited_starts;
+  guint32 inherited_place;
   /* When its last run was removed. */
   rst_ms freed_at;
   /* Its last checkpoint, or NULL; unused in gangs. */
@@ -398,8 +423,10 @@
   GHashTable *approvals;
   /* When advice may be requested again. */
   rst_ms next_request_at;
-  /* Whether it is in the planner's waiting_steps. */
+  /* Whether it is in the planner's waiting_steps, and since when its tasks
+     may start as far as its job is concerned; 0 before. */
   bool enqueued;
+  rst_ms ready_at;
   /* Its position among the waiting steps; the lowest rank is placed first. */
   int64_t rank;
   /* Unix time up to which a start probably meets the objective. */
@@ -634,7 +661,9 @@
   bool acks_pending;
   /* Whether some instance is still inherited. */
   bool has_inherited;
-  /* When the last inherited instance was accounted for. */
+  /* Number of inherited instances for each key of plan_intent.c. */
+  GHashTable *inherited_places;
+  /* When an inherited instance was last accounted for. */
   rst_ms accounted_at;
   /* Whether something happened since the last placement pass. */
   bool pass_wanted;
--- a/test/unit/cancelled_id_test.cc
+++ b/test/unit/cancelled_id_test.cc
@@ -86,6 +86,7 @@
 {
   Planner planner;
 
+  planner.answers_commits = false;
   planner.start_serving (1);
   planner.send_call (1, RST_OPERATION_CANCEL, job);
   planner.advance_time (100);
--- a/test/unit/cell_harness.h
+++ b/test/unit/cell_harness.h
@@ -69,6 +69,9 @@
   std::vector<Reply> replies;
   std::vector<Commit> commits;
   bool is_committing = false;
+  // Whether the store answers a commit within 5 ms while the clock advances;
+  // otherwise only complete_commit() and settle() complete it.
+  bool answers_commits = true;
   rst_ms now = 0;
   int64_t clock = 5000;
   bool is_confirmed = true;
@@ -112,6 +115,11 @@
     for (rst_ms end = now + length; now < end;)
       {
         set_time (now + 5);
+        if (answers_commits && is_committing)
+          {
+            is_committing = false;
+            rst_planner_commit_done (planner);
+          }
         rst_planner_run (planner);
       }
   }
@@ -399,6 +407,21 @@
     return id;
   }
 
+  // Waits for the next start order and discards the commit that records where
+  // the task was placed, if there is one.  Returns the instance.
+  std::string
+  start_without_record ()
+  {
+    for (int i = 0; i < 100 && sent_of_kind (RST_MSG_START).empty (); i++)
+      advance_time (5);
+    if (sent_of_kind (RST_MSG_START).empty ())
+      return "";
+    if (is_committing)
+      commits.pop_back ();
+    is_committing = false;
+    return sent_of_kind (RST_MSG_START)[0].id;
+  }
+
   // Applies the journal of another planner.
   void
   restore (const Planner &predecessor)
--- a/test/unit/crashing_task_test.cc
+++ b/test/unit/crashing_task_test.cc
@@ -155,6 +155,7 @@
   Planner cell;
   rst_planner_stats stats;
 
+  cell.answers_commits = false;
   cell.start_serving (1);
   cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
   std::string id = await_start (cell, task_a0);
--- a/test/unit/first_attempt_test.cc
+++ b/test/unit/first_attempt_test.cc
@@ -56,6 +56,7 @@
 {
   Planner cell;
 
+  cell.answers_commits = false;
   reject_in_outage (&cell);
   /* The commit of the cancel is under way, so the job is in no commit. */
   cell.send_call (5, RST_OPERATION_CANCEL, "00000000000000ac");
--- a/test/unit/instance_clock_test.cc
+++ b/test/unit/instance_clock_test.cc
@@ -130,6 +130,7 @@
 {
   Planner cell;
 
+  cell.answers_commits = false;
   start_serving (cell, 1);
   cell.report (1, "i-0", {}, earlier_start);
   register_restarted (cell, "i-0");
--- a/test/unit/isolation_test.cc
+++ b/test/unit/isolation_test.cc
@@ -186,6 +186,7 @@
   const char *kept_job = "00000000000000ab";
   const char *late_job = "00000000000000ac";
 
+  cell.answers_commits = false;
   cell.start_serving (2);
   cell.send_call (1, RST_OPERATION_SUBMIT, sent_job,
                   Planner::make_job (1, 1000));
--- a/test/unit/journal_test.cc
+++ b/test/unit/journal_test.cc
@@ -149,6 +149,7 @@
 {
   Planner cell;
 
+  cell.answers_commits = false;
   cell.start_serving (1);
   cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
   cell.settle ();
--- a/test/unit/overload_test.cc
+++ b/test/unit/overload_test.cc
@@ -199,6 +199,7 @@
   Planner cell;
   rst_planner_stats stats;
 
+  cell.answers_commits = false;
   cell.start_serving (2);
   cell.send_call (1, RST_OPERATION_SUBMIT, make_id (1),
                   Planner::make_job (1, 1000));
--- a/test/unit/partial_view_test.cc
+++ b/test/unit/partial_view_test.cc
@@ -54,6 +54,8 @@
   Planner predecessor (1, 1);
   Planner successor (2);
 
+  predecessor.answers_commits = false;
+  successor.answers_commits = false;
   predecessor.start_serving (1);
   predecessor.start_job (job_a);
   submit_large_jobs (predecessor);
--- a/test/unit/planner_test.cc
+++ b/test/unit/planner_test.cc
@@ -17,6 +17,7 @@
 {
   Planner cell;
 
+  cell.answers_commits = false;
   cell.start_serving (1);
   cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
   cell.advance_time (40);
@@ -33,6 +34,7 @@
 {
   Planner cell;
 
+  cell.answers_commits = false;
   cell.start_serving (1);
   cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
   cell.settle ();
@@ -172,6 +174,7 @@
 {
   Planner cell;
 
+  cell.answers_commits = false;
   cell.start_serving (1);
   cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (2, 1000));
   cell.settle ();
@@ -304,6 +307,7 @@
 {
   Planner cell;
 
+  cell.answers_commits = false;
   cell.start_serving (1);
   cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
   cell.settle ();
@@ -492,6 +496,7 @@
   const char *kept_job = "00000000000000ab";
   const char *late_job = "00000000000000ac";
 
+  cell.answers_commits = false;
   cell.start_serving (2);
   cell.send_call (1, RST_OPERATION_SUBMIT, sent_job,
                   Planner::make_job (1, 1000));
@@ -584,6 +589,7 @@
 {
   Planner cell;
 
+  cell.answers_commits = false;
   cell.start_serving (8, true);
   cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (2, 1000));
   cell.advance_time (5);
--- a/test/unit/suspect_trial_test.cc
+++ b/test/unit/suspect_trial_test.cc
@@ -93,6 +93,7 @@
   Planner cell;
   int attempt = 0;
 
+  cell.answers_commits = false;
   cell.start_serving (1);
   cell.send_call (7, RST_OPERATION_SUBMIT, job_a, Planner::make_job (1, 1000));
   ASSERT_EQ (await_start (cell, task_a0), "i-0");
