--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -5,16 +5,16 @@
  * callers' requests, jobs and their steps.  plan_agents.c: agents and
  * the instances that they hold.  plan_instances.c: instances and reports.
  * plan_runs.c: runs, from the start order to the end.  plan_intent.c: what the
- * journal says of starts.  plan_ends.c: ends that wait to be stored.  plan_crash.c: which runs a crash of their instance is
- * attributed to.  plan_trial.c: trials of suspects.  plan_rank.c: the order
- * of waiting steps.  plan_place.c: placement of waiting tasks.  plan_limit.c:
- * upper limits of customers.  plan_speed.c: speeds of instances, learned from
- * their runs.  plan_admission.c: which jobs are rejected under overload.
- * plan_pace.c: the pace of best-effort tasks.  plan_advice.c: requests to the
- * advice service.  plan_locality.c: racks of steps, and waits for them.
- * plan_rack_choice.c: one rack for all tasks of a step.  plan_journal.c: which
- * records are committed when; plan_record.c writes records, plan_restore.c
- * reads them.
+ * journal says of starts.  plan_ends.c: ends that wait to be stored.
+ * plan_crash.c: which runs a crash of their instance is attributed to.
+ * plan_trial.c: trials of suspects.  plan_rank.c: the order of waiting steps.
+ * plan_place.c: placement of waiting tasks.  plan_limit.c: upper limits of
+ * customers.  plan_speed.c: speeds of instances, learned from their runs.
+ * plan_admission.c: which jobs are rejected under overload. plan_pace.c: the
+ * pace of best-effort tasks.  plan_advice.c: requests to the advice service.
+ * plan_locality.c: racks of steps, and waits for them. plan_rack_choice.c: one
+ * rack for all tasks of a step.  plan_journal.c: which records are committed
+ * when; plan_record.c writes records, plan_restore.c reads them.
  */
 #ifndef RST_PLANNER_PRIVATE_H
 #define RST_PLANNER_PRIVATE_H
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -14,6 +14,7 @@
 #include "cell/failures.h"
 #include "cell/fault_private.h"
 #include "cell/instance_speed.h"
+#include "cell/journal_private.h"
 #include "cell/locality_state_private.h"
 #include "cell/planner.h"
 #include "util/log.h"
@@ -44,40 +45,6 @@
     the factor RST_SLOW_CLOCK_PERCENT. */
 #define RST_LEASE_MARGIN_MS 300
 
-/** Flag of a task in the journal: the task is done. */
-#define RST_TASK_DONE_FLAG 1
-
-/** Flag of a task in the journal: a task of its job has started. */
-#define RST_TASK_STARTED_FLAG 2
-
-/** Flags of a task in the journal that tell where it may run, see
-    plan_intent.h: nowhere, or only on the instance whose key follows.  Without
-    either it may run anywhere, as in the records of earlier versions. */
-#define RST_TASK_NOWHERE_FLAG 4
-#define RST_TASK_ON_ONE_FLAG 8
-
-/**
- * enum rst_record_kind - Kinds of journal records; the first member of each.
- * @RST_RECORD_JOB: A job with its description and progress.
- * @RST_RECORD_PROGRESS: The progress of a job recorded earlier.
- * @RST_RECORD_INSTANCE: An instance that takes starts.
- * @RST_RECORD_QUEUE: The settings of a queue.
- * @RST_RECORD_INSTANCE_UNREACHABLE: An unreachable instance, what it may still
- * run and until when.
- * @RST_RECORD_JOB_ENDED: An ended job without its steps.
- * @RST_RECORD_CANCELLED_ID: A note that an id was cancelled which no job had.
- */
-enum rst_record_kind
-{
-  RST_RECORD_JOB = 1,
-  RST_RECORD_PROGRESS,
-  RST_RECORD_INSTANCE,
-  RST_RECORD_QUEUE,
-  RST_RECORD_INSTANCE_UNREACHABLE,
-  RST_RECORD_JOB_ENDED,
-  RST_RECORD_CANCELLED_ID,
-};
-
 /** struct agent - An agent connected over a link. */
 struct agent
 {
