--- a/src/cell/placement_private.h
+++ b/src/cell/placement_private.h
@@ -87,9 +87,14 @@
 int rst_plan_count_slots (const struct instance *instance,
                           const struct step *step);
 
+/** rst_plan_count_unreserved_slots() - The same beside its runs only, for any
+    number of the step's tasks on one instance. */
+int rst_plan_count_unreserved_slots (const struct instance *instance,
+                                     const struct step *step);
+
 /** rst_plan_reserve_slots() - Reserves room for tasks during this pass. */
-void rst_plan_reserve_slots (struct instance *instance,
-                             const struct step *step, int slots);
+void rst_plan_reserve_slots (struct instance *instance, struct step *step,
+                             int slots);
 
 /* plan_pace.c */
 
@@ -146,6 +151,11 @@
  */
 bool rst_plan_is_below_limit (const struct step *step, int tasks);
 
+/** rst_plan_is_below_limit_without_doubt() - The same if tasks in doubt did
+    not count. */
+bool rst_plan_is_below_limit_without_doubt (const struct step *step,
+                                            int tasks);
+
 void rst_plan_count_in_doubt (struct rst_planner *planner);
 
 /* plan_admission.c */
--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -214,6 +214,7 @@
       || !rst_plan_occurrence_is_due (step->occurrence))
     return;
   step->enqueued = true;
+  rst_plan_wait_begin (planner, step);
   rst_plan_set_objective (step);
   g_ptr_array_add (planner->waiting_steps, step);
 }
@@ -301,6 +302,7 @@
           if (step->enqueued)
             g_ptr_array_remove_fast (planner->waiting_steps, step);
           step->enqueued = false;
+          rst_plan_wait_end (planner, step);
           rst_plan_end_rack_step (planner, step);
           for (int t = 0; t < step->spec->count; t++)
             if (step->tasks[t].run != NULL)
--- a/src/cell/plan_limit.c
+++ b/src/cell/plan_limit.c
@@ -10,20 +10,36 @@
   return limit == 0 || used + need * tasks <= limit;
 }
 
-bool
-rst_plan_is_below_limit (const struct step *step, int tasks)
+/* Whether the limit allows @tasks more tasks of a step beside what is used. */
+static bool
+allows_tasks (const struct step *step, const struct rst_resources *used,
+              int tasks)
 {
   const struct customer *customer = step->occurrence->job->customer;
   const struct rst_resources *limit = &customer->settings.limit;
   struct rst_resources need = rst_step_get_task_need (step->spec);
-  struct rst_resources used = customer->used;
 
   if (RST_CELL_FAULT (RST_CELL_FAULT_IGNORE_LIMIT))
     return true;
+  return is_within_limit (limit->cpu, used->cpu, need.cpu, tasks)
+         && is_within_limit (limit->memory, used->memory, need.memory, tasks)
+         && is_within_limit (limit->gpu, used->gpu, need.gpu, tasks);
+}
+
+bool
+rst_plan_is_below_limit (const struct step *step, int tasks)
+{
+  const struct customer *customer = step->occurrence->job->customer;
+  struct rst_resources used = customer->used;
+
   rst_resources_add (&used, &customer->in_doubt, 1);
-  return is_within_limit (limit->cpu, used.cpu, need.cpu, tasks)
-         && is_within_limit (limit->memory, used.memory, need.memory, tasks)
-         && is_within_limit (limit->gpu, used.gpu, need.gpu, tasks);
+  return allows_tasks (step, &used, tasks);
+}
+
+bool
+rst_plan_is_below_limit_without_doubt (const struct step *step, int tasks)
+{
+  return allows_tasks (step, &step->occurrence->job->customer->used, tasks);
 }
 
 static void
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -14,28 +14,48 @@
 #define RESERVING_GANGS_MIN 3
 #define INSTANCES_PER_RESERVING_GANG 32
 
-int
-rst_plan_count_slots (const struct instance *instance, const struct step *step)
+/* Number of a step's tasks that fit the resources that are available. */
+static int
+count_slots_in (const struct rst_resources *available, const struct step *step)
 {
   struct rst_resources need = rst_step_get_task_need (step->spec);
-  struct rst_resources available = instance->entry.capacity;
   int64_t slots = step->spec->count;
 
-  if (RST_CELL_FAULT (RST_CELL_FAULT_IGNORE_CAPACITY))
-    return (int)slots;
-  rst_resources_add (&available, &instance->used, -1);
-  rst_resources_add (&available, &instance->reserved, -1);
   if (need.cpu > 0)
-    slots = MIN (slots, available.cpu / need.cpu);
+    slots = MIN (slots, available->cpu / need.cpu);
   if (need.memory > 0)
-    slots = MIN (slots, available.memory / need.memory);
+    slots = MIN (slots, available->memory / need.memory);
   if (need.gpu > 0)
-    slots = MIN (slots, available.gpu / need.gpu);
-  if (step->spec->max_per_instance > 0)
-    slots = MIN (slots, step->spec->max_per_instance);
+    slots = MIN (slots, available->gpu / need.gpu);
   return (int)MAX (slots, 0);
 }
 
+int
+rst_plan_count_slots (const struct instance *instance, const struct step *step)
+{
+  struct rst_resources available = instance->entry.capacity;
+  int slots;
+
+  if (RST_CELL_FAULT (RST_CELL_FAULT_IGNORE_CAPACITY))
+    return step->spec->count;
+  rst_resources_add (&available, &instance->used, -1);
+  rst_resources_add (&available, &instance->reserved, -1);
+  slots = count_slots_in (&available, step);
+  return step->spec->max_per_instance > 0
+             ? MIN (slots, step->spec->max_per_instance)
+             : slots;
+}
+
+int
+rst_plan_count_unreserved_slots (const struct instance *instance,
+                                 const struct step *step)
+{
+  struct rst_resources available = instance->entry.capacity;
+
+  rst_resources_add (&available, &instance->used, -1);
+  return count_slots_in (&available, step);
+}
+
 int
 rst_plan_count_tasks_on (const struct instance *instance,
                          const struct step *step)
@@ -326,11 +346,12 @@
 }
 
 void
-rst_plan_reserve_slots (struct instance *instance, const struct step *step,
+rst_plan_reserve_slots (struct instance *instance, struct step *step,
                         int slots)
 {
   struct rst_resources need = rst_step_get_task_need (step->spec);
 
+  step->wait.reserved += slots;
   rst_resources_add (&instance->reserved, &need, slots);
 }
 
@@ -526,9 +547,11 @@
       struct step *step = g_ptr_array_index (planner->waiting_steps, i);
 
       step->rank = rst_plan_compute_rank (planner, step);
+      step->wait.reserved = 0;
       if (step->tasks_waiting > 0)
         continue;
       step->enqueued = false;
+      rst_plan_wait_end (planner, step);
       g_ptr_array_remove_index_fast (planner->waiting_steps, i);
     }
   g_ptr_array_sort (planner->waiting_steps, compare_ranks);
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -341,6 +341,7 @@
       rst_plan_begin_due_occurrences (planner);
       rst_plan_reject_unsent_jobs (planner);
       rst_plan_end_lost_requests (planner);
+      planner->wait.is_due = true;
       planner->pass_wanted = true;
     }
   wake = planner->next_check_at;
@@ -353,6 +354,7 @@
           = planner->now + PASS_INTERVAL_MS
             + planner->waiting_steps->len / PASS_STEPS_PER_MS;
       rst_plan_place_steps (planner);
+      rst_plan_wait_check (planner);
     }
   else if (planner->pass_wanted)
     wake = MIN (wake, planner->next_pass_at);
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -12,7 +12,8 @@
  * their runs.  plan_admission.c: which jobs are rejected under overload.
  * plan_pace.c: the pace of best-effort tasks.  plan_advice.c: requests to the
  * advice service.  plan_locality.c: racks of steps, and waits for them.
- * plan_rack_choice.c: one rack for all tasks of a step.  plan_journal.c: which
+ * plan_rack_choice.c: one rack for all tasks of a step.  plan_wait.c: why
+ * steps wait; plan_wait_record.c counts and logs it.  plan_journal.c: which
  * records are committed when; plan_record.c writes records, plan_restore.c
  * reads them.
  */
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -15,6 +15,7 @@
 #include "cell/fault_private.h"
 #include "cell/instance_speed.h"
 #include "cell/locality_state_private.h"
+#include "cell/plan_wait.h"
 #include "cell/planner.h"
 #include "util/log.h"
 
@@ -420,6 +421,7 @@
   bool speed_runs_compared;
   /* Data locality. */
   struct step_locality locality;
+  struct step_wait wait;
 };
 
 /** struct occurrence - One execution of all steps of a job. */
@@ -679,6 +681,7 @@
   bool isolated;
   /* Data locality. */
   struct planner_locality locality;
+  struct planner_wait wait;
 };
 
 #endif
--- a/src/cell/planstats.h
+++ b/src/cell/planstats.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "cell/locality.h"
+#include "cell/plan_wait.h"
 #include "util/histogram.h"
 
 /** Number of ways in which a run can end; see enum rst_end. */
@@ -59,6 +60,11 @@
  * @rack_waits: Waits of steps for room in their rack.
  * @rack_wait_ends: Waits that ended, by why the step starts elsewhere;
  *   RST_LOCALITY_WAIT counts those that ended with room.
+ * @waiting_by_reason: Of @waiting_steps, those that wait for each reason, as
+ *   of the last check.
+ * @longest_wait_ms: The longest present wait of a step.
+ * @step_wait_ms: How long steps waited for a reason, by enum rst_wait_reason;
+ *   counted when the reason ends.
  * @slow_instances: Registered instances that count as slow.
  * @slow_found: Times that an instance was found to be slow.
  * @speed_samples: Ended runs that were compared with others of their step.
@@ -108,6 +114,10 @@
   /* Data locality. */
   uint64_t rack_waits;
   uint64_t rack_wait_ends[RST_LOCALITY_REASONS];
+  /* Waits of steps (plan_wait.c). */
+  uint64_t waiting_by_reason[RST_WAIT_REASONS];
+  uint64_t longest_wait_ms;
+  struct rst_histogram step_wait_ms[RST_WAIT_REASONS];
   /* Heterogeneous instances (plan_speed.c). */
   uint64_t slow_instances;
   uint64_t slow_found;
--- a/src/daemon/cell_metrics.c
+++ b/src/daemon/cell_metrics.c
@@ -114,6 +114,36 @@
     }
 }
 
+void
+rst_cell_metrics_add_waits (GString *page,
+                            const struct rst_planner_stats *stats)
+{
+  rst_metrics_add_gauge (page, "longest_wait_seconds",
+                         "Longest present wait of a step.",
+                         (double)stats->longest_wait_ms / 1000.0);
+  rst_metrics_begin_family (page, "waiting_steps_by_reason", "gauge",
+                            "Waiting steps, by why they do not start.");
+  for (int i = 0; i < RST_WAIT_REASONS; i++)
+    {
+      struct rst_metrics_label label
+          = { "reason", rst_wait_reason_name ((enum rst_wait_reason)i) };
+
+      rst_metrics_add_sample (page, "waiting_steps_by_reason", label,
+                              (double)stats->waiting_by_reason[i]);
+    }
+  rst_metrics_begin_family (page, "step_wait_seconds", "histogram",
+                            "Time for which a step waited for one reason.");
+  for (int i = 0; i < RST_WAIT_REASONS; i++)
+    {
+      struct rst_metrics_label label
+          = { "reason", rst_wait_reason_name ((enum rst_wait_reason)i) };
+
+      if (stats->step_wait_ms[i].total > 0)
+        rst_metrics_add_histogram (page, "step_wait_seconds", label,
+                                   &stats->step_wait_ms[i]);
+    }
+}
+
 static void
 add_sizes (GString *page, const struct rst_planner_stats *stats)
 {
@@ -301,6 +331,7 @@
       add_counters (page, &stats);
       add_ends (page, &stats);
       add_rack_waits (page, &stats);
+      rst_cell_metrics_add_waits (page, &stats);
       add_latencies (page, &stats);
       add_queues (page, planner);
     }
--- a/src/daemon/cell_metrics.h
+++ b/src/daemon/cell_metrics.h
@@ -54,6 +54,10 @@
 char *rst_call_metrics_format_page (const struct rst_call_stats *stats,
                                     unsigned pending_calls, bool ready);
 
+/** rst_cell_metrics_add_waits() - Appends why steps wait, and for how long. */
+void rst_cell_metrics_add_waits (GString *page,
+                                 const struct rst_planner_stats *stats);
+
 /**
  * rst_cell_metrics_format_page() - Formats the metrics page of celld.
  * @limits: What was rejected and closed to stay within the limits.
--- a/test/unit/instance_entry_test.cc
+++ b/test/unit/instance_entry_test.cc
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "cell_harness.h"
+#include "log_recorder.h"
 
 extern "C"
 {
@@ -13,6 +14,7 @@
 #include "transport/transport.h"
 }
 
+using harness::LogRecorder;
 using harness::Planner;
 using harness::Sent;
 
@@ -97,60 +99,6 @@
   return run;
 }
 
-// While it exists, records the messages and named values that are logged.
-class LogRecorder
-{
-public:
-  LogRecorder ()
-  {
-    static const bool is_installed = install ();
-
-    lines.clear ();
-    is_active = is_installed;
-  }
-  ~LogRecorder () { is_active = false; }
-  LogRecorder (const LogRecorder &) = delete;
-  LogRecorder &operator= (const LogRecorder &) = delete;
-
-  static int
-  count (const std::string &text)
-  {
-    int found = 0;
-
-    for (const std::string &line : lines)
-      found += line.find (text) != std::string::npos ? 1 : 0;
-    return found;
-  }
-
-private:
-  static inline std::vector<std::string> lines;
-  static inline bool is_active = false;
-
-  // GLib's writer may be set only once.
-  static bool
-  install ()
-  {
-    g_log_set_writer_func (record, nullptr, nullptr);
-    return true;
-  }
-
-  static GLogWriterOutput
-  record (GLogLevelFlags level, const GLogField *fields, gsize count,
-          gpointer data)
-  {
-    std::string line;
-
-    if (!is_active)
-      return g_log_writer_default (level, fields, count, data);
-    for (gsize i = 0; i < count; i++)
-      if (std::string (fields[i].key) == "MESSAGE"
-          || g_ascii_islower (fields[i].key[0]))
-        line += std::string ((const char *)fields[i].value) + " ";
-    lines.push_back (line);
-    return G_LOG_WRITER_HANDLED;
-  }
-};
-
 // Whether an agent is told to hold an instance that has this entry.
 static bool
 is_used (const std::string &value)
