--- a/test/unit/wait_reason_test.cc
+++ b/test/unit/wait_reason_test.cc
@@ -246,6 +246,19 @@
   EXPECT_EQ (get_reasons (cell), "instances paused");
 }
 
+TEST (WaitReason, SaysThatTheOnlyInstanceIsPausedAfterAFailedStart)
+{
+  Planner cell;
+
+  cell.start_serving (1);
+  submit (cell, job_a, Planner::make_job (1, 1000));
+  ASSERT_EQ (cell.sent_of_kind (RST_MSG_START).size (), 1u);
+  cell.answer_order (1, RST_MSG_STARTED, "i-0", task_a0, 1,
+                     RST_RESULT_REJECTED);
+  cell.advance_time (150);
+  EXPECT_EQ (get_reasons (cell), "instances paused");
+}
+
 TEST (WaitReason, SaysThatInstancesThatDoNotAnswerTakeNoStarts)
 {
   Planner cell;
@@ -368,6 +381,20 @@
   EXPECT_EQ (get_reasons (cell), "not approved");
 }
 
+// The gang keeps the room on the one that is approved; that does not count as
+// reserved for others.
+TEST (WaitReason, SaysThatTooFewInstancesAreApprovedForAGang)
+{
+  Planner cell;
+
+  cell.start_serving (2, true);
+  submit (cell, job_a, Planner::make_job (2, 4000, true));
+  cell.send_advice (1, cell.sent_of_kind (RST_MSG_ADVISE)[0].number,
+                    { "i-0" });
+  check (cell);
+  EXPECT_EQ (get_reasons (cell), "not approved");
+}
+
 // The ticket has ended when the task has to start again, and the only agent is
 // busy with other requests.
 TEST (WaitReason, SaysThatNoTicketIsValid)
