--- a/src/cell/plan_jobs.c
+++ b/src/cell/plan_jobs.c
@@ -216,6 +216,7 @@
   step->enqueued = true;
   if (step->ready_at == 0)
     step->ready_at = planner->now;
+  rst_plan_wait_begin (planner, step);
   rst_plan_set_objective (step);
   g_ptr_array_add (planner->waiting_steps, step);
 }
@@ -303,6 +304,7 @@
           if (step->enqueued)
             g_ptr_array_remove_fast (planner->waiting_steps, step);
           step->enqueued = false;
+          rst_plan_wait_end (planner, step);
           rst_plan_end_rack_step (planner, step);
           for (int t = 0; t < step->spec->count; t++)
             if (step->tasks[t].run != NULL)
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -345,6 +345,7 @@
       rst_plan_reject_unsent_jobs (planner);
       rst_plan_end_lost_requests (planner);
       rst_plan_withdraw_intents (planner);
+      planner->wait.is_due = true;
       planner->pass_wanted = true;
     }
   wake = planner->next_check_at;
@@ -357,6 +358,7 @@
           = planner->now + PASS_INTERVAL_MS
             + planner->waiting_steps->len / PASS_STEPS_PER_MS;
       rst_plan_place_steps (planner);
+      rst_plan_wait_check (planner);
     }
   else if (planner->pass_wanted)
     wake = MIN (wake, planner->next_pass_at);
