A step held by the customer's limit says what uses the limit up

Cause: "Step waits." with the reason "limit" named none of the inputs that decide. It now gives the customer, its limit, its use and its tasks in doubt.

--- a/src/cell/plan_wait_record.c
+++ b/src/cell/plan_wait_record.c
@@ -70,6 +70,23 @@
   return out;
 }
 
+/** struct resources_text - Resources as text: cpu/memory/gpu. */
+struct resources_text
+{
+  char text[72];
+};
+
+static struct resources_text
+format_resources (const struct rst_resources *resources)
+{
+  struct resources_text out;
+
+  g_snprintf (out.text, sizeof out.text, "%" PRId64 "/%" PRId64 "/%" PRId64,
+              (int64_t)resources->cpu, (int64_t)resources->memory,
+              (int64_t)resources->gpu);
+  return out;
+}
+
 static void
 format_step_name (const struct step *step, char *out, size_t size)
 {
@@ -197,6 +214,12 @@
   const struct rst_wait_room *room = &inputs->room;
   const struct instance *missing = inputs->missing_instance;
   bool needs_approval = step->occurrence->job->queue->settings.needs_approval;
+  const struct customer *customer = step->occurrence->job->customer;
+  bool is_limited = step->wait.reason == RST_WAIT_LIMIT
+                    || step->wait.reason == RST_WAIT_LIMIT_IN_DOUBT;
+  struct resources_text limit = format_resources (&customer->settings.limit);
+  struct resources_text used = format_resources (&customer->used);
+  struct resources_text in_doubt = format_resources (&customer->in_doubt);
   char name[RST_TASK_NAME_SIZE];
   char tasks[32];
   struct number_text waited = format_number (get_waited_ms (planner, step));
@@ -224,7 +247,11 @@
             "with_ticket", needs_approval ? tickets.text : NULL, "missing",
             missing != NULL ? missing_count.text : NULL, "instance",
             missing != NULL ? missing->entry.id : NULL, "lease_ms",
-            lease.text[0] != '\0' ? lease.text : NULL);
+            lease.text[0] != '\0' ? lease.text : NULL, "customer",
+            is_limited ? customer->settings.name : NULL, "limit",
+            is_limited ? limit.text : NULL, "used",
+            is_limited ? used.text : NULL, "in_doubt",
+            is_limited ? in_doubt.text : NULL);
 }
 
 /* Returns the wait at which a step's next line is logged. */
--- a/test/unit/wait_reason_test.cc
+++ b/test/unit/wait_reason_test.cc
@@ -480,6 +480,20 @@
              std::string::npos);
 }
 
+TEST (WaitReason, LogsWhatUsesUpTheLimit)
+{
+  Planner cell;
+  LogRecorder log;
+
+  cell.start_serving (1, false, 1000);
+  submit (cell, job_a, Planner::make_job (2, 1000));
+  cell.advance_time (2100);
+  std::string line = LogRecorder::find ("Step waits.");
+
+  for (const char *text : { ".0.0 limit ", "c 1000/0/0 1000/10/0 0/0/0 " })
+    EXPECT_NE (line.find (text), std::string::npos) << text << "\n" << line;
+}
+
 // A step that starts within 2 s is not logged.
 TEST (WaitReason, LogsNoShortWait)
 {
