A waiting gang holds its part of its customer's limit

Steps are placed by rank, but a gang above its customer's limit left what was free of it to each step after it, so a customer with more work than its limit never started its widest gangs while they were in time.

Design: like room, the limit is kept in the order of rank. In each pass a gang that stays waiting holds its need; it holds nothing if its job has no value any more, if it does not fit the limit beside those ranked before it, or if the instances that it may use would not hold it when idle.

--- a/test/unit/customer_limit_test.cc
+++ b/test/unit/customer_limit_test.cc
@@ -41,10 +41,13 @@
   }
 
   void
-  submit_gang (int tasks)
+  submit_gang (int tasks, const char *label = "")
   {
-    cell.send_call (8, RST_OPERATION_SUBMIT, gang_id,
-                    Planner::make_job (tasks, task_cpu, true));
+    rst_jobdesc *desc = Planner::make_job (tasks, task_cpu, true);
+
+    g_free (desc->steps[0].label);
+    desc->steps[0].label = g_strdup (label);
+    cell.send_call (8, RST_OPERATION_SUBMIT, gang_id, desc);
     advance_time ();
   }
 
@@ -157,6 +160,15 @@
   EXPECT_EQ (load.single_starts, 8 + 6);
 }
 
+TEST (CustomerLimit, HoldsNothingForAGangThatNoInstanceMayRun)
+{
+  BusyCustomer load (false, 8);
+
+  load.submit_gang (4, "absent");
+  EXPECT_EQ (load.count_ends_before_gang (6), 6);
+  EXPECT_EQ (load.single_starts, 8 + 6);
+}
+
 // The gang's job has no value any more after three times its objective of
 // 3,500 ms.
 TEST (CustomerLimit, HoldsNothingForAGangWithoutValue)
