cell-fuzz: bound how long a ready task waits while there is room (WAIT)

The oracle looked for jobs that don't finish only at the end of a run, after all instances were back, and no instance ever left for good, so a successor that holds all tasks for one lease was never seen.

Excluded: tasks last ordered on an instance that is away, until its lease is certainly over; jobs that may have failed; jobs with a possible crash suspect, whose time is counted apart and printed.

--leaving 1 lets instances go for good, drained or not, in series, with hand-overs during or after them, and others come.

The fault WAIT_FOR_ALL (21) has no effect yet; it is for the mend.

--- a/src/cell/fault_private.h
+++ b/src/cell/fault_private.h
@@ -44,6 +44,8 @@
  * @RST_CELL_FAULT_CUT_FAILURES: A successor forgets failed runs above 16.
  * @RST_CELL_FAULT_REJECT_COMMITTING: A submission is rejected while the commit
  *   with its job is out.
+ * @RST_CELL_FAULT_WAIT_FOR_ALL: A successor starts no task of an earlier job
+ *   until it knows the runs of all instances of its predecessor.
  */
 enum rst_cell_fault_kind
 {
@@ -68,6 +70,7 @@
   RST_CELL_FAULT_COUNT_ORDERS,
   RST_CELL_FAULT_CUT_FAILURES,
   RST_CELL_FAULT_REJECT_COMMITTING,
+  RST_CELL_FAULT_WAIT_FOR_ALL,
 };
 
 #ifdef RST_FAULTS
--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -5,7 +5,7 @@
 //             [--outlive 1] [--partitions 1] [--repeating 1] [--sequences 1]
 //             [--listed-ends N] [--clock-steps 1] [--crashing 1]
 //             [--resizing 1] [--refusals 1] [--racks 1]
-//             [--speeds 1] [--attempts N] [--stops 1]
+//             [--speeds 1] [--attempts N] [--stops 1] [--leaving 1]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
 // --fault selects a deliberate fault; see cell/fault_private.h.  It has an
@@ -30,10 +30,14 @@
 // and lets some tasks always fail.
 // --stops draws planned stops, most of them of the planner, also in series,
 // and half of them while the store gives no answers.
+// --leaving lets instances go for good in series around hand-overs of the
+// planner, with fewer jobs and in a network that can be cut; see leaving.h.
 // --sequences draws faults as sequences in the order of events, in a network
 // that can be cut, and freezes processes in pieces; see sequences.h.
+#include "leaving.h"
 #include "partitions.h"
 #include "sequences.h"
+#include "waits.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -67,6 +71,7 @@
   bool has_late_calls = false;
   bool reads_pending = false;
   bool has_stops = false;
+  bool has_leaving = false;
   // Largest number of failed runs that is drawn for "attempts"; 0 for 3.
   int attempts_max = 0;
 };
@@ -334,11 +339,19 @@
 static bool
 run_seed (uint64_t seed, const Options &options)
 {
-  World world (seed, 5, 12, options.has_partitions || options.has_sequences,
+  World world (seed, 5, 12,
+               options.has_partitions || options.has_sequences
+                   || options.has_leaving,
                options.has_refusals, options.has_racks, options.has_speeds);
   // Fewer of the other faults, so that partitions meet a cell at work.
   double node_fault_probability = world.has_partitions ? 0.01 : 0.03;
   double instance_fault_probability = 0.03;
+  // Few enough that there is room while instances leave.
+  double job_probability = options.has_leaving ? 0.3 : 0.6;
+  // Departures alone meet a cell without other faults.
+  bool has_other_faults = !options.has_leaving || options.has_partitions
+                          || options.has_sequences;
+  WaitOracle waits (world);
   Millis start = world.now ();
   Millis end = start + options.seconds * 1000;
   Millis settle_ms
@@ -358,6 +371,7 @@
   world.pauses_in_pieces = options.has_sequences;
   if (options.attempts_max > 0)
     world.set_attempts (1 + world.draw_below (options.attempts_max));
+  waits.begin ();
   world.run_until (start + 3000);
   if (options.has_sequences)
     {
@@ -366,10 +380,16 @@
       instance_fault_probability = 0.0;
       begin_sequences (world);
     }
+  if (options.has_leaving)
+    {
+      node_fault_probability = 0.0;
+      instance_fault_probability = 0.0;
+      begin_departures (world);
+    }
   while (world.now () < end)
     {
       world.run_until (world.now () + 50 + world.draw_below (100));
-      if (world.draw_unit () < 0.6)
+      if (world.draw_unit () < job_probability)
         world.submit (format_job_id (++jobs), draw_job (world));
       if (options.has_late_calls && world.draw_unit () < 0.15)
         submit_and_cancel (world, format_job_id (++jobs));
@@ -387,7 +407,7 @@
         inject_instance_fault (world);
       if (options.has_resizing && world.draw_unit () < 0.1)
         resize_any_instance (world);
-      if (world.draw_unit () < 0.02)
+      if (world.draw_unit () < 0.02 && has_other_faults)
         draw_fault_probabilities (world);
       if (options.has_partitions && world.draw_unit () < 0.025)
         inject_partition (world);
@@ -407,6 +427,9 @@
   unfinished = report_unfinished_jobs (world);
   for (auto &violation : world.violations)
     printf ("violated: %s\n", violation.c_str ());
+  printf ("waits: longest %lld ms, of jobs with suspects %lld ms\n",
+          (long long)waits.get_longest_ms (),
+          (long long)waits.get_longest_suspect_ms ());
   printf ("seed %llu: %d jobs, %d completed, %d unfinished, %zu violated\n",
           (unsigned long long)seed, jobs, world.count_completed_jobs (),
           unfinished, world.violations.size ());
@@ -458,6 +481,8 @@
         options.reads_pending = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--stops") == 0)
         options.has_stops = atoi (argv[i + 1]) != 0;
+      else if (strcmp (argv[i], "--leaving") == 0)
+        options.has_leaving = atoi (argv[i + 1]) != 0;
       else if (strcmp (argv[i], "--attempts") == 0)
         options.attempts_max = atoi (argv[i + 1]);
       else if (strcmp (argv[i], "--sequences") == 0)
--- a/test/cell/instance_calls.cc
+++ b/test/cell/instance_calls.cc
@@ -173,6 +173,12 @@
   order.last_acked_end = call.last_acked_end;
   if (kind == ORDER_START)
     check_attempt (order);
+  if (instance != nullptr && kind == ORDER_POLL
+      && order.fencing_token >= instance->holder_token)
+    {
+      instance->holder = &node;
+      instance->holder_token = order.fencing_token;
+    }
   copy->node = &node;
   copy->node_incarnation = node.incarnation;
   copy->instance = instance;
--- a/test/cell/instances.cc
+++ b/test/cell/instances.cc
@@ -177,15 +177,19 @@
   return early_ms + (has_partitions ? early_with_jumping_clocks_ms : 0);
 }
 
+const rst_resources &
+World::get_need (const std::string &task)
+{
+  return jobs[get_job_id (task)].desc->steps[get_step_index (task)].need;
+}
+
 int64_t
 World::sum_running_cpu (const Instance &instance)
 {
   int64_t cpu = 0;
 
   for (auto &entry : instance.runs)
-    cpu += jobs[get_job_id (entry.first)]
-               .desc->steps[get_step_index (entry.first)]
-               .need.cpu;
+    cpu += get_need (entry.first).cpu;
   return cpu;
 }
 
@@ -617,6 +621,8 @@
   if (has_partitions && !is_dark)
     end_pending_polls (instance);
   schedule (now () + down_ms, [this, &instance] {
+    if (instance.has_left)
+      return;
     if (has_crashing_tasks && draw_unit () < 0.7)
       rename_instance (instance);
     instance.is_up = true;
--- a/test/cell/links.cc
+++ b/test/cell/links.cc
@@ -248,6 +248,7 @@
   if (found == links_.end () || found->second.ends[end % 2].is_closed
       || found->second.ends[(end ^ 1) % 2].is_closed)
     return;
+  note_start_orders (data);
   found->second.ends[(end ^ 1) % 2].frames.push_back (
       Frame{ now () + link_delay_ms, false, data });
   schedule (now () + link_delay_ms, [this, end] { deliver_frame (end ^ 1); });
--- a/test/cell/store.cc
+++ b/test/cell/store.cc
@@ -73,14 +73,19 @@
   configure (2, cpu_limit_);
 }
 
-static std::string
-format_entry (const Instance &instance, bool has_racks, bool draining)
+std::string
+World::get_rack (const Instance &instance) const
 {
-  std::string rack = has_racks
-                         ? "r"
-                               + std::to_string (
-                                   std::hash<std::string> () (instance.id) % 3)
-                         : "r1";
+  return has_racks ? "r"
+                         + std::to_string (
+                             std::hash<std::string> () (instance.id) % 3)
+                   : "r1";
+}
+
+std::string
+World::format_entry (const Instance &instance, bool draining) const
+{
+  std::string rack = get_rack (instance);
 
   return "{\"service\":\"pool\",\"addr\":\"" + instance.address
          + "\",\"zone\":\"" + instance.zone + "\",\"state\":\""
@@ -93,8 +98,7 @@
 void
 World::register_instance (Instance &instance, bool draining)
 {
-  put_key ("servers/" + instance.id,
-           format_entry (instance, has_racks, draining));
+  put_key ("servers/" + instance.id, format_entry (instance, draining));
 }
 
 bool
@@ -124,7 +128,7 @@
             [this, &instance] { report_instance (instance); });
   if (reaches_store)
     {
-      std::string value = format_entry (instance, has_racks, false);
+      std::string value = format_entry (instance, instance.is_draining);
 
       instance.reported_at = now ();
       if (entry == store.end () || entry->second.value != value)
--- a/test/cell/world.cc
+++ b/test/cell/world.cc
@@ -72,24 +72,9 @@
   world_now = 1000;
   std::fill (std::begin (unix_offsets), std::end (unix_offsets), 0);
   for (int i = 0; i < instance_count; i++)
-    {
-      auto instance = std::make_unique<Instance> ();
-
-      instance->id = "i-" + std::to_string (i);
-      instance->address = "10.0.0." + std::to_string (i) + ":80";
-      instance->zone = zones[i % 3];
-      instance->started_at = 1 + i;
-      instance->born = first_born_ms + instance->started_at;
-      instance->clock_offset = 100000 * (i + 1);
-      instances.push_back (std::move (instance));
-    }
+    create_instance (1 + i);
   for (auto &instance : instances)
-    {
-      register_instance (*instance);
-      tick_instance (*instance);
-      if (has_partitions)
-        report_instance (*instance);
-    }
+    begin_instance (*instance);
   // In every fourth seed the customer has a limit, below the capacity of all
   // instances.
   configure (1, seed % 4 == 2 ? customer_cpu_limit_milli : 0);
--- a/test/cell/world.h
+++ b/test/cell/world.h
@@ -52,6 +52,8 @@
   Millis watch_lag_ms = 0;
 };
 
+struct Node;
+
 struct StoreItem
 {
   std::string value;
@@ -128,6 +130,12 @@
   bool is_unreachable = false;
   // Whether it is down without power, so that calls to it get no answer.
   bool is_dark = false;
+  // Whether its entry says so until it goes for good, and whether it has gone.
+  bool is_draining = false;
+  bool has_left = false;
+  // The node that polled it last, by the fencing token.
+  const Node *holder = nullptr;
+  int64_t holder_token = 0;
   // Capacity of its present incarnation.
   int cpu_milli = 4000;
   // Larger capacities that it had before, and until when each still counts.
@@ -183,6 +191,8 @@
   std::set<std::string> done_tasks;
   // The starts that were sent, as TASK/ATTEMPT.
   std::set<std::string> used_attempts;
+  // Instance on which a planner last ordered each task to start.
+  std::map<std::string, const Instance *> last_orders;
   // Time at which each task last started.
   std::map<std::string, Millis> last_starts;
   // Times of the failures of each task whose ends were noted, in order.
@@ -387,6 +397,12 @@
   // power (@is_dark).
   void crash_instance (Instance &instance, Millis down_ms,
                        bool is_dark = false);
+  // Lets a new instance come.
+  void add_instance ();
+  // Lets an instance take no more starts, and lets it go for good.
+  void drain_instance (Instance &instance);
+  void remove_instance (Instance &instance, bool is_dark);
+  std::string get_rack (const Instance &instance) const;
   // Whether a task crashes the instances that start it.
   bool is_crashing (const std::string &task) const;
 
@@ -480,6 +496,8 @@
   void send_frame (uint64_t end, const std::string &data);
 
 private:
+  friend class WaitOracle;
+
   struct Event
   {
     Millis at;
@@ -524,6 +542,10 @@
   void schedule (Millis time, std::function<void ()> action);
   void report_violation (const std::string &text);
   Millis get_early_ms () const;
+  Instance &create_instance (Millis started_at);
+  // Registers a new instance and lets it run.
+  void begin_instance (Instance &instance);
+  const rst_resources &get_need (const std::string &task);
   int64_t sum_running_cpu (const Instance &instance);
   // Returns the capacity that a start must not exceed now.
   int get_allowed_cpu (const Instance &instance) const;
@@ -556,6 +578,7 @@
                           rst_store_done done, void *data, Millis delay,
                           bool lost);
   bool can_reach_store (const Node &node) const;
+  std::string format_entry (const Instance &instance, bool draining) const;
   // Sets a key, or deletes it if @value is nullptr.
   void change_key (const std::string &key, const std::string *value);
   Instance *find_instance (const std::string &address);
@@ -585,6 +608,9 @@
   void report_instance (Instance &instance);
   // Checks that no start was sent with the same attempt of the task before.
   void check_attempt (const Order &order);
+  // Notes the orders in a planner's message to an agent.
+  void note_start_orders (const std::string &data);
+  void note_start_order (const std::string &task, const std::string &id);
   void check_start (Instance &instance, const Order &order);
   void acknowledge_ends (Instance &instance, int64_t last_acked_end);
   void end_run (Instance &instance, const std::string &task, int end_reason);
