--- a/src/cell/plan_intent.c
+++ b/src/cell/plan_intent.c
@@ -188,6 +188,9 @@
 {
   if (RST_CELL_FAULT (RST_CELL_FAULT_NO_TAKEOVER_WAIT))
     return false;
+  if (RST_CELL_FAULT (RST_CELL_FAULT_WAIT_FOR_ALL)
+      && task->step->occurrence->job->record_epoch != 0)
+    return g_hash_table_size (planner->inherited_places) > 0;
   switch (task->inherited_starts)
     {
     case RST_STARTS_ANYWHERE:
