A task that has failed elsewhere too does not pause an instance

Cause: three failed runs in a row pause an instance, for up to 6 s, whichever tasks they are of. A job that always fails goes from one instance to the next and pauses them all.

Mend: the run of a task whose last failed run was on another instance is not counted against this one. An instance that fails what it starts is still paused: the first failure of each task counts.

--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -505,7 +505,10 @@
         }
       else if (end->end_reason == RST_END_FAILED)
         {
-          record_instance_failure (planner, instance);
+          /* A task that has failed elsewhere too says little of this one. */
+          if (task->avoided_instance == NULL
+              || task->avoided_instance == instance)
+            record_instance_failure (planner, instance);
           record_task_failure (planner, task, instance, end->attempt);
         }
       else if (!step->spec->gang)
