--- a/src/cell/backend.c
+++ b/src/cell/backend.c
@@ -91,3 +91,20 @@
   g_array_free (answer->tickets, TRUE);
   g_free (answer);
 }
+
+struct rst_machines_answer *
+rst_machines_answer_new (void)
+{
+  struct rst_machines_answer *answer = g_new0 (struct rst_machines_answer, 1);
+
+  answer->machines = g_array_new (FALSE, TRUE, sizeof (struct rst_machine));
+  return answer;
+}
+
+void
+rst_machines_answer_free (struct rst_machines_answer *answer)
+{
+  g_array_free (answer->machines, TRUE);
+  g_free (answer->next_page);
+  g_free (answer);
+}
--- a/src/cell/backend.h
+++ b/src/cell/backend.h
@@ -268,12 +268,45 @@
 /** rst_advice_answer_free() - Frees an answer and its tickets. */
 void rst_advice_answer_free (struct rst_advice_answer *answer);
 
+/**
+ * struct rst_machine - A machine as the platform lists it.
+ * @id: Id of the instance that runs on it, which ends with the machine's
+ *   present life; "" if none does.
+ * @state: State of the machine, for log lines.
+ */
+struct rst_machine
+{
+  char id[RST_ID_SIZE];
+  char state[16];
+};
+
+/**
+ * struct rst_machines_answer - A page of the list of machines.
+ * @result: Result of the call.
+ * @machines: Elements of type struct rst_machine.
+ * @next_page: Names the next page; NULL after the last one.
+ */
+struct rst_machines_answer
+{
+  enum rst_result result;
+  GArray *machines;
+  char *next_page;
+};
+
+/** rst_machines_answer_new() - Creates an answer without machines. */
+struct rst_machines_answer *rst_machines_answer_new (void);
+
+/** rst_machines_answer_free() - Frees an answer and its machines. */
+void rst_machines_answer_free (struct rst_machines_answer *answer);
+
 typedef void (*rst_store_done) (struct rst_store_answer *answer,
                                 void *userdata);
 typedef void (*rst_instance_done) (struct rst_instance_answer *answer,
                                    void *userdata);
 typedef void (*rst_advice_done) (struct rst_advice_answer *answer,
                                  void *userdata);
+typedef void (*rst_machines_done) (struct rst_machines_answer *answer,
+                                   void *userdata);
 
 /**
  * struct rst_backend - Calls to the outside systems.
@@ -288,6 +321,8 @@
  *   come.
  * @pace: Limits the speed of a run.
  * @advise: Requests approval to run a step on the instances @ids.
+ * @list_machines: Reads a page of the list of machines; the first one with
+ *   @page NULL.  NULL if the platform has no such list.
  * @userdata: Passed to each call.
  */
 struct rst_backend
@@ -310,6 +345,8 @@
                 rst_instance_done done, void *done_data);
   void (*advise) (void *userdata, const char *step, const char *const *ids,
                   int count, rst_advice_done done, void *done_data);
+  void (*list_machines) (void *userdata, const char *page,
+                         rst_machines_done done, void *done_data);
   void *userdata;
 };
 
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -573,6 +573,9 @@
     return;
   if (incarnation != instance->incarnation)
     begin_incarnation (planner, instance, incarnation);
+  if (instance->trial_state >= 4)
+    rst_info (RST_PLAN_LOG, "TRIAL answers after it was not listed.",
+              "instance", id);
   instance->runs_known = true;
   if (has_more_ends && !instance->omits_ends)
     rst_info (RST_PLAN_LOG,
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -229,6 +229,23 @@
 void rst_planner_reject_instance (struct rst_planner *planner, const char *id,
                                   const char *problem);
 
+/**
+ * rst_planner_wants_machines() - Whether the list of machines should be read
+ * now.
+ *
+ * It is asked for again some time later if it was not read meanwhile.
+ */
+bool rst_planner_wants_machines (struct rst_planner *planner);
+
+/**
+ * rst_planner_note_machines() - Notes which instances the machines of the
+ * platform run.
+ * @machines: A complete list, with elements of type struct rst_machine.
+ * @requested_at: When its first page was requested.
+ */
+void rst_planner_note_machines (struct rst_planner *planner,
+                                const GArray *machines, rst_ms requested_at);
+
 /**
  * rst_planner_add_agent() - Adds an agent and assigns instances to it.
  * @link: The link to the agent.
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -251,6 +251,9 @@
   rst_ms progress_compared_at;
   /* Whether it was logged as slow, or would have been if there were fewer. */
   bool is_slow;
+  /* TRIAL */
+  int trial_state;
+  rst_ms trial_unlisted_at;
 };
 
 /**
@@ -640,6 +643,7 @@
   bool pass_wanted;
   uint64_t next_handle;
   rst_ms next_check_at;
+  rst_ms next_machines_at;
   /* Earliest time of the next placement pass. */
   rst_ms next_pass_at;
   /* Instances that take starts in the current pass. */
--- a/src/daemon/cell_loop.c
+++ b/src/daemon/cell_loop.c
@@ -73,6 +73,7 @@
     rst_store_done store;
     rst_instance_done instance;
     rst_advice_done advice;
+    rst_machines_done machines;
   } done;
   void *userdata;
   void *answer;
@@ -306,6 +307,15 @@
   g_free (event);
 }
 
+static void
+run_machines_callback (struct rst_cell_event *base)
+{
+  struct answer_event *event = (struct answer_event *)base;
+
+  event->done.machines (event->answer, event->userdata);
+  g_free (event);
+}
+
 static void
 post_answer (struct answer_event *event, void *answer)
 {
@@ -331,6 +341,12 @@
   post_answer (userdata, answer);
 }
 
+static void
+post_machines_answer (struct rst_machines_answer *answer, void *userdata)
+{
+  post_answer (userdata, answer);
+}
+
 static struct answer_event *
 new_store_event (struct rst_cell_loop *loop, rst_store_done done,
                  void *done_data)
@@ -449,6 +465,19 @@
                          post_advice_answer, event);
 }
 
+static void
+list_machines (void *userdata, const char *page, rst_machines_done done,
+               void *done_data)
+{
+  struct rst_cell_loop *loop = userdata;
+  struct answer_event *event
+      = new_answer_event (loop, run_machines_callback, done_data);
+
+  event->done.machines = done;
+  loop->backend->list_machines (loop->backend->userdata, page,
+                                post_machines_answer, event);
+}
+
 const struct rst_backend *
 rst_cell_loop_wrap_backend (struct rst_cell_loop *loop,
                             const struct rst_backend *backend)
@@ -456,7 +485,10 @@
   struct rst_backend wrapped = { store_get,     store_range,   store_watch,
                                  store_commit,  instance_hold, instance_start,
                                  instance_stop, instance_pace, request_advice,
-                                 loop };
+                                 list_machines, loop };
+
+  if (backend->list_machines == NULL)
+    wrapped.list_machines = NULL;
 
   loop->backend = backend;
   loop->wrapped_backend = wrapped;
--- a/src/daemon/celld.c
+++ b/src/daemon/celld.c
@@ -56,6 +56,8 @@
   char advertise[RST_ADDRESS_SIZE];
   char store[RST_ADDRESS_SIZE];
   char advice[RST_ADDRESS_SIZE];
+  /* Where the list of machines is read; "" for no such list. */
+  char machines[RST_ADDRESS_SIZE];
   char metrics[RST_ADDRESS_SIZE];
   int64_t lease_max_ms;
   int64_t status_s;
@@ -86,6 +88,7 @@
   TEXT ("advertise", RST_CONF_ADDRESS, false, advertise),
   TEXT ("store", RST_CONF_ADDRESS, true, store),
   TEXT ("advice", RST_CONF_STRING, false, advice),
+  TEXT ("machines", RST_CONF_STRING, false, machines),
   TEXT ("metrics", RST_CONF_ADDRESS, false, metrics),
   INT ("lease_max_ms", lease_max_ms, 500, 600000),
   INT ("status_s", status_s, 1, 86400),
@@ -270,6 +273,7 @@
     goto out;
   celld.adapter = rst_adapter_create (celld.client, celld.settings.store,
                                       celld.settings.advice);
+  rst_adapter_set_machines_address (celld.adapter, celld.settings.machines);
   if (rst_cell_loop_listen (celld.loop, celld.settings.listen)
       != RST_TRANSPORT_OK)
     {
--- a/src/daemon/term.c
+++ b/src/daemon/term.c
@@ -65,6 +65,7 @@
   term->destroyed = true;
   rst_prefix_watch_destroy (term->operator_watch);
   rst_prefix_watch_destroy (term->instance_watch);
+  rst_machine_list_destroy (term->machine_list);
   if (term->pending_calls == 0)
     free_term (term);
 }
@@ -630,6 +631,7 @@
       send_heartbeats (term, now - term->last_commit_at);
     }
   wake = MIN (wake, rst_planner_run (term->planner));
+  rst_term_run_machine_list (term);
   wake = MIN (wake, run_watches (term));
   if (term->committing && !term->commit_in_flight)
     wake = MIN (wake, term->commit_retry_at);
--- a/src/daemon/term_private.h
+++ b/src/daemon/term_private.h
@@ -9,6 +9,7 @@
 #define RST_TERM_PRIVATE_H
 
 #include "cell/isolation.h"
+#include "daemon/machine_list.h"
 #include "daemon/prefix_watch.h"
 #include "daemon/term.h"
 #include "util/log.h"
@@ -89,6 +90,7 @@
   char journal_position[256];
   struct rst_prefix_watch *operator_watch;
   struct rst_prefix_watch *instance_watch;
+  struct rst_machine_list *machine_list;
   /* Link number to struct link_peer, for links that have sent a hello. */
   GHashTable *links;
   int pending_calls;
@@ -136,4 +138,8 @@
  */
 rst_ms rst_term_run_restore (struct rst_term *term);
 
+/** rst_term_run_machine_list() - Reads the list of machines if the planner
+ * wants it. */
+void rst_term_run_machine_list (struct rst_term *term);
+
 #endif
--- a/src/daemon/term_read.c
+++ b/src/daemon/term_read.c
@@ -260,3 +260,31 @@
   else
     rst_planner_finish_restore (term->planner);
 }
+
+static void
+on_machine_list (void *userdata, const GArray *machines, rst_ms requested_at)
+{
+  struct rst_term *term = userdata;
+
+  rst_term_update_planner_time (term);
+  rst_planner_note_machines (term->planner, machines, requested_at);
+}
+
+void
+rst_term_run_machine_list (struct rst_term *term)
+{
+  struct rst_machine_list_config config = { 0 };
+
+  if (term->config.backend->list_machines == NULL || term->resigning
+      || !rst_planner_wants_machines (term->planner))
+    return;
+  if (term->machine_list == NULL)
+    {
+      config.backend = term->config.backend;
+      config.now = term->config.now;
+      config.on_list = on_machine_list;
+      config.userdata = term;
+      term->machine_list = rst_machine_list_create (&config);
+    }
+  rst_machine_list_request (term->machine_list);
+}
