--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -573,9 +573,13 @@
     return;
   if (incarnation != instance->incarnation)
     begin_incarnation (planner, instance, incarnation);
-  if (instance->trial_state >= 4)
-    rst_info (RST_PLAN_LOG, "TRIAL answers after it was not listed.",
-              "instance", id);
+  if (!instance->runs_known && instance->trial_state == 5)
+    rst_trial_sums[8]++;
+  if (!instance->runs_known && instance->trial_state == 4)
+    rst_trial_sums[9]++;
+  if (!instance->runs_known && instance->trial_state == 5
+      && instance->incarnation == 0)
+    rst_trial_sums[10]++;
   instance->runs_known = true;
   if (has_more_ends && !instance->omits_ends)
     rst_info (RST_PLAN_LOG,
--- a/src/cell/plan_machines.c
+++ b/src/cell/plan_machines.c
@@ -16,41 +16,7 @@
   return true;
 }
 
-static void
-trial_log (struct rst_planner *planner, struct instance *instance,
-           const struct rst_machine *machine, rst_ms requested_at, int before)
-{
-  char silent[24];
-  char age[24];
-  char unreg[24];
-  char seen[24];
-  char runs[24];
-  char was[24];
-  char flags[160];
-
-  g_snprintf (silent, sizeof silent, "%" PRId64,
-              instance->runs_known ? -1
-                                   : planner->now - instance->runs_unknown_since);
-  g_snprintf (age, sizeof age, "%" PRId64, planner->now - requested_at);
-  g_snprintf (unreg, sizeof unreg, "%" PRId64,
-              instance->registered ? -1
-                                   : planner->now - instance->unregistered_at);
-  g_snprintf (seen, sizeof seen, "%" PRId64,
-              planner->now - instance->incarnation_seen_at);
-  g_snprintf (runs, sizeof runs, "%u", g_hash_table_size (instance->runs));
-  g_snprintf (was, sizeof was, "%d", before);
-  g_snprintf (flags, sizeof flags, "%s%s%s%s%s",
-              instance->inherited ? "inherited " : "",
-              instance->entry.draining ? "draining " : "",
-              instance->is_replaced ? "replaced " : "",
-              instance->agent == NULL ? "no-agent " : "",
-              instance->incarnation == 0 ? "never-answered" : "");
-  rst_info (RST_PLAN_LOG, "TRIAL", "instance", instance->entry.id, "listed",
-            machine != NULL ? machine->state : "NO", "was", was, "answers",
-            instance->runs_known ? "yes" : "no", "silent_ms", silent,
-            "list_age_ms", age, "unregistered_ms", unreg, "incarnation_age_ms",
-            seen, "runs", runs, "flags", flags, "zone", instance->entry.zone);
-}
+int rst_trial_sums[16];
 
 void
 rst_planner_note_machines (struct rst_planner *planner, const GArray *machines,
@@ -63,7 +29,7 @@
   int unknown = 0;
   int not_up = 0;
   int duplicates = 0;
-  char text[200];
+  char text[700];
 
   for (guint i = 0; i < machines->len; i++)
     {
@@ -79,11 +45,6 @@
       if (strcmp (machine->state, "up") != 0)
         not_up++;
     }
-  g_snprintf (text, sizeof text,
-              "machines=%u empty=%d unknown=%d not_up=%d duplicates=%d age=%d",
-              machines->len, empty, unknown, not_up, duplicates,
-              (int)(planner->now - requested_at));
-  rst_info (RST_PLAN_LOG, "TRIAL list", "sums", text);
   g_hash_table_iter_init (&iter, planner->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -98,12 +59,40 @@
                                                                 : 4;
       if (state == instance->trial_state)
         continue;
-      if (instance->trial_state != 0 || state != 1)
-        trial_log (planner, instance, machine, requested_at,
-                   instance->trial_state);
+      if (state == 1 && instance->trial_state == 2)
+        rst_trial_sums[0]++;
+      if (state == 2)
+        rst_trial_sums[1]++;
+      if (state == 5)
+        rst_trial_sums[2]++;
+      if (state == 3)
+        rst_trial_sums[3]++;
+      if (state == 3 && !instance->entry.draining)
+        rst_trial_sums[4]++;
+      if (state <= 2 && instance->trial_state == 5)
+        rst_trial_sums[5]++;
+      if (state <= 2 && instance->trial_state == 4)
+        rst_trial_sums[6]++;
+      if (state <= 2 && instance->trial_state == 3)
+        rst_trial_sums[7]++;
+      if (state == 5 && instance->registered)
+        rst_trial_sums[11]++;
+      if (state == 5 && g_hash_table_size (instance->runs) > 0)
+        rst_trial_sums[12]++;
+      if (state == 5 && instance->inherited)
+        rst_trial_sums[13]++;
       instance->trial_state = state;
       if (state == 5)
         instance->trial_unlisted_at = planner->now;
     }
+  g_snprintf (text, sizeof text,
+              "machines=%u empty=%d unknown=%d not_up=%d duplicates=%d age=%d "
+              "cutback=%d silent_listed=%d gone=%d answ_unl=%d answ_unl_nodrain=%d "
+              "gone_listed=%d sil_unl_listed=%d answ_unl_listed=%d "
+              "gone_answered=%d recent_answered=%d never_answered_first=%d "
+              "gone_registered=%d gone_runs=%d gone_inherited=%d",
+              machines->len, empty, unknown, not_up, duplicates,
+              (int)(planner->now - requested_at), rst_trial_sums[0], rst_trial_sums[1], rst_trial_sums[2], rst_trial_sums[3], rst_trial_sums[4], rst_trial_sums[5], rst_trial_sums[6], rst_trial_sums[7], rst_trial_sums[8], rst_trial_sums[9], rst_trial_sums[10], rst_trial_sums[11], rst_trial_sums[12], rst_trial_sums[13]);
+  rst_info (RST_PLAN_LOG, "TRIAL list", "sums", text);
   g_hash_table_destroy (ids);
 }
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -19,6 +19,8 @@
 #ifndef RST_PLANNER_PRIVATE_H
 #define RST_PLANNER_PRIVATE_H
 
+extern int rst_trial_sums[16];
+
 #include "cell/placement_private.h"
 #include "cell/planner_state_private.h"
 
