--- a/src/cell/backend.h
+++ b/src/cell/backend.h
@@ -270,14 +270,15 @@
 
 /**
  * struct rst_machine - A machine as the platform lists it.
- * @id: Id of the instance that runs on it, which ends with the machine's
- *   present life; "" if none does.
- * @state: State of the machine, for log lines.
+ * @id: Id of the instance that runs on it; "" if none does.
+ * @zone: Its availability zone.
+ * @rack: Its rack; "" if it is not known.
  */
 struct rst_machine
 {
   char id[RST_ID_SIZE];
-  char state[16];
+  char zone[RST_ID_SIZE];
+  char rack[RST_ID_SIZE];
 };
 
 /**
--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -56,19 +56,6 @@
                               GUINT_TO_POINTER (number));
 }
 
-/* Marks all runs of an instance as lost, since its earlier incarnation ended
-   or its lease expired. */
-static void
-mark_runs_lost (struct rst_planner *planner, struct instance *instance,
-                const char *why)
-{
-  GList *runs = g_hash_table_get_values (instance->runs);
-
-  for (GList *item = runs; item != NULL; item = item->next)
-    rst_plan_run_mark_lost (planner, item->data, why);
-  g_list_free (runs);
-}
-
 /* Holds the instance with a higher fencing token.  Once it has reported under
    that token, it rejects all orders that were sent before. */
 static void
@@ -461,7 +448,7 @@
   if (instance->incarnation != 0)
     {
       rst_plan_count_crash (planner, instance);
-      mark_runs_lost (planner, instance, "instance restarted");
+      rst_plan_mark_runs_lost (planner, instance, "instance restarted");
     }
   instance->incarnation = incarnation;
   instance->last_clock_ms = 0;
@@ -504,6 +491,15 @@
                               LEASE_BASIS_REPORT);
 }
 
+void
+rst_plan_note_instance_ended (struct rst_planner *planner,
+                              struct instance *instance)
+{
+  instance->inherited = false;
+  rst_plan_discard_unstored_ends (instance);
+  rst_plan_mark_runs_lost (planner, instance, "instance ended");
+}
+
 /* Handles the report that another instance answers at an instance's address:
    the instance has ended, with its runs, and no order to it can be carried out
    any more, since calls name the instance that they are for.  One that changed
@@ -520,9 +516,7 @@
             "instance", instance->entry.id, "address",
             instance->entry.address);
   rst_plan_count_crash (planner, instance);
-  instance->inherited = false;
-  rst_plan_discard_unstored_ends (instance);
-  mark_runs_lost (planner, instance, "instance ended");
+  rst_plan_note_instance_ended (planner, instance);
 }
 
 void
@@ -560,8 +554,7 @@
         note_other_instance (planner, instance);
       return;
     }
-  instance->is_replaced = false;
-  instance->has_moved = false;
+  rst_plan_note_answer (instance);
   /* A list that names no incarnation may be that of an earlier one. */
   if (incarnation == 0 && instance->incarnation != 0)
     return;
@@ -573,13 +566,6 @@
     return;
   if (incarnation != instance->incarnation)
     begin_incarnation (planner, instance, incarnation);
-  if (!instance->runs_known && instance->trial_state == 5)
-    rst_trial_sums[8]++;
-  if (!instance->runs_known && instance->trial_state == 4)
-    rst_trial_sums[9]++;
-  if (!instance->runs_known && instance->trial_state == 5
-      && instance->incarnation == 0)
-    rst_trial_sums[10]++;
   instance->runs_known = true;
   if (has_more_ends && !instance->omits_ends)
     rst_info (RST_PLAN_LOG,
@@ -637,7 +623,7 @@
             "unknown_ms", unknown_ms);
   planner->stats.leases_expired++;
   rst_plan_note_lapsed_runs (instance);
-  mark_runs_lost (planner, instance, "lease expired");
+  rst_plan_mark_runs_lost (planner, instance, "lease expired");
   hold_with_new_token (planner, instance);
 }
 
--- a/src/cell/plan_runs.c
+++ b/src/cell/plan_runs.c
@@ -572,3 +572,14 @@
         }
     }
 }
+
+void
+rst_plan_mark_runs_lost (struct rst_planner *planner,
+                         struct instance *instance, const char *why)
+{
+  GList *runs = g_hash_table_get_values (instance->runs);
+
+  for (GList *item = runs; item != NULL; item = item->next)
+    rst_plan_run_mark_lost (planner, item->data, why);
+  g_list_free (runs);
+}
--- a/src/cell/planner.h
+++ b/src/cell/planner.h
@@ -233,15 +233,17 @@
  * rst_planner_wants_machines() - Whether the list of machines should be read
  * now.
  *
- * It is asked for again some time later if it was not read meanwhile.
+ * When it was wanted, it is not wanted again for some time, read or not.
  */
 bool rst_planner_wants_machines (struct rst_planner *planner);
 
 /**
  * rst_planner_note_machines() - Notes which instances the machines of the
  * platform run.
- * @machines: A complete list, with elements of type struct rst_machine.
- * @requested_at: When its first page was requested.
+ * @machines: All pages of the list, with elements of type struct rst_machine.
+ * @requested_at: When the first page was requested.
+ *
+ * A silent instance that two lists lack one after the other has ended.
  */
 void rst_planner_note_machines (struct rst_planner *planner,
                                 const GArray *machines, rst_ms requested_at);
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -19,8 +19,6 @@
 #ifndef RST_PLANNER_PRIVATE_H
 #define RST_PLANNER_PRIVATE_H
 
-extern int rst_trial_sums[16];
-
 #include "cell/placement_private.h"
 #include "cell/planner_state_private.h"
 
@@ -296,6 +294,15 @@
 void rst_plan_note_unstored_end (struct instance *instance,
                                  const struct rst_run *listed);
 
+/** rst_plan_note_instance_ended() - Handles the certain end of an instance
+ * that is no crash: all its runs are gone, and no order to it can be carried
+ * out any more. */
+void rst_plan_note_instance_ended (struct rst_planner *planner,
+                                   struct instance *instance);
+
+/** rst_plan_note_answer() - Notes that an instance has answered itself. */
+void rst_plan_note_answer (struct instance *instance);
+
 /** rst_plan_discard_unstored_ends() - Forgets the ends of an incarnation that
     is over, or of a lease that has expired: the tasks may start again. */
 void rst_plan_discard_unstored_ends (struct instance *instance);
@@ -371,6 +378,11 @@
 void rst_plan_log_ends (struct rst_planner *planner,
                         const struct instance *instance);
 
+/** rst_plan_mark_runs_lost() - Marks all runs of an instance as lost, since
+ * its earlier incarnation ended or its lease expired. */
+void rst_plan_mark_runs_lost (struct rst_planner *planner,
+                              struct instance *instance, const char *why);
+
 /**
  * rst_plan_run_mark_lost() - Removes a run that is certainly not on its
  * instance, so that its task may start elsewhere.
--- a/src/daemon/cell_loop.c
+++ b/src/daemon/cell_loop.c
@@ -482,10 +482,10 @@
 rst_cell_loop_wrap_backend (struct rst_cell_loop *loop,
                             const struct rst_backend *backend)
 {
-  struct rst_backend wrapped = { store_get,     store_range,   store_watch,
-                                 store_commit,  instance_hold, instance_start,
-                                 instance_stop, instance_pace, request_advice,
-                                 list_machines, loop };
+  struct rst_backend wrapped
+      = { store_get,      store_range,    store_watch,   store_commit,
+          instance_hold,  instance_start, instance_stop, instance_pace,
+          request_advice, list_machines,  loop };
 
   if (backend->list_machines == NULL)
     wrapped.list_machines = NULL;
--- a/src/daemon/machine_list.c
+++ b/src/daemon/machine_list.c
@@ -90,14 +90,7 @@
                                 list->requested_at);
         }
       else if (list->pages < PAGES_MAX)
-        {
-          rst_info (LOG_DOMAIN, "TRIAL token", "token", answer->next_page,
-                    "last",
-                    g_array_index (answer->machines, struct rst_machine,
-                                   answer->machines->len - 1)
-                        .id);
-          request_page (list, answer->next_page);
-        }
+        request_page (list, answer->next_page);
       else
         log_list (list, RST_RESULT_UNKNOWN);
     }
