--- a/test/unit/adapter_http_test.cc
+++ b/test/unit/adapter_http_test.cc
@@ -64,10 +64,12 @@
     auto *self = static_cast<AdapterHttp *> (userdata);
     const char *prefix = rst_http_request_query (request, "prefix");
     const char *after = rst_http_request_query (request, "after");
+    const char *page = rst_http_request_query (request, "page_token");
     const std::string &body = self->body;
 
     self->prefix = prefix != nullptr ? prefix : "";
     self->after = after != nullptr ? after : "";
+    self->page = page != nullptr ? page : "";
     rst_http_request_reply (request, 200, nullptr, body.data (), body.size (),
                             0);
   }
@@ -101,8 +103,40 @@
   std::string body = "{\"items\":[],\"has_more\":false,\"current_rev\":7}";
   std::string prefix;
   std::string after;
+  std::string page;
 };
 
+// The name of a page is the platform's own.
+TEST_F (AdapterHttp, ListsThePageOfMachinesOfAnyName)
+{
+  rst_adapter_set_machines_address (adapter, rst_http_server_address (server));
+  ASSERT_NE (backend->list_machines, nullptr);
+  body = "{\"machines\":[],\"next_token\":\"p2\"}";
+  for (const char *name : { (const char *)nullptr, "pc8", "a b",
+                            "a&page_token=c", "a#b", "a+b/%41" })
+    {
+      std::promise<std::string> promise;
+
+      page = "none";
+      backend->list_machines (
+          backend->userdata, name,
+          [] (rst_machines_answer *answer, void *data) {
+            static_cast<std::promise<std::string> *> (data)->set_value (
+                answer->result == RST_RESULT_OK ? answer->next_page : "bad");
+            rst_machines_answer_free (answer);
+          },
+          &promise);
+      EXPECT_EQ (promise.get_future ().get (), "p2");
+      EXPECT_EQ (page, name != nullptr ? name : "");
+    }
+}
+
+TEST_F (AdapterHttp, HasNoListOfMachinesWithoutAnAddress)
+{
+  rst_adapter_set_machines_address (adapter, "");
+  EXPECT_EQ (backend->list_machines, nullptr);
+}
+
 // Another writer chooses the key; the list goes on behind it if it is the last
 // one of a page.
 TEST_F (AdapterHttp, ListsThePageBehindAnyKey)
