--- a/src/cell/plan_machines.c
+++ b/src/cell/plan_machines.c
@@ -157,8 +157,7 @@
 {
   rst_ms silent_since = instance->runs_unknown_since;
 
-  if (!is_candidate (instance) || requested_at <= silent_since
-      || !is_old_enough (instance, requested_at)
+  if (!is_candidate (instance) || !is_old_enough (instance, requested_at)
       || may_start_again (machines, instance))
     {
       instance->unlisted_since = 0;
@@ -170,6 +169,8 @@
       planner->machines_unconfirmed = true;
       return;
     }
+  if (requested_at <= instance->unlisted_since)
+    return;
   log_ended (planner, instance, requested_at);
   instance->has_left = true;
   rst_plan_note_instance_ended (planner, instance);
--- a/test/unit/machine_list_test.cc
+++ b/test/unit/machine_list_test.cc
@@ -114,6 +114,25 @@
   EXPECT_EQ (count_starts (cell), 0u);
 }
 
+// It is late, or a copy of the first one.
+TEST (MachineList, AListThatIsNoLaterConfirmsNothing)
+{
+  Planner cell;
+  rst_ms first;
+
+  leave_under_gang (cell);
+  first = cell.now - 30;
+  note_machines (cell, { { "i-1" }, { "i-2" } }, first);
+  note_machines (cell, { { "i-1" }, { "i-2" } }, first);
+  note_machines (cell, { { "i-1" }, { "i-2" } }, first - 20);
+  note_machines (cell, { { "i-1" }, { "i-2" } }, first - 1000);
+  cell.settle ();
+  EXPECT_EQ (count_starts (cell), 0u);
+  note_machines (cell, { { "i-1" }, { "i-2" } }, first + 1);
+  cell.settle ();
+  EXPECT_EQ (count_starts (cell), 4u);
+}
+
 TEST (MachineList, ListsThatLackItMustFollowEachOther)
 {
   Planner cell;
