--- a/src/cell/plan_machines.c
+++ b/src/cell/plan_machines.c
@@ -44,7 +44,8 @@
 static bool
 is_candidate (const struct instance *instance)
 {
-  return !instance->runs_known && !instance->is_replaced && !instance->has_left
+  return !instance->runs_known && !instance->is_replaced
+         && !instance->listing.has_left
          && (instance->inherited || g_hash_table_size (instance->runs) > 0)
          && (instance->inherited || instance->entry.draining
              || instance->incarnation == 0);
@@ -69,7 +70,7 @@
       if (!is_candidate (instance) || planner->now < due_at)
         continue;
       found = true;
-      *is_new |= due_at > planner->machines_listed_at;
+      *is_new |= due_at > planner->machine_watch.listed_at;
     }
   return found;
 }
@@ -81,20 +82,20 @@
   bool is_new;
 
   if (!rst_planner_is_ready (planner)
-      || planner->now < planner->next_machines_check_at)
+      || planner->now < planner->machine_watch.next_check_at)
     return false;
-  planner->next_machines_check_at = planner->now + CHECK_MS;
+  planner->machine_watch.next_check_at = planner->now + CHECK_MS;
   if (!find_candidates (planner, &is_new))
     return false;
-  if (planner->machines_unconfirmed)
+  if (planner->machine_watch.unconfirmed)
     interval = CONFIRM_INTERVAL_MS;
   else if (is_new)
     interval = INTERVAL_MS;
-  if (planner->machines_wanted_at != 0
-      && planner->now - planner->machines_wanted_at < interval)
+  if (planner->machine_watch.wanted_at != 0
+      && planner->now - planner->machine_watch.wanted_at < interval)
     return false;
-  planner->machines_wanted_at = planner->now;
-  planner->machines_unconfirmed = false;
+  planner->machine_watch.wanted_at = planner->now;
+  planner->machine_watch.unconfirmed = false;
   return true;
 }
 
@@ -127,7 +128,7 @@
 static bool
 is_old_enough (const struct instance *instance, rst_ms requested_at)
 {
-  return instance->was_listed
+  return instance->listing.was_listed
          || requested_at - instance->incarnation_seen_at >= LIST_LAG_MS;
 }
 
@@ -160,32 +161,32 @@
   if (!is_candidate (instance) || !is_old_enough (instance, requested_at)
       || may_start_again (machines, instance))
     {
-      instance->unlisted_since = 0;
+      instance->listing.unlisted_since = 0;
       return;
     }
-  if (instance->unlisted_since <= silent_since)
+  if (instance->listing.unlisted_since <= silent_since)
     {
-      instance->unlisted_since = requested_at;
-      planner->machines_unconfirmed = true;
+      instance->listing.unlisted_since = requested_at;
+      planner->machine_watch.unconfirmed = true;
       return;
     }
-  if (requested_at <= instance->unlisted_since)
+  if (requested_at <= instance->listing.unlisted_since)
     return;
   log_ended (planner, instance, requested_at);
-  instance->has_left = true;
+  instance->listing.has_left = true;
   rst_plan_note_instance_ended (planner, instance);
 }
 
 void
 rst_plan_note_answer (struct instance *instance)
 {
-  if (instance->has_left)
+  if (instance->listing.has_left)
     rst_warning (RST_PLAN_LOG,
                  "Instance answers though no machine had it; what it lists "
                  "counts again.",
                  "instance", instance->entry.id);
   instance->is_replaced = false;
-  instance->has_left = false;
+  instance->listing.has_left = false;
   instance->has_moved = false;
 }
 
@@ -246,7 +247,7 @@
       g_hash_table_destroy (listed);
       return;
     }
-  planner->machines_listed_at = requested_at;
+  planner->machine_watch.listed_at = requested_at;
   g_hash_table_iter_init (&iter, planner->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -256,8 +257,8 @@
         note_unlisted (planner, instance, machines, requested_at);
       else
         {
-          instance->was_listed = true;
-          instance->unlisted_since = 0;
+          instance->listing.was_listed = true;
+          instance->listing.unlisted_since = 0;
         }
     }
   planner->pass_wanted = true;
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -15,6 +15,7 @@
 #include "cell/fault_private.h"
 #include "cell/instance_speed.h"
 #include "cell/locality_state_private.h"
+#include "cell/machine_state_private.h"
 #include "cell/planner.h"
 #include "util/log.h"
 
@@ -219,14 +220,7 @@
   /* Whether another instance has answered at its address since it last
      answered itself: it has ended. */
   bool is_replaced;
-  /* Whether the list of machines has shown that it has ended, see
-     plan_machines.c. */
-  bool has_left;
-  /* Whether a list of machines that this planner has read had it. */
-  bool was_listed;
-  /* When the first list of machines that lacks it was requested; 0 if the
-     last one has it. */
-  rst_ms unlisted_since;
+  struct machine_listing listing;
   /* Whether its address has changed since it last answered. */
   bool has_moved;
   /* Whether its last report lists a run that the planner does not know; it
@@ -648,13 +642,7 @@
   bool pass_wanted;
   uint64_t next_handle;
   rst_ms next_check_at;
-  /* The list of machines (plan_machines.c): when to check whether it is
-     wanted, when it was wanted last, when the last complete one was requested
-     and whether that one lacked an instance for the first time. */
-  rst_ms next_machines_check_at;
-  rst_ms machines_wanted_at;
-  rst_ms machines_listed_at;
-  bool machines_unconfirmed;
+  struct machine_watch machine_watch;
   /* Earliest time of the next placement pass. */
   rst_ms next_pass_at;
   /* Instances that take starts in the current pass. */
