--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -16,6 +16,7 @@
 #include "cell/instance_speed.h"
 #include "cell/journal_private.h"
 #include "cell/locality_state_private.h"
+#include "cell/machine_state_private.h"
 #include "cell/plan_wait.h"
 #include "cell/planner.h"
 #include "util/log.h"
@@ -193,6 +194,7 @@
   /* Whether another instance has answered at its address since it last
      answered itself: it has ended. */
   bool is_replaced;
+  struct machine_listing listing;
   /* Whether its address has changed since it last answered. */
   bool has_moved;
   /* Whether its last report lists a run that the planner does not know; it
@@ -641,6 +643,7 @@
   bool pass_wanted;
   uint64_t next_handle;
   rst_ms next_check_at;
+  struct machine_watch machine_watch;
   /* Earliest time of the next placement pass. */
   rst_ms next_pass_at;
   /* Instances that take starts in the current pass. */
