Start intents: four faults that the review showed

- With more than some 4,500 waiting steps room was never used: passes are 250 ms and more apart then, and an intent was withdrawn 150 ms after it was stored, before a pass had seen it.
The retention follows the time between passes.
- A job that came during a slow commit got its intent only with a second record of its own: 940 ms with commits of 300 ms, 660 ms allowed.
A job that is not stored yet gets it in its first record, however late that is written.
- A run that was adopted elsewhere than the record says (an order that was carried out late) was not recorded again; two hand-overs later its task ran twice.
Each adoption is recorded.
- Earlier versions took the bytes of a place for the next task, and tasks for done.
The places are a member of their own behind the rows that those know.

--- a/src/cell/plan_instances.c
+++ b/src/cell/plan_instances.c
@@ -342,9 +342,8 @@
   rst_plan_run_mark_started (run);
   run->adopted = true;
   run->progress_percent = listed->progress_percent;
-  /* Its record may say that the task runs nowhere. */
-  if (task->inherited_starts == RST_STARTS_NOWHERE)
-    rst_plan_mark_dirty (planner, job);
+  /* Its record may say that the task runs nowhere, or elsewhere. */
+  rst_plan_mark_dirty (planner, job);
   rst_plan_keep_checkpoint (planner, task, listed->checkpoint);
   task->step->gang_attempt = MAX (task->step->gang_attempt, listed->attempt);
   if (rst_plan_job_has_ended (job)
--- a/src/cell/plan_intent.c
+++ b/src/cell/plan_intent.c
@@ -53,7 +53,9 @@
       rst_plan_want_intent (planner, &step->tasks[i]);
 }
 
-/* Whether a waiting task may still need its intent. */
+/* Whether a waiting task may still need its intent.  With many waiting steps
+   the passes are rare, and each intent has to last until the next one.  The
+   first record of a job contains it however late it is written. */
 static bool
 needs_intent (const struct rst_planner *planner, const struct task *task)
 {
@@ -61,7 +63,12 @@
   rst_ms wanted_at
       = MAX (MAX (task->freed_at, task->intent_wanted_at), step->ready_at);
 
-  return step->ready_at != 0 && planner->now - wanted_at < INTENT_RETENTION_MS;
+  if (step->ready_at == 0)
+    return false;
+  return !step->occurrence->job->stored
+         || planner->now - wanted_at
+                < INTENT_RETENTION_MS
+                      + 2 * rst_plan_get_pass_interval (planner);
 }
 
 /* Where the runs that earlier planners started have to be looked for. */
--- a/src/cell/plan_record.c
+++ b/src/cell/plan_record.c
@@ -17,12 +17,13 @@
 }
 
 /* Packs the tasks of a step as bytes: for each a byte of flags, a byte that is
-   0, the last attempt as a 32-bit big-endian number and, if the task may run
-   on one instance, that one's key as another.  Earlier versions had up to 16
-   failed runs here; pack_failures() packs them now. */
+   0, and the last attempt as a 32-bit big-endian number.  Earlier versions had
+   up to 16 failed runs here; pack_failures() packs them now.  Appends the keys
+   of the instances to @places on which tasks may run that may run on one
+   only. */
 static void
 pack_tasks (const struct rst_planner *planner, struct rst_pack *pack,
-            const struct step *step)
+            const struct step *step, GByteArray *places)
 {
   GByteArray *bytes = g_byte_array_new ();
 
@@ -45,7 +46,7 @@
       g_byte_array_append (bytes, head, sizeof head);
       append_int32 (bytes, task->attempt);
       if (starts == RST_STARTS_ON_ONE)
-        append_int32 (bytes, (int)place);
+        append_int32 (places, (int)place);
       task->recorded_attempt = task->attempt;
     }
   rst_pack_bytes (pack, bytes->data, bytes->len);
@@ -146,8 +147,9 @@
                const struct job *job)
 {
   bool has_ended = rst_plan_job_has_ended (job);
+  GByteArray *places = g_byte_array_new ();
 
-  rst_pack_array (pack, 7);
+  rst_pack_array (pack, 8);
   rst_pack_int (pack, job->state);
   rst_pack_int (pack, job->occurrences_left);
   rst_pack_int (pack, job->next_occurrence);
@@ -160,11 +162,13 @@
       rst_pack_array (pack, 1 + (size_t)job->desc->step_count);
       rst_pack_int (pack, occurrence->number);
       for (int i = 0; i < job->desc->step_count; i++)
-        pack_tasks (planner, pack, &occurrence->steps[i]);
+        pack_tasks (planner, pack, &occurrence->steps[i], places);
     }
   rst_pack_int (pack, planner->epoch);
   pack_all_task_facts (pack, job, &crash_facts);
   pack_all_task_facts (pack, job, &failure_facts);
+  rst_pack_bytes (pack, places->data, places->len);
+  g_byte_array_free (places, TRUE);
 }
 
 /* Packs an ended job without its steps, of which only the state is still
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -5,8 +5,7 @@
 #include "cell/plan_intent.h"
 #include "cell/planner_private.h"
 
-/** Bytes of a task: flags, number of failed runs that follow, attempt.  The
-    failed runs and the key of an instance may follow. */
+/** Bytes of a task: flags, number of failed runs that follow, attempt. */
 #define TASK_BYTES_MIN 6
 
 static int
@@ -20,14 +19,13 @@
   return (int)g_ntohl (big_endian);
 }
 
-/* Reads where a task may run. */
+/* Restores where a task may run.  If that is one instance, its key is among
+   the job's places. */
 static void
-restore_starts (struct task *task, guint8 flags, const guint8 *bytes,
-                size_t length, size_t *at)
+restore_starts (struct task *task, guint8 flags)
 {
-  if ((flags & RST_TASK_ON_ONE_FLAG) && *at + sizeof (guint32) <= length)
-    rst_plan_restore_intent (task, RST_STARTS_ON_ONE,
-                             (guint32)read_int32 (bytes, length, at));
+  if (flags & RST_TASK_ON_ONE_FLAG)
+    rst_plan_restore_intent (task, RST_STARTS_ON_ONE, 0);
   else if (flags & RST_TASK_NOWHERE_FLAG)
     rst_plan_restore_intent (task, RST_STARTS_NOWHERE, 0);
   else
@@ -59,7 +57,7 @@
       /* Only in the records of earlier versions. */
       for (int k = 0; k < listed_failures; k++)
         rst_failures_add (&task->failures, read_int32 (bytes, length, &at));
-      restore_starts (task, flags, bytes, length, &at);
+      restore_starts (task, flags);
       if (!done || task->done)
         continue;
       task->done = true;
@@ -154,6 +152,34 @@
   rows->bad |= attempts.bad;
 }
 
+/* Restores the places of the tasks that may run on one instance only.  Without
+   them these may run anywhere. */
+static void
+restore_places (struct job *job, const guint8 *bytes, size_t length)
+{
+  size_t at = 0;
+
+  for (guint k = 0; k < job->occurrences->len; k++)
+    {
+      struct occurrence *occurrence = g_ptr_array_index (job->occurrences, k);
+
+      for (int i = 0; i < job->desc->step_count; i++)
+        for (int t = 0; t < job->desc->steps[i].count; t++)
+          {
+            struct task *task = &occurrence->steps[i].tasks[t];
+
+            if (task->inherited_starts != RST_STARTS_ON_ONE)
+              continue;
+            if (at + sizeof (guint32) > length)
+              rst_plan_restore_intent (task, RST_STARTS_ANYWHERE, 0);
+            else
+              rst_plan_restore_intent (
+                  task, RST_STARTS_ON_ONE,
+                  (guint32)read_int32 (bytes, length, &at));
+          }
+    }
+}
+
 static void
 restore_progress (struct rst_planner *planner, struct job *job,
                   struct rst_reader *reader)
@@ -162,6 +188,8 @@
   struct rst_reader occurrences;
   struct rst_reader crashes;
   struct rst_reader failures;
+  const void *places = NULL;
+  size_t places_length = 0;
 
   job->state = (enum rst_job_state)rst_reader_read_int (&in);
   job->committed_state = job->state;
@@ -182,6 +210,9 @@
         restore_failures (job, &failures);
       in.bad |= failures.bad;
     }
+  if (in.position < in.count)
+    places = rst_reader_read_bytes (&in, &places_length);
+  restore_places (job, places, places_length);
   job->unstored_occurrence = job->next_occurrence;
   if (rst_plan_job_has_ended (job))
     job->ended_at = planner->now;
--- a/src/cell/planner.c
+++ b/src/cell/planner.c
@@ -328,6 +328,12 @@
   return planner->restored && planner->config != NULL;
 }
 
+rst_ms
+rst_plan_get_pass_interval (const struct rst_planner *planner)
+{
+  return PASS_INTERVAL_MS + planner->waiting_steps->len / PASS_STEPS_PER_MS;
+}
+
 rst_ms
 rst_planner_run (struct rst_planner *planner)
 {
@@ -355,8 +361,7 @@
     {
       planner->pass_wanted = false;
       planner->next_pass_at
-          = planner->now + PASS_INTERVAL_MS
-            + planner->waiting_steps->len / PASS_STEPS_PER_MS;
+          = planner->now + rst_plan_get_pass_interval (planner);
       rst_plan_place_steps (planner);
       rst_plan_wait_check (planner);
     }
--- a/src/cell/planner_private.h
+++ b/src/cell/planner_private.h
@@ -29,6 +29,10 @@
 void rst_plan_send (const struct rst_planner *planner, uint64_t link,
                     struct rst_pack *pack);
 
+/** rst_plan_get_pass_interval() - Time between two placement passes, in
+    milliseconds. */
+rst_ms rst_plan_get_pass_interval (const struct rst_planner *planner);
+
 /* plan_jobs.c */
 
 /**
