Revert the hold of gangs on their customer's limit

The gang starts, but the part of the limit that it holds stays unused: while tasks in doubt take up the rest, one waiting gang kept all small steps of its customer from starting, with 1,700 of 12,000 in use.

--- a/src/cell/placement_private.h
+++ b/src/cell/placement_private.h
@@ -156,21 +156,7 @@
 bool rst_plan_is_below_limit_without_doubt (const struct step *step,
                                             int tasks);
 
-/** rst_plan_begin_limit_pass() - Counts the tasks in doubt, and clears what
-    steps hold of their customers' limits, at the beginning of a placement
-    pass. */
-void rst_plan_begin_limit_pass (struct rst_planner *planner);
-
-/**
- * rst_plan_hold_limit() - Holds what a gang that waits needs of its customer's
- * limit, so that the steps placed after it in this pass leave it free.
- *
- * Ends when the gang starts, or when its job has no value any more.  A gang
- * that does not fit the limit, beside those placed before it, or the instances
- * that it may use, holds nothing.
- */
-void rst_plan_hold_limit (const struct rst_planner *planner,
-                          struct step *step);
+void rst_plan_count_in_doubt (struct rst_planner *planner);
 
 /* plan_admission.c */
 
--- a/src/cell/plan_place.c
+++ b/src/cell/plan_place.c
@@ -585,13 +585,9 @@
   g_ptr_array_sort (planner->waiting_steps, compare_ranks);
   begin_pass (planner);
   rst_plan_begin_rack_pass (planner);
-  rst_plan_begin_limit_pass (planner);
+  rst_plan_count_in_doubt (planner);
   rst_plan_place_trials (planner);
   for (guint i = 0; i < planner->waiting_steps->len; i++)
-    {
-      struct step *step = g_ptr_array_index (planner->waiting_steps, i);
-
-      place_step (planner, step, &reserving_gangs);
-      rst_plan_hold_limit (planner, step);
-    }
+    place_step (planner, g_ptr_array_index (planner->waiting_steps, i),
+                &reserving_gangs);
 }
--- a/src/cell/planner_state_private.h
+++ b/src/cell/planner_state_private.h
@@ -458,9 +458,6 @@
   /* Resources of its runs, and of its tasks in doubt. */
   struct rst_resources used;
   struct rst_resources in_doubt;
-  /* Resources of waiting gangs that the steps ranked after them leave to them
-     in one placement pass. */
-  struct rst_resources held;
   /* Token bucket: jobs that it may submit within its share. */
   double share_tokens;
   /* When the bucket was last filled up. */
