A successor's first records open no intents

Cause: to a successor every step that it restores became ready just now, and what is written of a job in the first 150 ms contained the intent for all its waiting tasks. The next planner held them for any silent instance.

--- a/src/cell/plan_intent.c
+++ b/src/cell/plan_intent.c
@@ -157,6 +157,14 @@
     }
 }
 
+void
+rst_plan_drop_young_intents (struct occurrence *occurrence)
+{
+  for (int i = 0; i < occurrence->job->desc->step_count; i++)
+    if (occurrence->steps[i].ready_at != 0)
+      occurrence->steps[i].ready_at = 1;
+}
+
 void
 rst_plan_restore_intent (struct task *task, enum rst_starts starts,
                          guint32 place)
--- a/src/cell/plan_intent.h
+++ b/src/cell/plan_intent.h
@@ -47,6 +47,11 @@
 /** rst_plan_withdraw_intents() - Marks the jobs for the next commit whose
     waiting tasks keep an intent that was of no use. */
 void rst_plan_withdraw_intents (struct rst_planner *planner);
+/** rst_plan_drop_young_intents() - Lets the steps of a restored occurrence
+   that are ready count as ready for long, so that what they wait for is
+   recorded only when there is room for it. */
+void rst_plan_drop_young_intents (struct occurrence *occurrence);
+
 /** rst_plan_restore_intent() - Sets what the journal says of the starts of a
     task. */
 void rst_plan_restore_intent (struct task *task, enum rst_starts starts,
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -592,6 +592,7 @@
 
       skip_attempts (planner, job, occurrence);
       rst_plan_enqueue_steps (planner, occurrence);
+      rst_plan_drop_young_intents (occurrence);
     }
 }
 
--- a/test/unit/start_intent_test.cc
+++ b/test/unit/start_intent_test.cc
@@ -181,3 +181,49 @@
   EXPECT_FALSE (occurrence.bad);
   msgpack_unpacked_destroy (&unpacked);
 }
+
+// A task that waits for room is recorded as running nowhere.  The first
+// records of a successor, which is replaced soon, must not make it wait for a
+// silent instance.
+TEST (StartIntent, TheFirstRecordsOfASuccessorOpenNoIntent)
+{
+  Planner first;
+  Planner second (2);
+  Planner third (3);
+
+  first.start_serving (2);
+  first.send_call (7, RST_OPERATION_SUBMIT, job_a,
+                   Planner::make_job (3, 4000));
+  first.settle ();
+  std::vector<harness::Sent> starts = first.sent_of_kind (RST_MSG_START);
+
+  ASSERT_EQ (starts.size (), 2u);
+  for (const harness::Sent &start : starts)
+    first.answer_order (1, RST_MSG_STARTED, start.id, start.task, 1,
+                        RST_RESULT_OK);
+  first.settle ();
+  first.settle ();
+  for (Planner *planner : { &second, &third })
+    {
+      planner->set_time (planner == &second ? first.now : second.now);
+      planner->restore (first);
+      if (planner == &third)
+        planner->restore (second);
+      planner->configure ();
+      planner->add_agent (1);
+      planner->add_instance ("i-0");
+      planner->add_instance ("i-1");
+      rst_planner_finish_restore (planner->planner);
+      planner->report (1, starts[0].id,
+                       { Planner::make_running_run (starts[0].task, 1) });
+      planner->advance_time (60);
+    }
+  ASSERT_FALSE (second.commits.empty ());
+  third.report (
+      1, starts[0].id,
+      { Planner::make_ended_run (1, starts[0].task, 1, RST_END_DONE) });
+  third.settle ();
+  ASSERT_EQ (third.sent_of_kind (RST_MSG_START).size (), 1u);
+  EXPECT_EQ (third.sent_of_kind (RST_MSG_START)[0].task,
+             "00000000000000aa.0.0.2");
+}
