Fault 14 of the cell: a successor reuses its predecessor's attempts

The fault let a planner skip the attempts of one planner only, so that two hand-overs without a record of the job between them were needed.

Now the fault skips no attempts at all, what a planner without the rule would do.

Open: no unit test shows the rule yet. A trial of Succession* and SuccessionChain* (30 tests, linked by hand) passes also with the rule taken out of skip_attempts() (0 in place of the planners): in them the start is recorded before the hand-over. A test has to keep that record from being stored.

--- a/src/cell/fault_private.h
+++ b/src/cell/fault_private.h
@@ -32,8 +32,8 @@
  *   does not answer stays when its agent is lost.
  * @RST_CELL_FAULT_EARLY_UNREACHABLE: An instance that was inherited and has
  * not answered yet is recorded as unreachable without runs.
- * @RST_CELL_FAULT_REUSE_ATTEMPTS: A planner that succeeds a successor may use
- *   the same attempt numbers as that.
+ * @RST_CELL_FAULT_REUSE_ATTEMPTS: A successor may use the attempt numbers that
+ *   earlier planners used after the last record of a job.
  * @RST_CELL_FAULT_IGNORE_CRASHES: No task is given up because instances crash
  *   under it.
  * @RST_CELL_FAULT_KEEP_CAPACITY: An instance whose capacity has shrunk is
--- a/src/cell/plan_restore.c
+++ b/src/cell/plan_restore.c
@@ -562,7 +562,7 @@
                struct occurrence *occurrence)
 {
   int64_t planners = RST_CELL_FAULT (RST_CELL_FAULT_REUSE_ATTEMPTS)
-                         ? 1
+                         ? 0
                          : planner->epoch - job->record_epoch;
 
   for (int i = 0; i < job->desc->step_count; i++)
