--- a/test/unit/repeating_job_test.cc
+++ b/test/unit/repeating_job_test.cc
@@ -30,13 +30,13 @@
   Planner successor (2);
 
   predecessor.start_serving (2);
+  /* Long enough for the first record of the job to be without it. */
   predecessor.send_call (7, RST_OPERATION_SUBMIT, job_a,
-                         make_repeating_job (predecessor, 300));
+                         make_repeating_job (predecessor, 5000));
   predecessor.settle ();
-  predecessor.advance_time (300);
-  predecessor.settle ();
-  ASSERT_EQ (predecessor.sent_of_kind (RST_MSG_START).size (), 1u);
-  std::string running = predecessor.sent_of_kind (RST_MSG_START)[0].id;
+  predecessor.advance_time (4600);
+  std::string running = predecessor.start_without_record ();
+  ASSERT_NE (running, "");
   std::string other = running == "i-0" ? "i-1" : "i-0";
 
   successor.set_time (predecessor.now);
@@ -56,10 +56,13 @@
   EXPECT_TRUE (successor.sent_of_kind (RST_MSG_STOP).empty ());
 }
 
-// A successor that does not know of the occurrence would start it again.
+// A successor that does not know of the occurrence would start it again.  The
+// intents of its tasks are not stored either, so the reason tells which of the
+// two conditions holds them back.
 TEST (RepeatingJob, StartsNoTaskOfAnOccurrenceThatIsNotStored)
 {
   Planner cell;
+  rst_planner_stats stats = {};
 
   cell.answers_commits = false;
   cell.start_serving (1);
@@ -67,6 +70,8 @@
                   make_repeating_job (cell, 5000));
   cell.settle ();
   cell.advance_time (6000);
+  rst_planner_read_stats (cell.planner, &stats);
+  EXPECT_EQ (stats.waiting_by_reason[RST_WAIT_NOT_STORED], 1u);
   EXPECT_TRUE (cell.is_committing);
   EXPECT_TRUE (cell.sent_of_kind (RST_MSG_START).empty ());
   cell.settle ();
