NarrowLink tests for commits, changes and the list of machines

Only the page had a test: with CALL_WATCH, CALL_COMMIT or CALL_MACHINES taken out of is_bulk_call() every unit test of held.

With these tests, one call taken out each time, whole suite of unit tests:

CALL_RANGE ReadsAPageThatArrivesSlowly (as before) CALL_WATCH ReadsChangesThatArriveSlowly CALL_COMMIT AwaitsTheResultOfACommitThatArrivesSlowly CALL_MACHINES ReadsMachinesThatArriveSlowly

and no other test failed. Nothing was wrong in the product. The tests slow the answer down, not the sending: what the kernel buffers of a request on loopback depends on its settings.

--- a/test/unit/adapter_http_test.cc
+++ b/test/unit/adapter_http_test.cc
@@ -172,12 +172,13 @@
   EXPECT_EQ (list_after (""), RST_RESULT_UNKNOWN);
 }
 
-// A store behind a narrow link: it answers one call with an empty page padded
-// with spaces, in pieces.
+// A store behind a narrow link: it answers one call with a body, an empty page
+// by default, that is padded with spaces, in pieces.
 class NarrowStore
 {
 public:
-  NarrowStore (int pieces, int sent_pieces, std::chrono::milliseconds pause)
+  NarrowStore (int pieces, int sent_pieces, std::chrono::milliseconds pause,
+               const std::string &body = "{\"items\":[],\"current_rev\":7}")
   {
     sockaddr_in loopback = {};
     socklen_t length = sizeof loopback;
@@ -190,7 +191,7 @@
     getsockname (listener, (sockaddr *)&loopback, &length);
     address = "127.0.0.1:" + std::to_string (ntohs (loopback.sin_port));
     thread = std::thread (
-        [=, this] { answer_call (pieces, sent_pieces, pause); });
+        [=, this] { answer_call (pieces, sent_pieces, pause, body); });
   }
 
   ~NarrowStore ()
@@ -203,14 +204,14 @@
 
 private:
   void
-  answer_call (int pieces, int sent_pieces, std::chrono::milliseconds pause)
+  answer_call (int pieces, int sent_pieces, std::chrono::milliseconds pause,
+               const std::string &body)
   {
-    const std::string page = "{\"items\":[],\"current_rev\":7}";
     const std::string piece (1000, ' ');
     const std::string head
         = "HTTP/1.1 200 OK\r\nContent-Length: "
-          + std::to_string (page.size () + (size_t)pieces * piece.size ())
-          + "\r\n\r\n" + page;
+          + std::to_string (body.size () + (size_t)pieces * piece.size ())
+          + "\r\n\r\n" + body;
     char request[4096];
     int connection = accept (listener, nullptr, nullptr);
 
@@ -235,25 +236,66 @@
 class NarrowLink : public ::testing::Test
 {
 protected:
-  // Reads a page from a store and measures how long that takes.
+  using Result = std::promise<rst_result>;
+
+  // Makes a call of the adapter to a store and measures how long it takes.
   rst_result
-  read_page (const NarrowStore &store)
+  call (const NarrowStore &store,
+        void (*start) (const rst_backend *backend, Result *result))
   {
     rst_http_client *client = rst_http_client_create (4, 4);
     rst_adapter *adapter
         = rst_adapter_create (client, store.address.c_str (), "");
-    const rst_backend *backend = rst_adapter_get_backend (adapter);
-    std::promise<rst_result> promise;
+    Result result;
     auto started_at = std::chrono::steady_clock::now ();
 
-    backend->store_range (backend->userdata, "a/", "",
-                          AdapterHttp::take_result, &promise);
-    rst_result result = promise.get_future ().get ();
+    rst_adapter_set_machines_address (adapter, store.address.c_str ());
+    start (rst_adapter_get_backend (adapter), &result);
+    rst_result value = result.get_future ().get ();
 
     took = std::chrono::steady_clock::now () - started_at;
     rst_http_client_destroy (client);
     rst_adapter_destroy (adapter);
-    return result;
+    return value;
+  }
+
+  static void
+  read_page (const rst_backend *backend, Result *result)
+  {
+    backend->store_range (backend->userdata, "a/", "",
+                          AdapterHttp::take_result, result);
+  }
+
+  static void
+  watch (const rst_backend *backend, Result *result)
+  {
+    backend->store_watch (backend->userdata, "a/", 3, 1000,
+                          AdapterHttp::take_result, result);
+  }
+
+  static void
+  commit (const rst_backend *backend, Result *result)
+  {
+    rst_store_write write = {};
+
+    write.key = "a/1";
+    write.value = "x";
+    write.length = 1;
+    write.expected_revision = -1;
+    backend->store_commit (backend->userdata, &write, 1,
+                           AdapterHttp::take_result, result);
+  }
+
+  static void
+  list_machines (const rst_backend *backend, Result *result)
+  {
+    backend->list_machines (
+        backend->userdata, nullptr,
+        [] (rst_machines_answer *answer, void *data) {
+          static_cast<Result *> (data)->set_value (answer->result);
+          rst_machines_answer_free (answer);
+        },
+        result);
   }
 
   std::chrono::steady_clock::duration took;
@@ -265,7 +307,38 @@
 {
   NarrowStore store (12, 12, std::chrono::milliseconds (200));
 
-  EXPECT_EQ (read_page (store), RST_RESULT_OK);
+  EXPECT_EQ (call (store, read_page), RST_RESULT_OK);
+  EXPECT_GT (took, std::chrono::milliseconds (2000));
+}
+
+// A planner would list the instances again and again instead of following the
+// changes.
+TEST_F (NarrowLink, ReadsChangesThatArriveSlowly)
+{
+  NarrowStore store (12, 12, std::chrono::milliseconds (200),
+                     "{\"events\":[],\"current_rev\":7}");
+
+  EXPECT_EQ (call (store, watch), RST_RESULT_OK);
+  EXPECT_GT (took, std::chrono::milliseconds (2000));
+}
+
+// A planner whose commits are given up is replaced, and the next one does the
+// same.
+TEST_F (NarrowLink, AwaitsTheResultOfACommitThatArrivesSlowly)
+{
+  NarrowStore store (12, 12, std::chrono::milliseconds (200));
+
+  EXPECT_EQ (call (store, commit), RST_RESULT_OK);
+  EXPECT_GT (took, std::chrono::milliseconds (2000));
+}
+
+// Without the list the lease of an instance that has ended is waited for.
+TEST_F (NarrowLink, ReadsMachinesThatArriveSlowly)
+{
+  NarrowStore store (12, 12, std::chrono::milliseconds (200),
+                     "{\"machines\":[],\"next_token\":\"\"}");
+
+  EXPECT_EQ (call (store, list_machines), RST_RESULT_OK);
   EXPECT_GT (took, std::chrono::milliseconds (2000));
 }
 
@@ -274,6 +347,6 @@
 {
   NarrowStore store (12, 3, std::chrono::milliseconds (200));
 
-  EXPECT_EQ (read_page (store), RST_RESULT_UNKNOWN);
+  EXPECT_EQ (call (store, read_page), RST_RESULT_UNKNOWN);
   EXPECT_LT (took, std::chrono::milliseconds (4000));
 }
