--- a/test/unit/journal_test.cc
+++ b/test/unit/journal_test.cc
@@ -269,32 +269,52 @@
   EXPECT_TRUE (successor.sent_of_kind (RST_MSG_START).empty ());
 }
 
+static std::string
+format_id (int number)
+{
+  char id[17];
+
+  snprintf (id, sizeof id, "%016x", 0x3000 + number);
+  return id;
+}
+
+// Submits a job with a long text that does not fit any instance.
+static void
+submit_text (Planner &cell, int number)
+{
+  rst_jobdesc *desc = Planner::make_job (2, 9000);
+
+  g_free (desc->spec);
+  desc->spec = g_strnfill (900, 'x');
+  cell.send_call (100, RST_OPERATION_SUBMIT, format_id (number), desc);
+  cell.advance_time (35);
+  cell.complete_commit ();
+}
+
+static size_t
+get_journal_bytes (Planner &cell)
+{
+  size_t bytes = 0;
+
+  cell.delete_removed_segments ();
+  for (const auto &commit : cell.commits)
+    bytes += commit.data.size ();
+  return bytes;
+}
+
 // Submits and cancels jobs with a long text, so that only their states are
 // needed, and returns the size of the journal that is then left.
 static size_t
 end_many_jobs (Planner &cell, int first, int end)
 {
-  size_t bytes = 0;
-
   for (int i = first; i < end; i++)
     {
-      rst_jobdesc *desc = Planner::make_job (2, 9000);
-      char id[17];
-
-      g_free (desc->spec);
-      desc->spec = g_strnfill (900, 'x');
-      snprintf (id, sizeof id, "%016x", 0x3000 + i);
-      cell.send_call (100, RST_OPERATION_SUBMIT, id, desc);
-      cell.advance_time (35);
-      cell.complete_commit ();
-      cell.send_call (101, RST_OPERATION_CANCEL, id);
+      submit_text (cell, i);
+      cell.send_call (101, RST_OPERATION_CANCEL, format_id (i));
       cell.advance_time (35);
       cell.complete_commit ();
     }
-  cell.delete_removed_segments ();
-  for (const auto &commit : cell.commits)
-    bytes += commit.data.size ();
-  return bytes;
+  return get_journal_bytes (cell);
 }
 
 // A new planner serves callers only after it has read the journal, on a narrow
@@ -316,15 +336,31 @@
   rst_planner_finish_restore (successor.planner);
   for (int i = 0; i < 1000; i++)
     {
-      char id[17];
-
-      snprintf (id, sizeof id, "%016x", 0x3000 + i);
-      successor.send_call ((uint64_t)(5000 + i), RST_OPERATION_READ, id);
+      successor.send_call ((uint64_t)(5000 + i), RST_OPERATION_READ,
+                           format_id (i));
       EXPECT_EQ (successor.reply_to ((uint64_t)(5000 + i))->reply.state,
                  RST_JOB_CANCELLED);
     }
 }
 
+// Jobs that end together are rewritten before their steps may be omitted. With
+// their texts the journal would stay as large as before.
+TEST (Journal, RewritesJobsThatHaveJustEndedWithoutTheirTexts)
+{
+  Planner cell;
+
+  cell.start_serving (1);
+  for (int i = 0; i < 1000; i++)
+    submit_text (cell, i);
+  EXPECT_GT (get_journal_bytes (cell), 900000u);
+  for (int i = 0; i < 1000; i++)
+    cell.send_call (101, RST_OPERATION_CANCEL, format_id (i));
+  for (int i = 5000; i < 5130; i++)
+    add_segments (cell, i);
+  /* A second of a link of 2 Mbit/s, and one segment. */
+  EXPECT_LT (get_journal_bytes (cell), 262144u + 16384u);
+}
+
 // Each trim recorded all instances anew, however small the segments were that
 // it removed.
 TEST (Journal, RewritesOnlyInstancesWhoseRecordsAreRemoved)
