cell-fuzz: reject unknown options and options without a value

A check whose option is misspelt, or has been renamed, would run another check and hold. None of tools/check, test/cell/faults and KNOWN-RED.txt has such a word, seen by running test/run/checks.sh and by reading.

--- a/test/cell/fuzz.cc
+++ b/test/cell/fuzz.cc
@@ -6,6 +6,7 @@
 //             [--listed-ends N] [--clock-steps 1] [--crashing 1]
 //             [--resizing 1] [--refusals 1] [--racks 1]
 //             [--speeds 1] [--attempts N] [--stops 1] [--leaving 1]
+//             [--late-calls 1] [--pending 1]
 //
 // --seeds runs that many seeds in sequence, from --seed on.
 // --fault selects a deliberate fault; see cell/fault_private.h.  It has an
@@ -32,6 +33,8 @@
 // and half of them while the store gives no answers.
 // --leaving lets instances go for good in series around hand-overs of the
 // planner, with fewer jobs and in a network that can be cut; see leaving.h.
+// --late-calls draws jobs that are cancelled while their submission is late.
+// --pending reads how many jobs of a queue wait.
 // --sequences draws faults as sequences in the order of events, in a network
 // that can be cut, and freezes processes in pieces; see sequences.h.
 #include "leaving.h"
@@ -42,6 +45,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <map>
+#include <string>
 
 extern "C"
 {
@@ -56,7 +61,10 @@
 // What a run of the fuzzer draws.
 struct Options
 {
+  uint64_t seed = 1;
+  int seeds = 1;
   int seconds = 60;
+  std::string log_level = "error";
   bool orders_survive_restart = false;
   bool has_partitions = false;
   bool has_repeating_jobs = false;
@@ -436,65 +444,72 @@
   return unfinished == 0 && world.violations.empty ();
 }
 
+// Options that are on or off, by their names on the command line.
+static const std::map<std::string, bool Options::*> switches = {
+  { "--outlive", &Options::orders_survive_restart },
+  { "--refusals", &Options::has_refusals },
+  { "--partitions", &Options::has_partitions },
+  { "--repeating", &Options::has_repeating_jobs },
+  { "--clock-steps", &Options::has_instance_clock_steps },
+  { "--crashing", &Options::has_crashing_tasks },
+  { "--resizing", &Options::has_resizing },
+  { "--speeds", &Options::has_speeds },
+  { "--racks", &Options::has_racks },
+  { "--late-calls", &Options::has_late_calls },
+  { "--pending", &Options::reads_pending },
+  { "--stops", &Options::has_stops },
+  { "--leaving", &Options::has_leaving },
+  { "--sequences", &Options::has_sequences },
+};
+
+// Sets an option by its name; false if there is none of that name.
+static bool
+set_option (Options &options, const std::string &name, const char *value)
+{
+  auto found = switches.find (name);
+
+  if (found != switches.end ())
+    options.*found->second = atoi (value) != 0;
+  else if (name == "--seed")
+    options.seed = strtoull (value, nullptr, 10);
+  else if (name == "--seconds")
+    options.seconds = atoi (value);
+  else if (name == "--seeds")
+    options.seeds = atoi (value);
+  else if (name == "--fault")
+    rst_cell_fault = atoi (value);
+  else if (name == "--listed-ends")
+    options.listed_ends_max = strtoull (value, nullptr, 10);
+  else if (name == "--attempts")
+    options.attempts_max = atoi (value);
+  else if (name == "--log")
+    options.log_level = value;
+  else
+    return false;
+  return true;
+}
+
 int
 main (int argc, char **argv)
 {
-  uint64_t seed = 1;
-  int seeds = 1;
   int failed = 0;
   Options options;
-  rst_log_config log = { false, "error", false };
+  rst_log_config log = { false, "", false };
 
-  for (int i = 1; i + 1 < argc; i += 2)
-    {
-      if (strcmp (argv[i], "--seed") == 0)
-        seed = strtoull (argv[i + 1], nullptr, 10);
-      else if (strcmp (argv[i], "--seconds") == 0)
-        options.seconds = atoi (argv[i + 1]);
-      else if (strcmp (argv[i], "--seeds") == 0)
-        seeds = atoi (argv[i + 1]);
-      else if (strcmp (argv[i], "--fault") == 0)
-        rst_cell_fault = atoi (argv[i + 1]);
-      else if (strcmp (argv[i], "--outlive") == 0)
-        options.orders_survive_restart = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--refusals") == 0)
-        options.has_refusals = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--partitions") == 0)
-        options.has_partitions = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--repeating") == 0)
-        options.has_repeating_jobs = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--listed-ends") == 0)
-        options.listed_ends_max = strtoull (argv[i + 1], nullptr, 10);
-      else if (strcmp (argv[i], "--clock-steps") == 0)
-        options.has_instance_clock_steps = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--crashing") == 0)
-        options.has_crashing_tasks = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--resizing") == 0)
-        options.has_resizing = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--speeds") == 0)
-        options.has_speeds = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--racks") == 0)
-        options.has_racks = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--late-calls") == 0)
-        options.has_late_calls = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--pending") == 0)
-        options.reads_pending = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--stops") == 0)
-        options.has_stops = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--leaving") == 0)
-        options.has_leaving = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--attempts") == 0)
-        options.attempts_max = atoi (argv[i + 1]);
-      else if (strcmp (argv[i], "--sequences") == 0)
-        options.has_sequences = atoi (argv[i + 1]) != 0;
-      else if (strcmp (argv[i], "--log") == 0)
-        g_strlcpy (log.level, argv[i + 1], sizeof log.level);
-    }
+  // A check with a misspelt option would run without it and pass.
+  for (int i = 1; i < argc; i += 2)
+    if (i + 1 == argc || !set_option (options, argv[i], argv[i + 1]))
+      {
+        fprintf (stderr, "cell-fuzz: no such option, or no value: %s\n",
+                 argv[i]);
+        return 2;
+      }
+  g_strlcpy (log.level, options.log_level.c_str (), sizeof log.level);
   rst_log_init ("cell-fuzz", &log);
-  for (int i = 0; i < seeds; i++)
-    if (!run_seed (seed + (uint64_t)i, options))
+  for (int i = 0; i < options.seeds; i++)
+    if (!run_seed (options.seed + (uint64_t)i, options))
       failed++;
   if (failed > 0)
-    printf ("%d of %d seeds failed\n", failed, seeds);
+    printf ("%d of %d seeds failed\n", failed, options.seeds);
   return failed > 0 ? 1 : 0;
 }
